--- /dev/null
+++ b/core/catalogue/catalogue.go
@@ -0,0 +1,115 @@
+// Package catalogue holds the typed entries that operators edit, and their
+// checks.
+//
+// Usage:
+//
+//	e, err := catalogue.Decode(object.Value)
+//	faults := catalogue.Check(e)
+package catalogue
+
+import (
+	"time"
+
+	"oleandercove.example/core/unit"
+)
+
+// Kind is the kind of an entry.
+type Kind string
+
+const (
+	// KindModel describes a model that engines serve.
+	KindModel Kind = "Model"
+	// KindService describes a plain service.
+	KindService Kind = "Service"
+	// KindAccount describes a client account.
+	KindAccount Kind = "Account"
+)
+
+// Class says how important the traffic of an entry is.
+type Class string
+
+const (
+	// ClassInteractive is served first.
+	ClassInteractive Class = "Interactive"
+	// ClassStandard is the default.
+	ClassStandard Class = "Standard"
+	// ClassBatch is shed first.
+	ClassBatch Class = "Batch"
+)
+
+// Limits bounds the use of an entry or account; zero means no limit.
+type Limits struct {
+	RequestsPerSecond float64 `json:",omitempty"`
+	TokensPerSecond   float64 `json:",omitempty"`
+	ConcurrentStreams int     `json:",omitempty"`
+	QueueShare        float64 `json:",omitempty"`
+}
+
+// Model is the part of an entry that describes a model.
+type Model struct {
+	Layers          unit.Layer
+	Version         string   `json:",omitempty"`
+	Adapters        []string `json:",omitempty"`
+	Replicas        int      `json:",omitempty"`
+	MaxTokens       int
+	ActivationBytes int `json:",omitempty"`
+}
+
+// Service is the part of an entry that describes a plain service.
+type Service struct {
+	// IdempotentMethods lists the methods that may be repeated.
+	IdempotentMethods []string
+	// IdempotentPaths lists path prefixes that may be repeated by any method.
+	IdempotentPaths []string `json:",omitempty"`
+	TimeoutMs       int      `json:",omitempty"`
+}
+
+// Account is the part of an entry that describes a client account.
+type Account struct {
+	// TokenHash is the hexadecimal SHA-256 of the bearer token.
+	TokenHash string
+}
+
+// Entry is one catalogue entry.
+type Entry struct {
+	Kind    Kind
+	Name    unit.EntryName
+	Owner   string
+	Class   Class
+	Limits  Limits
+	DrainMs int      `json:",omitempty"`
+	Model   *Model   `json:",omitempty"`
+	Service *Service `json:",omitempty"`
+	Account *Account `json:",omitempty"`
+
+	// Deleted marks a tombstone; it keeps the version from starting again.
+	Deleted bool `json:",omitempty"`
+	// ChangedBy and ChangedAt name the last edit.
+	ChangedBy string    `json:",omitempty"`
+	ChangedAt time.Time `json:",omitzero"`
+	// History keeps the most recent edits, newest last.
+	History []Change `json:",omitempty"`
+
+	// Version is the version of the platform object, not part of the value.
+	Version unit.Version `json:"-"`
+}
+
+// Change is one edit in the history of an entry.
+type Change struct {
+	By      string
+	At      time.Time
+	Version unit.Version
+	Fields  []string
+}
+
+// Key identifies an entry.
+type Key struct {
+	Kind Kind
+	Name unit.EntryName
+}
+
+// Key returns the key of the entry.
+func (e *Entry) Key() Key { return Key{Kind: e.Kind, Name: e.Name} }
+
+// ObjectName returns the name of the platform object that holds the entry.
+func (k Key) ObjectName() string { return string(k.Kind) + "." + string(k.Name) }
--- /dev/null
+++ b/core/catalogue/decoder.go
@@ -0,0 +1,27 @@
+package catalogue
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+
+	"oleandercove.example/core/unit"
+)
+
+// Decode reads an entry from the value of a platform object and rejects
+// unknown fields.
+func Decode(value []byte, version unit.Version) (*Entry, error) {
+	d := json.NewDecoder(bytes.NewReader(value))
+	d.DisallowUnknownFields()
+	var e Entry
+	if err := d.Decode(&e); err != nil {
+		return nil, fmt.Errorf("decode catalogue entry: %w", err)
+	}
+	e.Version = version
+	return &e, nil
+}
+
+// Encode writes an entry as the value of a platform object.
+func Encode(e *Entry) ([]byte, error) {
+	return json.Marshal(e)
+}
--- /dev/null
+++ b/core/engine/engine.go
@@ -0,0 +1,233 @@
+// Package engine holds the messages between the router and model engines.
+//
+// The router starts a stream at the first stage of a chain and receives
+// newline-delimited Events. Stages hand activations on with Step requests.
+// A stage that lacks earlier positions answers StepNeedFrom, and the stage
+// before it sends the kept activations again, marked as replay.
+//
+// Usage:
+//
+//	POST /v1/streams  StreamRequest -> stream of Event
+//	POST /v1/steps    StepRequest   -> StepReply
+//	POST /v1/cancel   CancelRequest
+//	GET  /v1/status   -> Status
+package engine
+
+import "oleandercove.example/core/unit"
+
+// Priority orders the work of an engine; higher runs first.
+type Priority int
+
+const (
+	// PriorityLow is for work that is shed first.
+	PriorityLow Priority = -1
+	// PriorityNormal is the default.
+	PriorityNormal Priority = 0
+	// PriorityHigh is for interactive work.
+	PriorityHigh Priority = 1
+)
+
+// Stage is one engine of a chain with the layers [From, To) that it runs.
+type Stage struct {
+	Backend unit.BackendID
+	Address string
+	From    unit.Layer
+	To      unit.Layer
+}
+
+// StreamRequest starts a stream, or resumes it with a higher epoch.
+type StreamRequest struct {
+	Stream    unit.StreamID
+	Epoch     unit.Epoch
+	Model     unit.EntryName
+	Prompt    string
+	Emitted   []unit.Token
+	MaxTokens int
+	Priority  Priority
+	Chain     []Stage
+}
+
+// EventKind says what an Event reports.
+type EventKind string
+
+const (
+	// EventToken carries the next token.
+	EventToken EventKind = "Token"
+	// EventBeat shows that the connection and the engine are alive.
+	EventBeat EventKind = "Beat"
+	// EventEnd is the end mark of a complete answer.
+	EventEnd EventKind = "End"
+	// EventFailed means that a stage failed; Failure says which one.
+	EventFailed EventKind = "Failed"
+)
+
+// FinishReason says why an answer ended.
+type FinishReason string
+
+const (
+	// FinishLength means that MaxTokens were generated.
+	FinishLength FinishReason = "length"
+	// FinishStop means that the model ended the answer.
+	FinishStop FinishReason = "stop"
+)
+
+// Failure names the stage that failed.
+type Failure struct {
+	Backend unit.BackendID
+	Cause   FailureCause
+	Detail  string
+}
+
+// FailureCause classifies the failure of a stage.
+type FailureCause string
+
+const (
+	// CauseUnreachable means that the stage could not be reached.
+	CauseUnreachable FailureCause = "Unreachable"
+	// CauseOldEpoch means that the stage has seen a newer epoch.
+	CauseOldEpoch FailureCause = "OldEpoch"
+	// CauseOverloaded means that the stage has no room for the stream.
+	CauseOverloaded FailureCause = "Overloaded"
+	// CauseRefused means that the stage can't serve the request.
+	CauseRefused FailureCause = "Refused"
+	// CauseDraining means that the stage takes no new streams.
+	CauseDraining FailureCause = "Draining"
+)
+
+// Event is one line of a stream's answer.
+type Event struct {
+	Kind     EventKind
+	Stream   unit.StreamID
+	Epoch    unit.Epoch
+	Position unit.Position `json:",omitempty"`
+	Token    unit.Token    `json:",omitempty"`
+	Text     string        `json:",omitempty"`
+	Finish   FinishReason  `json:",omitempty"`
+	Failure  *Failure      `json:",omitempty"`
+	Load     *Load         `json:",omitempty"`
+}
+
+// Load is an engine's report of its current work.
+type Load struct {
+	Running int
+	Queued  int
+	Rate    unit.TokensPerSecond
+}
+
+// Activation is the output of a range of layers for one position.
+type Activation uint64
+
+// StepRequest hands activations to the next stage.
+type StepRequest struct {
+	Stream   unit.StreamID
+	Epoch    unit.Epoch
+	Model    unit.EntryName
+	Priority Priority
+	Chain    []Stage
+	Index    int
+	From     unit.Position
+	Inputs   []Activation
+	// Fresh is the first position whose execution is not a replay.
+	Fresh unit.Position
+}
+
+// StepCode is the outcome of a step.
+type StepCode string
+
+const (
+	// StepOk means that all positions ran and Token is the next token.
+	StepOk StepCode = "Ok"
+	// StepNeedFrom means that the stage lacks positions from NeedFrom on.
+	StepNeedFrom StepCode = "NeedFrom"
+	// StepFailed means that this stage or a later one failed.
+	StepFailed StepCode = "Failed"
+)
+
+// StepReply answers a StepRequest.
+type StepReply struct {
+	Code     StepCode
+	NeedFrom unit.Position
+	Token    unit.Token
+	Failure  *Failure `json:",omitempty"`
+}
+
+// CancelRequest ends a stream on an engine.
+type CancelRequest struct {
+	Stream unit.StreamID
+	Epoch  unit.Epoch
+}
+
+// Status describes an engine.
+type Status struct {
+	Backend    unit.BackendID
+	DataCentre unit.DataCentre
+	Kind       string
+	Model      unit.EntryName
+	From       unit.Layer
+	To         unit.Layer
+	Layers     unit.Layer
+	// Start identifies the run of the process; it changes on a restart.
+	Start      string
+	Sequence   uint64
+	Draining   bool
+	MaxStreams int
+	MaxBatch   int
+	// TokenTime is the time of one batch iteration in microseconds.
+	TokenTimeMicros int64
+	Load            Load
+	Links           []Link
+	Fencing         bool
+}
+
+// Link describes the measured link to another engine.
+type Link struct {
+	To            unit.BackendID
+	LatencyMicros int64
+	Rate          unit.BytesPerSecond
+}
+
+// OrderKind names the target of an order.
+type OrderKind string
+
+const (
+	// OrderLoad sets the model, version and layers that an engine holds.
+	OrderLoad OrderKind = "Load"
+	// OrderDrain tells an engine to take no new streams.
+	OrderDrain OrderKind = "Drain"
+	// OrderResume tells an engine to take streams again.
+	OrderResume OrderKind = "Resume"
+)
+
+// Order states the target state of an engine and the lease that allows it.
+type Order struct {
+	Kind    OrderKind
+	Model   unit.EntryName
+	Version string
+	From    unit.Layer
+	To      unit.Layer
+	Fence   unit.Fence
+}
+
+// KVState is an export of the KV cache of one stream.
+type KVState struct {
+	Stream  unit.StreamID
+	Epoch   unit.Epoch
+	Model   unit.EntryName
+	From    unit.Layer
+	To      unit.Layer
+	Layers  []uint64
+	Outputs []Activation
+}
+
+// JournalRecord is one entry of an engine's journal of executed work.
+type JournalRecord struct {
+	Backend unit.BackendID
+	Start   string
+	Stream  unit.StreamID
+	Epoch   unit.Epoch
+	From    unit.Layer
+	To      unit.Layer
+	First   unit.Position
+	Count   int
+	Replay  bool
+}
--- /dev/null
+++ b/core/platform/platform.go
@@ -0,0 +1,93 @@
+// Package platform is the only way to the platform's object API.
+//
+// A Client adds deadlines, a call budget, backoff and a circuit breaker, and
+// turns the result of a write into one of three outcomes: done, refused or
+// unknown. An unknown write is resolved by reading back its write id.
+//
+// Usage:
+//
+//	c := platform.NewClient(platform.Options{Address: "127.0.0.1:7000"})
+//	o, err := c.Put(ctx, "Entry", "report", 0, value)
+package platform
+
+import (
+	"encoding/json"
+	"errors"
+
+	"oleandercove.example/core/unit"
+)
+
+// Kind names a kind of objects.
+type Kind string
+
+const (
+	// KindEntry holds catalogue entries.
+	KindEntry Kind = "Entry"
+	// KindClaim holds buckets of claims for non-idempotent calls.
+	KindClaim Kind = "Claim"
+	// KindLease holds leases of controllers.
+	KindLease Kind = "Lease"
+)
+
+// Object is a versioned object of the platform.
+type Object struct {
+	Kind     Kind
+	Name     string
+	Version  unit.Version
+	Revision unit.Revision
+	WriteID  string
+	Value    json.RawMessage
+	Deleted  bool `json:",omitempty"`
+}
+
+// List is the answer to a list call.
+type List struct {
+	Revision unit.Revision
+	Objects  []Object
+}
+
+// Host is a row of the platform's list of hosts, which lags.
+type Host struct {
+	ID         string
+	Role       Role
+	Address    string
+	DataCentre unit.DataCentre
+	State      HostState
+	// Serves is the catalogue entry that a backend server serves.
+	Serves unit.EntryName `json:",omitempty"`
+}
+
+// Role says what runs on a host.
+type Role string
+
+const (
+	// RoleEntry is an entry host.
+	RoleEntry Role = "Entry"
+	// RoleEngine is a model engine.
+	RoleEngine Role = "Engine"
+	// RoleService is a service worker.
+	RoleService Role = "Service"
+)
+
+// HostState is the state of a host in the list.
+type HostState string
+
+const (
+	// HostLive means that the host is expected to serve.
+	HostLive HostState = "Live"
+	// HostLeaving means that the host is shutting down.
+	HostLeaving HostState = "Leaving"
+)
+
+var (
+	// ErrConflict means that the object's version is not the expected one.
+	ErrConflict = errors.New("platform object has another version")
+	// ErrNotFound means that the object does not exist.
+	ErrNotFound = errors.New("platform object not found")
+	// ErrUnavailable means that the platform did not take the call.
+	ErrUnavailable = errors.New("platform unavailable")
+	// ErrUnknown means that a write may or may not have taken effect.
+	ErrUnknown = errors.New("outcome of platform write unknown")
+	// ErrBudget means that the call budget is used up.
+	ErrBudget = errors.New("platform call budget used up")
+)
--- /dev/null
+++ b/core/unit/unit.go
@@ -0,0 +1,59 @@
+// Package unit holds the named types for identifiers and units that all
+// programs share.
+//
+// Usage:
+//
+//	var a unit.AccountID = "depot-7"
+//	var p unit.Position = 12
+package unit
+
+// AccountID identifies a client account.
+type AccountID string
+
+// RequestID identifies a request of a caller.
+type RequestID string
+
+// HostID identifies an entry host.
+type HostID string
+
+// BackendID identifies a backend server: an engine or a service worker.
+type BackendID string
+
+// DataCentre names a data centre.
+type DataCentre string
+
+// Region names a region.
+type Region string
+
+// EntryName names a catalogue entry.
+type EntryName string
+
+// StreamID identifies a model stream on the engines.
+type StreamID string
+
+// Epoch counts the attempts of a stream; engines refuse older epochs.
+type Epoch uint64
+
+// Layer is the index of a model layer.
+type Layer int
+
+// Position is the index of a token in prompt plus answer.
+type Position int
+
+// Token is the id of a token in the model's vocabulary.
+type Token uint32
+
+// Version is the version of a platform object; 0 means that none exists.
+type Version uint64
+
+// Revision is a point in the history of all platform objects.
+type Revision uint64
+
+// Fence is the fencing number of a lease.
+type Fence uint64
+
+// TokensPerSecond is a rate of generated tokens.
+type TokensPerSecond float64
+
+// BytesPerSecond is the rate of a link.
+type BytesPerSecond float64
--- /dev/null
+++ b/core/verdict/verdict.go
@@ -0,0 +1,135 @@
+// Package verdict states whether a failed request may have run on a backend
+// server.
+//
+// Every failure that a caller sees carries one of three verdicts. Retry policy
+// and the answer to the caller depend on the verdict and never on error text.
+//
+// Usage:
+//
+//	if v, ok := verdict.Of(err); ok && v.Verdict == verdict.NotRun {
+//		return retry(ctx, r)
+//	}
+package verdict
+
+import (
+	"errors"
+	"fmt"
+	"net/http"
+	"time"
+)
+
+// Verdict says whether a request ran.
+type Verdict string
+
+const (
+	// NotRun means that no backend server ran any part of the request.
+	NotRun Verdict = "NotRun"
+	// MayHaveRun means that a backend server may have run the request.
+	MayHaveRun Verdict = "MayHaveRun"
+	// Ran means that a backend server ran the request.
+	Ran Verdict = "Ran"
+)
+
+// Reason names the cause of a refusal or failure.
+type Reason string
+
+const (
+	// BadRequest means that the request can't be understood.
+	BadRequest Reason = "BadRequest"
+	// TooLarge means that the request exceeds a size limit.
+	TooLarge Reason = "TooLarge"
+	// Unauthorized means that the bearer token is missing or unknown.
+	Unauthorized Reason = "Unauthorized"
+	// UnknownEntry means that no catalogue entry has the requested name.
+	UnknownEntry Reason = "UnknownEntry"
+	// AccountLimit means that the client account used up a limit.
+	AccountLimit Reason = "AccountLimit"
+	// Overloaded means that the queue is full or too slow for the deadline.
+	Overloaded Reason = "Overloaded"
+	// NoBackend means that no healthy backend server can take the request.
+	NoBackend Reason = "NoBackend"
+	// BackendFailed means that the backend server failed during the request.
+	BackendFailed Reason = "BackendFailed"
+	// DeadlineExceeded means that the caller's deadline passed.
+	DeadlineExceeded Reason = "DeadlineExceeded"
+	// Canceled means that the caller went away.
+	Canceled Reason = "Canceled"
+	// Draining means that the daemon is shutting down.
+	Draining Reason = "Draining"
+	// Quarantined means that the request crashed backend servers before.
+	Quarantined Reason = "Quarantined"
+	// DuplicateRunning means that an earlier request with the same key runs.
+	DuplicateRunning Reason = "DuplicateRunning"
+	// PlatformUnavailable means that the platform's object API did not answer.
+	PlatformUnavailable Reason = "PlatformUnavailable"
+	// Conflict means that a conditional update lost against another one.
+	Conflict Reason = "Conflict"
+	// Internal means a fault in this program.
+	Internal Reason = "Internal"
+)
+
+// Error is a failure with its verdict.
+type Error struct {
+	Verdict    Verdict
+	Reason     Reason
+	Detail     string
+	RetryAfter time.Duration
+	Err        error
+}
+
+// Error returns the reason, verdict and detail as one line.
+func (e *Error) Error() string {
+	return fmt.Sprintf("%s (%s): %s", e.Reason, e.Verdict, e.Detail)
+}
+
+// Unwrap returns the underlying error.
+func (e *Error) Unwrap() error { return e.Err }
+
+// New returns an Error with a formatted detail.
+func New(v Verdict, reason Reason, format string, args ...any) *Error {
+	return &Error{Verdict: v, Reason: reason, Detail: fmt.Sprintf(format, args...)}
+}
+
+// After returns a copy of the error that tells the caller when to come back.
+func (e *Error) After(d time.Duration) *Error {
+	c := *e
+	c.RetryAfter = d
+	return &c
+}
+
+// Of returns the Error in the chain of err, if there is one.
+func Of(err error) (*Error, bool) {
+	var e *Error
+	ok := errors.As(err, &e)
+	return e, ok
+}
+
+// Status returns the HTTP status for a reason.
+func (r Reason) Status() int {
+	switch r {
+	case BadRequest:
+		return http.StatusBadRequest
+	case TooLarge:
+		return http.StatusRequestEntityTooLarge
+	case Unauthorized:
+		return http.StatusUnauthorized
+	case UnknownEntry:
+		return http.StatusNotFound
+	case AccountLimit:
+		return http.StatusTooManyRequests
+	case Quarantined:
+		return http.StatusUnprocessableEntity
+	case DuplicateRunning, Conflict:
+		return http.StatusConflict
+	case BackendFailed:
+		return http.StatusBadGateway
+	case DeadlineExceeded:
+		return http.StatusGatewayTimeout
+	case Canceled:
+		return 499 // nginx's customary status for a caller that went away
+	case Internal:
+		return http.StatusInternalServerError
+	default:
+		return http.StatusServiceUnavailable
+	}
+}
