oleanderfake: add fakes for platform, engines and services

Cause: tests need backend servers whose journals tell what really ran. Ruled out: random text; the toy model's text depends on the exact order of layers and positions, so a doubled or skipped execution is visible in it.

--- /dev/null
+++ b/oleanderfake/booker/booker.go
@@ -0,0 +1,133 @@
+// Package booker is a stand-in for a plain service with bookings, which are
+// not idempotent, and reads.
+//
+// Usage:
+//
+//	b, err := booker.New(booker.Options{Backend: "s1"})
+//	http.ListenAndServe(address, b.Handler())
+package booker
+
+import (
+	"io"
+	"net/http"
+	"strconv"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/julienschmidt/httprouter"
+
+	"oleandercove.example/core/unit"
+	"oleandercove.example/oleanderfake/journaler"
+	"oleandercove.example/oleanderfake/responder"
+)
+
+const maxBodyBytes = 1 << 20
+
+// Options configures a Service.
+type Options struct {
+	Backend unit.BackendID
+	// Delay is the time of each call.
+	Delay time.Duration
+	// Journal is the file of the journal; empty keeps it in memory.
+	Journal string
+}
+
+// Record is one call that the service ran.
+type Record struct {
+	Backend unit.BackendID
+	Method  string
+	Path    string
+	Key     string
+	Body    string
+	At      time.Time
+}
+
+// Faults are the injected faults of a service.
+type Faults struct {
+	// CutAfter closes the connection after the call ran, without an answer.
+	CutAfter bool
+	// CutBefore closes the connection before the call runs.
+	CutBefore bool
+	// DelayMs replaces the delay of each call, in milliseconds.
+	DelayMs int
+}
+
+// Service is a fake service worker.
+type Service struct {
+	options  Options
+	journal  *journaler.Journal[Record]
+	bookings atomic.Int64
+	draining atomic.Bool
+
+	mu     sync.Mutex
+	faults Faults
+}
+
+// New returns a service worker.
+func New(o Options) (*Service, error) {
+	j, err := journaler.New[Record](o.Journal)
+	return &Service{options: o, journal: j}, err
+}
+
+// Drain makes the health check report that the worker is leaving.
+func (s *Service) Drain() { s.draining.Store(true) }
+
+// Handler returns the HTTP interface of the service.
+func (s *Service) Handler() http.Handler {
+	r := httprouter.New()
+	r.GET("/healthz", func(w http.ResponseWriter, _ *http.Request, _ httprouter.Params) {
+		if s.draining.Load() {
+			w.WriteHeader(http.StatusServiceUnavailable)
+		}
+	})
+	r.Handler(http.MethodGet, "/journal", s.journal)
+	r.POST("/faults", s.handleFaults)
+	r.NotFound = http.HandlerFunc(s.call)
+	return r
+}
+
+func (s *Service) handleFaults(w http.ResponseWriter, r *http.Request, _ httprouter.Params) {
+	var f Faults
+	if !responder.Read(w, r, &f) {
+		return
+	}
+	s.mu.Lock()
+	s.faults = f
+	s.mu.Unlock()
+	w.WriteHeader(http.StatusNoContent)
+}
+
+// Answer is the body of every answer.
+type Answer struct {
+	Backend unit.BackendID
+	Number  string
+}
+
+func (s *Service) call(w http.ResponseWriter, r *http.Request) {
+	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxBodyBytes))
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	s.mu.Lock()
+	f := s.faults
+	s.mu.Unlock()
+	if f.CutBefore {
+		panic(http.ErrAbortHandler)
+	}
+	time.Sleep(max(s.options.Delay, time.Duration(f.DelayMs)*time.Millisecond))
+	s.journal.Append(Record{
+		Backend: s.options.Backend, Method: r.Method, Path: r.URL.Path,
+		Key: r.Header.Get("Idempotency-Key"), Body: string(body), At: time.Now(),
+	})
+	if f.CutAfter {
+		panic(http.ErrAbortHandler)
+	}
+	if r.Method == http.MethodGet || r.Method == http.MethodHead {
+		responder.Write(w, http.StatusOK, Answer{Backend: s.options.Backend})
+		return
+	}
+	n := s.bookings.Add(1)
+	responder.Write(w, http.StatusCreated, Answer{Backend: s.options.Backend, Number: string(s.options.Backend) + "-" + strconv.FormatInt(n, 10)})
+}
--- /dev/null
+++ b/oleanderfake/journaler/journaler.go
@@ -0,0 +1,65 @@
+// Package journaler keeps the journal of what a fake really ran.
+//
+// Records go to memory and, if a file is given, to the file with one write for
+// each record, so that they survive a SIGKILL of the fake.
+//
+// Usage:
+//
+//	j, err := journaler.New[engine.JournalRecord]("engine.journal")
+//	j.Append(record)
+package journaler
+
+import (
+	"encoding/json"
+	"net/http"
+	"os"
+	"sync"
+)
+
+// Journal is an append-only list of records.
+type Journal[T any] struct {
+	mu      sync.Mutex
+	records []T
+	file    *os.File
+}
+
+// New opens a journal; an empty path keeps it in memory only.
+func New[T any](path string) (*Journal[T], error) {
+	j := &Journal[T]{}
+	if path == "" {
+		return j, nil
+	}
+	f, err := os.OpenFile(path, os.O_APPEND|os.O_CREATE|os.O_WRONLY, 0o644)
+	j.file = f
+	return j, err
+}
+
+// Append adds a record.
+func (j *Journal[T]) Append(record T) {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	j.records = append(j.records, record)
+	if j.file == nil {
+		return
+	}
+	line, err := json.Marshal(record)
+	if err == nil {
+		_, err = j.file.Write(append(line, '\n'))
+	}
+	if err != nil {
+		panic(err) // a proof must not read a journal with holes
+	}
+}
+
+// Records returns a copy of all records.
+func (j *Journal[T]) Records() []T {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	return append([]T{}, j.records...)
+}
+
+// ServeHTTP writes all records as a JSON array.
+func (j *Journal[T]) ServeHTTP(w http.ResponseWriter, _ *http.Request) {
+	w.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(w).Encode(j.Records())
+}
--- /dev/null
+++ b/oleanderfake/runner/handler.go
@@ -0,0 +1,225 @@
+package runner
+
+import (
+	"encoding/json"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/julienschmidt/httprouter"
+
+	"oleandercove.example/core/engine"
+	"oleandercove.example/core/unit"
+	"oleandercove.example/oleanderfake/responder"
+)
+
+// Handler returns the HTTP interface of the engine.
+func (e *Engine) Handler() http.Handler {
+	r := httprouter.New()
+	r.POST("/v1/streams", e.handleStream)
+	r.POST("/v1/steps", e.handleStep)
+	r.POST("/v1/cancel", e.handleCancel)
+	r.GET("/v1/status", func(w http.ResponseWriter, _ *http.Request, _ httprouter.Params) {
+		responder.Write(w, http.StatusOK, e.Status())
+	})
+	r.POST("/v1/export", e.handleExport)
+	r.POST("/v1/import", e.handleImport)
+	r.POST("/v1/orders", e.handleOrder)
+	r.POST("/faults", e.handleFaults)
+	r.Handler(http.MethodGet, "/journal", e.journal)
+	return r
+}
+
+// lineWriter writes one JSON value a line; heartbeats come from another
+// goroutine.
+type lineWriter struct {
+	mu sync.Mutex
+	w  http.ResponseWriter
+}
+
+func (l *lineWriter) write(b []byte) error {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if _, err := l.w.Write(append(b, '\n')); err != nil {
+		return err
+	}
+	return http.NewResponseController(l.w).Flush()
+}
+
+// beat writes a heartbeat at each interval until stop is closed.
+func (l *lineWriter) beat(stop <-chan struct{}, line []byte) {
+	t := time.NewTicker(beatInterval)
+	defer t.Stop()
+	for {
+		select {
+		case <-t.C:
+			if l.write(line) != nil {
+				return
+			}
+		case <-stop:
+			return
+		}
+	}
+}
+
+func (e *Engine) handleStream(w http.ResponseWriter, r *http.Request, _ httprouter.Params) {
+	var m engine.StreamRequest
+	if !responder.Read(w, r, &m) {
+		return
+	}
+	e.crashOnPoison(m.Prompt)
+	l := &lineWriter{w: w}
+	beat, err := json.Marshal(engine.Event{Kind: engine.EventBeat, Stream: m.Stream, Epoch: m.Epoch})
+	if err != nil || l.write(beat) != nil {
+		return
+	}
+	stop := make(chan struct{})
+	var wg sync.WaitGroup
+	wg.Go(func() { l.beat(stop, beat) })
+	_ = e.generate(r.Context(), m, func(v engine.Event) error {
+		b, err := json.Marshal(v)
+		if err != nil {
+			return err
+		}
+		return l.write(b)
+	})
+	close(stop)
+	wg.Wait()
+}
+
+func (e *Engine) handleStep(w http.ResponseWriter, r *http.Request, _ httprouter.Params) {
+	var m engine.StepRequest
+	if !responder.Read(w, r, &m) {
+		return
+	}
+	l := &lineWriter{w: w}
+	stop := make(chan struct{})
+	var wg sync.WaitGroup
+	wg.Go(func() { l.beat(stop, nil) })
+	reply := e.Step(r.Context(), m)
+	close(stop)
+	wg.Wait()
+	if b, err := json.Marshal(reply); err == nil {
+		_ = l.write(b)
+	}
+}
+
+func (e *Engine) handleCancel(w http.ResponseWriter, r *http.Request, _ httprouter.Params) {
+	var m engine.CancelRequest
+	if !responder.Read(w, r, &m) {
+		return
+	}
+	e.streams.remove(m.Stream, m.Epoch)
+	w.WriteHeader(http.StatusNoContent)
+}
+
+func (e *Engine) handleExport(w http.ResponseWriter, r *http.Request, _ httprouter.Params) {
+	var m engine.CancelRequest
+	if !responder.Read(w, r, &m) {
+		return
+	}
+	s, ok := e.streams.find(m.Stream)
+	if !ok {
+		http.Error(w, "stream not found", http.StatusNotFound)
+		return
+	}
+	from, to, _ := e.shape()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	responder.Write(w, http.StatusOK, engine.KVState{
+		Stream: m.Stream, Epoch: s.epoch, Model: e.options.Model, From: from, To: to,
+		Layers: s.layers, Outputs: s.outputs,
+	})
+}
+
+func (e *Engine) handleImport(w http.ResponseWriter, r *http.Request, _ httprouter.Params) {
+	var m engine.KVState
+	if !responder.Read(w, r, &m) {
+		return
+	}
+	from, to, _ := e.shape()
+	if m.From != from || m.To != to || len(m.Layers) != int(to-from) {
+		http.Error(w, "layers don't match", http.StatusConflict)
+		return
+	}
+	s, room := e.streams.get(m.Stream, int(to-from), e.options.MaxStreams)
+	if !room {
+		http.Error(w, "no memory for another stream", http.StatusServiceUnavailable)
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if len(s.outputs) < len(m.Outputs) && s.epoch <= m.Epoch {
+		s.epoch, s.layers, s.outputs = m.Epoch, m.Layers, m.Outputs
+	}
+	w.WriteHeader(http.StatusNoContent)
+}
+
+// handleOrder applies the target state of an order; an engine that honours
+// fencing refuses a number lower than the highest one seen.
+func (e *Engine) handleOrder(w http.ResponseWriter, r *http.Request, _ httprouter.Params) {
+	var m engine.Order
+	if !responder.Read(w, r, &m) {
+		return
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if !e.options.IgnoreFence && m.Fence < e.fence {
+		http.Error(w, "order carries an old fencing number", http.StatusPreconditionFailed)
+		return
+	}
+	e.fence = max(e.fence, m.Fence)
+	switch m.Kind {
+	case engine.OrderDrain:
+		e.draining = true
+	case engine.OrderResume:
+		e.draining = false
+	case engine.OrderLoad:
+		if e.from != m.From || e.to != m.To || e.model != m.Model {
+			e.from, e.to, e.model = m.From, m.To, m.Model
+			e.streams.clear()
+		}
+	}
+	w.WriteHeader(http.StatusNoContent)
+}
+
+// Faults are the injected faults of an engine.
+type Faults struct {
+	// Slow multiplies the time of every layer; 0 leaves it unchanged.
+	Slow float64
+	// LinkSlow multiplies the time of every hand-over; 0 leaves it unchanged.
+	LinkSlow float64
+}
+
+func (e *Engine) handleFaults(w http.ResponseWriter, r *http.Request, _ httprouter.Params) {
+	var m Faults
+	if !responder.Read(w, r, &m) {
+		return
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if m.Slow > 0 {
+		e.slow = m.Slow
+	}
+	if m.LinkSlow > 0 {
+		e.linkSlow = m.LinkSlow
+	}
+	w.WriteHeader(http.StatusNoContent)
+}
+
+// Drain tells the engine to take no new streams.
+func (e *Engine) Drain() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.draining = true
+}
+
+// Serves returns the model that the engine holds.
+func (e *Engine) Serves() unit.EntryName {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.model
+}
+
+// Busy tells whether streams are still held.
+func (e *Engine) Busy() bool { return e.streams.size() > 0 }
--- /dev/null
+++ b/oleanderfake/runner/stepper.go
@@ -0,0 +1,201 @@
+package runner
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"time"
+
+	"oleandercove.example/core/engine"
+	"oleandercove.example/core/unit"
+)
+
+// Step runs the inputs that the stage has not run yet and hands the outputs on
+// to the next stage of the chain.
+func (e *Engine) Step(ctx context.Context, r engine.StepRequest) engine.StepReply {
+	s, failure := e.open(r)
+	if failure != nil {
+		return engine.StepReply{Code: engine.StepFailed, Failure: failure}
+	}
+	s.run.Lock()
+	defer s.run.Unlock()
+	if !s.current(r.Epoch) {
+		return engine.StepReply{Code: engine.StepFailed, Failure: e.fail(engine.CauseOldEpoch, "superseded while waiting")}
+	}
+	if failure := e.execute(ctx, s, r); failure != nil {
+		return engine.StepReply{Code: engine.StepFailed, Failure: failure}
+	}
+	have := s.length()
+	if r.From > have {
+		return engine.StepReply{Code: engine.StepNeedFrom, NeedFrom: have}
+	}
+	last := r.From + unit.Position(len(r.Inputs)) - 1
+	if r.Index == len(r.Chain)-1 {
+		out := s.output(last)
+		return engine.StepReply{Code: engine.StepOk, Token: sample(out[0])}
+	}
+	return e.handOn(ctx, s, r, last)
+}
+
+// open finds or makes the stream and checks the chain, the epoch and memory.
+func (e *Engine) open(r engine.StepRequest) (*stream, *engine.Failure) {
+	from, to, draining := e.shape()
+	if r.Index < 0 || r.Index >= len(r.Chain) || len(r.Inputs) == 0 || r.From < 0 {
+		return nil, e.fail(engine.CauseRefused, "malformed step")
+	}
+	stage := r.Chain[r.Index]
+	if stage.From != from || stage.To != to || stage.Backend != e.options.Backend {
+		return nil, e.fail(engine.CauseRefused, fmt.Sprintf("holds layers %d to %d", from, to))
+	}
+	s, known := e.streams.find(r.Stream)
+	if !known && draining {
+		return nil, e.fail(engine.CauseDraining, "takes no new streams")
+	}
+	if !known {
+		var room bool
+		if s, room = e.streams.get(r.Stream, int(to-from), e.options.MaxStreams); !room {
+			return nil, e.fail(engine.CauseOverloaded, "no memory for another stream")
+		}
+	}
+	if !s.enter(r.Epoch) {
+		return nil, e.fail(engine.CauseOldEpoch, "has seen a newer epoch")
+	}
+	return s, nil
+}
+
+// execute runs the positions that are new to this stage.
+func (e *Engine) execute(ctx context.Context, s *stream, r engine.StepRequest) *engine.Failure {
+	have := s.length()
+	end := r.From + unit.Position(len(r.Inputs))
+	if r.From > have || end <= have {
+		return nil
+	}
+	inputs := r.Inputs[have-r.From:]
+	if err := e.batch.wait(ctx, r.Priority, unitsOf(len(inputs))); err != nil {
+		return e.fail(engine.CauseUnreachable, "step canceled")
+	}
+	if !s.current(r.Epoch) {
+		return e.fail(engine.CauseOldEpoch, "superseded while queued")
+	}
+	from, to, _ := e.shape()
+	s.append(from, inputs)
+	e.generated.Add(1)
+	e.record(r, from, to, have, len(inputs))
+	return nil
+}
+
+func (e *Engine) record(r engine.StepRequest, from, to unit.Layer, first unit.Position, count int) {
+	replay := max(0, min(count, int(r.Fresh-first)))
+	base := engine.JournalRecord{
+		Backend: e.options.Backend, Start: e.start, Stream: r.Stream, Epoch: r.Epoch, From: from, To: to,
+	}
+	if replay > 0 {
+		j := base
+		j.First, j.Count, j.Replay = first, replay, true
+		e.journal.Append(j)
+	}
+	if count > replay {
+		j := base
+		j.First, j.Count = first+unit.Position(replay), count-replay
+		e.journal.Append(j)
+	}
+}
+
+func unitsOf(positions int) int {
+	if positions == 1 {
+		return 1
+	}
+	return (positions + prefillPerUnit - 1) / prefillPerUnit
+}
+
+// handOn sends the outputs up to last to the next stage, and more of them if
+// that stage lacks earlier positions.
+func (e *Engine) handOn(ctx context.Context, s *stream, r engine.StepRequest, last unit.Position) engine.StepReply {
+	next := r.Chain[r.Index+1]
+	from := min(s.nextFor(next.Backend, r.From), last)
+	for range 3 {
+		out := s.output(from)[:last-from+1]
+		reply := e.send(ctx, next, engine.StepRequest{
+			Stream: r.Stream, Epoch: r.Epoch, Model: r.Model, Priority: r.Priority,
+			Chain: r.Chain, Index: r.Index + 1, From: from, Inputs: out, Fresh: r.Fresh,
+		})
+		if reply.Code != engine.StepNeedFrom {
+			s.markSent(next.Backend, last+1)
+			return reply
+		}
+		if reply.NeedFrom < 0 || reply.NeedFrom > last {
+			break
+		}
+		from = reply.NeedFrom
+	}
+	return engine.StepReply{Code: engine.StepFailed, Failure: &engine.Failure{
+		Backend: next.Backend, Cause: engine.CauseRefused, Detail: "positions don't converge",
+	}}
+}
+
+// send posts a step. The answer may begin with newlines, which are heartbeats;
+// a stage that is silent for stepSilence counts as unreachable.
+func (e *Engine) send(ctx context.Context, to engine.Stage, r engine.StepRequest) engine.StepReply {
+	time.Sleep(e.linkTime(len(r.Inputs)))
+	body, err := json.Marshal(r)
+	if err != nil {
+		return unreachable(to, err)
+	}
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	watchdog := time.AfterFunc(stepSilence, cancel)
+	defer watchdog.Stop()
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+to.Address+"/v1/steps", bytes.NewReader(body))
+	if err != nil {
+		return unreachable(to, err)
+	}
+	res, err := e.http.Do(req)
+	if err != nil {
+		return unreachable(to, err)
+	}
+	defer res.Body.Close()
+	data, err := io.ReadAll(&resettingReader{r: res.Body, t: watchdog})
+	var reply engine.StepReply
+	if err == nil {
+		err = json.Unmarshal(data, &reply)
+	}
+	if err != nil {
+		return unreachable(to, err)
+	}
+	return reply
+}
+
+func unreachable(to engine.Stage, err error) engine.StepReply {
+	return engine.StepReply{Code: engine.StepFailed, Failure: &engine.Failure{
+		Backend: to.Backend, Cause: engine.CauseUnreachable, Detail: err.Error(),
+	}}
+}
+
+func (e *Engine) linkTime(activations int) time.Duration {
+	e.mu.Lock()
+	slow := e.linkSlow
+	e.mu.Unlock()
+	d := e.options.LinkLatency
+	if e.options.LinkRate > 0 {
+		bytes := float64(activations * e.options.ActivationBytes)
+		d += time.Duration(bytes / float64(e.options.LinkRate) * float64(time.Second))
+	}
+	return time.Duration(float64(d) * slow)
+}
+
+// resettingReader restarts a watchdog with every read that returns data.
+type resettingReader struct {
+	r io.Reader
+	t *time.Timer
+}
+
+func (r *resettingReader) Read(p []byte) (int, error) {
+	n, err := r.r.Read(p)
+	if n > 0 {
+		r.t.Reset(stepSilence)
+	}
+	return n, err
+}
--- /dev/null
+++ b/oleanderfake/storer/storer.go
@@ -0,0 +1,124 @@
+// Package storer is a stand-in for the platform's object API.
+//
+// It offers versions, conditional updates, long-poll watches, a lagging host
+// list, and injected faults: outage, slowness, a rate limit, and answers that
+// are lost after the write took effect.
+//
+// Usage:
+//
+//	s := storer.New(storer.Options{HostLag: 2 * time.Second})
+//	http.ListenAndServe(address, s.Handler())
+package storer
+
+import (
+	"context"
+	"encoding/json"
+	"sort"
+	"sync"
+	"time"
+
+	"oleandercove.example/core/platform"
+	"oleandercove.example/core/unit"
+)
+
+// Options configures a Store.
+type Options struct {
+	// HostLag delays the host list behind the truth.
+	HostLag time.Duration
+	// HostTimeout drops a host that did not refresh its row.
+	HostTimeout time.Duration
+	// WritesPerSecond and ReadsPerSecond limit the calls; 0 means no limit.
+	WritesPerSecond float64
+	ReadsPerSecond  float64
+}
+
+type key struct {
+	kind platform.Kind
+	name string
+}
+
+// Store keeps the objects and the host list in memory.
+type Store struct {
+	options Options
+	faults  *injector
+	calls   *counter
+
+	mu       sync.Mutex
+	revision unit.Revision
+	objects  map[key]platform.Object
+	changed  chan struct{}
+
+	hosts *hostList
+}
+
+// New returns an empty Store.
+func New(o Options) *Store {
+	return &Store{
+		options: o,
+		faults:  newInjector(o),
+		calls:   &counter{},
+		objects: map[key]platform.Object{},
+		changed: make(chan struct{}),
+		hosts:   newHostList(o),
+	}
+}
+
+func (s *Store) get(kind platform.Kind, name string) (platform.Object, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	o, ok := s.objects[key{kind, name}]
+	return o, ok
+}
+
+// put writes an object if its version is the expected one.
+func (s *Store) put(kind platform.Kind, name string, expected unit.Version, writeID string, value json.RawMessage, deleted bool) (platform.Object, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	k := key{kind, name}
+	old := s.objects[k]
+	if old.Version != expected {
+		return old, false
+	}
+	s.revision++
+	o := platform.Object{
+		Kind: kind, Name: name, Version: old.Version + 1, Revision: s.revision,
+		WriteID: writeID, Value: value, Deleted: deleted,
+	}
+	s.objects[k] = o
+	close(s.changed)
+	s.changed = make(chan struct{})
+	return o, true
+}
+
+func (s *Store) list(kind platform.Kind, after unit.Revision) (platform.List, <-chan struct{}) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	l := platform.List{Revision: s.revision, Objects: []platform.Object{}}
+	for k, o := range s.objects {
+		if k.kind == kind && o.Revision > after {
+			l.Objects = append(l.Objects, o)
+		}
+	}
+	sort.Slice(l.Objects, func(i, j int) bool { return l.Objects[i].Revision < l.Objects[j].Revision })
+	return l, s.changed
+}
+
+// watch returns the objects that changed after a revision, or an empty list
+// when the wait is over.
+func (s *Store) watch(ctx context.Context, kind platform.Kind, after unit.Revision, wait time.Duration) platform.List {
+	t := time.NewTimer(wait)
+	defer t.Stop()
+	for {
+		l, changed := s.list(kind, after)
+		if len(l.Objects) > 0 {
+			return l
+		}
+		select {
+		case <-changed:
+		case <-t.C:
+			return l
+		case <-ctx.Done():
+			return l
+		}
+	}
+}
