oleandercove: add the daemon with the whole path for models and services

Cause: the first milestone is one request served end to end. Ruled out: activations through the daemon; the first stage hands them on. Change: filter chain, planner, streamer with epochs and replay, service calls.

--- /dev/null
+++ b/oleandercove/command/command.go
@@ -0,0 +1,89 @@
+// Package command holds the command line of the daemon.
+//
+// Usage:
+//
+//	os.Exit(command.Run(os.Args[1:]))
+package command
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/spf13/cobra"
+
+	"oleandercove.example/oleandercove/daemon"
+	"oleandercove.example/oleandercove/settings"
+)
+
+const (
+	// exitFailure means that the daemon failed.
+	exitFailure = 1
+	// exitSettings means that the settings are wrong.
+	exitSettings = 2
+	// version is the version of this program.
+	version = "0.1.0"
+)
+
+// Run executes the command line and returns the exit code.
+func Run(args []string) int {
+	code := exitFailure
+	c := &cobra.Command{Use: "oleandercove", Short: "Router for model pipelines and services", SilenceUsage: true}
+	c.AddCommand(newRun(&code), newCheck(&code), newVersion())
+	c.SetArgs(args)
+	if err := c.Execute(); err != nil {
+		return code
+	}
+	return 0
+}
+
+func newRun(code *int) *cobra.Command {
+	var path string
+	c := &cobra.Command{
+		Use:   "run",
+		Short: "Run the daemon until SIGTERM or SIGINT",
+		Args:  cobra.NoArgs,
+		RunE: func(c *cobra.Command, _ []string) error {
+			s, err := settings.Load(path)
+			if err != nil {
+				*code = exitSettings
+				return err
+			}
+			ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
+			defer stop()
+			return daemon.New(s).Run(ctx)
+		},
+	}
+	c.Flags().StringVar(&path, "config", "", "settings file")
+	_ = c.MarkFlagRequired("config")
+	return c
+}
+
+func newCheck(code *int) *cobra.Command {
+	return &cobra.Command{
+		Use:   "check-config FILE",
+		Short: "Check a settings file",
+		Args:  cobra.ExactArgs(1),
+		RunE: func(c *cobra.Command, args []string) error {
+			if _, err := settings.Load(args[0]); err != nil {
+				*code = exitSettings
+				return err
+			}
+			fmt.Fprintf(c.OutOrStdout(), "%s: ok\n", args[0])
+			return nil
+		},
+	}
+}
+
+func newVersion() *cobra.Command {
+	return &cobra.Command{
+		Use:   "version",
+		Short: "Print the version",
+		Args:  cobra.NoArgs,
+		Run: func(c *cobra.Command, _ []string) {
+			fmt.Fprintln(c.OutOrStdout(), version)
+		},
+	}
+}
--- /dev/null
+++ b/oleandercove/daemon/daemon.go
@@ -0,0 +1,113 @@
+// Package daemon puts the parts of the daemon together.
+//
+// Usage:
+//
+//	d := daemon.New(settings)
+//	err := d.Run(ctx)
+package daemon
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"github.com/charmbracelet/log"
+	"github.com/gravitational/trace"
+	"github.com/sourcegraph/conc"
+
+	"oleandercove.example/core/logger"
+	"oleandercove.example/core/platform"
+	"oleandercove.example/core/timer"
+	"oleandercove.example/oleandercove/authenticator"
+	"oleandercove.example/oleandercove/caller"
+	"oleandercove.example/oleandercove/chain"
+	"oleandercove.example/oleandercove/dispatcher"
+	"oleandercove.example/oleandercove/recorder"
+	"oleandercove.example/oleandercove/router"
+	"oleandercove.example/oleandercove/server"
+	"oleandercove.example/oleandercove/settings"
+	"oleandercove.example/oleandercove/spreader"
+	"oleandercove.example/oleandercove/streamer"
+	"oleandercove.example/oleandercove/tracker"
+	"oleandercove.example/oleandercove/watcher"
+)
+
+const (
+	// journalCapacity bounds the events kept for explain.
+	journalCapacity = 20000
+	// readHeaderTimeout bounds a slow sender of headers.
+	readHeaderTimeout = 5 * time.Second
+	// maxHeaderBytes bounds the headers of a request.
+	maxHeaderBytes = 32 << 10
+)
+
+// Daemon is one process of an entry host.
+type Daemon struct {
+	settings *settings.Settings
+	log      *log.Logger
+	spreader *spreader.Spreader
+	watcher  *watcher.Watcher
+	server   *server.Server
+	draining atomic.Bool
+}
+
+// New builds a daemon from its settings.
+func New(s *settings.Settings) *Daemon {
+	l := logger.New(logger.Options{Level: s.Log.Level, Format: s.Log.Format}).With("host", s.Host)
+	t := timer.NewReal()
+	p := platform.NewClient(platform.Options{Address: s.Platform.Address})
+	d := &Daemon{settings: s, log: l}
+	d.spreader = spreader.New(spreader.Options{Platform: p, Timer: t, Log: l.WithPrefix("spreader")})
+	d.watcher = watcher.New(watcher.Options{Platform: p, Timer: t, Log: l.WithPrefix("watcher")})
+	d.server = d.newServer(t)
+	return d
+}
+
+func (d *Daemon) newServer(t timer.Service) *server.Server {
+	j := recorder.New(recorder.Options{Host: d.settings.Host, Capacity: journalCapacity, Timer: t})
+	k := tracker.New()
+	models := streamer.New(streamer.Options{
+		Backends: d.watcher, Tracker: k, Dispatcher: dispatcher.New(dispatcher.Options{}),
+		Recorder: j, Timer: t, Log: d.log.WithPrefix("streamer"),
+	})
+	services := caller.New(caller.Options{Backends: d.watcher, Tracker: k, Recorder: j, Log: d.log.WithPrefix("caller")})
+	h := chain.Build(router.New(models.Serve, services.Serve).Handle, authenticator.New(d.spreader))
+	return server.New(server.Options{
+		Handler: h, Catalogue: d.spreader, Recorder: j, Timer: t,
+		Log: d.log.WithPrefix("server"), Ready: d.ready,
+	})
+}
+
+func (d *Daemon) ready() bool { return d.spreader.Ready() && !d.draining.Load() }
+
+// Run serves until ctx is done, then shuts down gracefully.
+func (d *Daemon) Run(ctx context.Context) error {
+	ln, err := net.Listen("tcp", d.settings.Callers.Listen)
+	if err != nil {
+		return trace.Wrap(err, "listen for callers on %s", d.settings.Callers.Listen)
+	}
+	background, cancel := context.WithCancel(context.WithoutCancel(ctx))
+	var wg conc.WaitGroup
+	wg.Go(func() { d.spreader.Run(background) })
+	wg.Go(func() { d.watcher.Run(background) })
+	defer wg.Wait()
+	defer cancel()
+	srv := &http.Server{
+		Handler: d.server.Callers(), ReadHeaderTimeout: readHeaderTimeout, MaxHeaderBytes: maxHeaderBytes,
+	}
+	failed := make(chan error, 1)
+	go func() { failed <- srv.Serve(ln) }()
+	d.log.WithPrefix("daemon").Info("serving callers", "listen", ln.Addr())
+	select {
+	case err := <-failed:
+		return trace.Wrap(err)
+	case <-ctx.Done():
+	}
+	d.draining.Store(true)
+	d.log.WithPrefix("daemon").Info("shutting down", "limit", d.settings.Shutdown.Limit())
+	limit, stop := context.WithTimeout(background, d.settings.Shutdown.Limit())
+	defer stop()
+	return trace.Wrap(srv.Shutdown(limit))
+}
--- /dev/null
+++ b/oleandercove/planner/planner.go
@@ -0,0 +1,100 @@
+// Package planner computes chains of engines that cover all layers of a model.
+//
+// A plan is a pure function of a snapshot of the engines. The chain with the
+// least expected time for a token wins; stages to keep cost less, so that a
+// running stream moves only where it must.
+//
+// Usage:
+//
+//	c, ok := planner.Plan(planner.Snapshot{Layers: 24, Engines: engines})
+package planner
+
+import (
+	"math"
+	"sort"
+	"time"
+
+	"oleandercove.example/core/engine"
+	"oleandercove.example/core/unit"
+)
+
+// Engine is a candidate for a stage.
+type Engine struct {
+	Stage engine.Stage
+	// Iteration is the time of one batch iteration.
+	Iteration time.Duration
+	MaxBatch  int
+	// InFlight counts the streams that hold memory on the engine.
+	InFlight   int
+	MaxStreams int
+	// Link is the time to hand one activation on to the next stage.
+	Link time.Duration
+	// Keep marks a stage that holds the stream's KV state.
+	Keep bool
+}
+
+// Snapshot is the input of a plan.
+type Snapshot struct {
+	Layers  unit.Layer
+	Engines []Engine
+}
+
+// Cost estimates the time for one token on the engine, with one more stream.
+func (e *Engine) Cost() time.Duration {
+	batches := max(1, float64(e.InFlight+1)/float64(max(1, e.MaxBatch)))
+	return time.Duration(float64(e.Iteration)*batches) + e.Link
+}
+
+func (e *Engine) usable() bool {
+	return e.Keep || e.MaxStreams == 0 || e.InFlight < e.MaxStreams
+}
+
+// Plan returns the cheapest chain, or false if no chain covers all layers.
+func Plan(s Snapshot) ([]engine.Stage, bool) {
+	engines := append([]Engine{}, s.Engines...)
+	sort.SliceStable(engines, func(i, j int) bool { return engines[i].Stage.From < engines[j].Stage.From })
+	best := make([]reach, s.Layers+1)
+	for i := range best {
+		best[i] = reach{cost: math.MaxInt64, via: -1}
+	}
+	best[0].cost = 0
+	for i := range engines {
+		best = extend(best, engines, i, s.Layers)
+	}
+	return walk(best, engines, s.Layers)
+}
+
+// reach is the cheapest way to cover the layers before a boundary.
+type reach struct {
+	cost time.Duration
+	via  int
+}
+
+func extend(best []reach, engines []Engine, i int, layers unit.Layer) []reach {
+	e := &engines[i]
+	from, to := e.Stage.From, e.Stage.To
+	if from < 0 || to > layers || from >= to || best[from].cost == math.MaxInt64 || !e.usable() {
+		return best
+	}
+	cost := best[from].cost
+	if !e.Keep {
+		cost += e.Cost()
+	}
+	if cost < best[to].cost {
+		best[to] = reach{cost: cost, via: i}
+	}
+	return best
+}
+
+func walk(best []reach, engines []Engine, layers unit.Layer) ([]engine.Stage, bool) {
+	if layers <= 0 || best[layers].via < 0 {
+		return nil, false
+	}
+	var chain []engine.Stage
+	for at := layers; at > 0; {
+		e := engines[best[at].via]
+		chain = append([]engine.Stage{e.Stage}, chain...)
+		at = e.Stage.From
+	}
+	return chain, true
+}
--- /dev/null
+++ b/oleandercove/recorder/recorder.go
@@ -0,0 +1,88 @@
+// Package recorder keeps the events that explain what was decided for a
+// request, in a bounded journal in memory.
+//
+// Usage:
+//
+//	j := recorder.New(recorder.Options{Host: "entry-1", Capacity: 10000, Timer: t})
+//	j.Record(recorder.Event{Request: r.ID, Part: "planner", Decision: "Chain"})
+package recorder
+
+import (
+	"sync"
+	"time"
+
+	"oleandercove.example/core/timer"
+	"oleandercove.example/core/unit"
+)
+
+// Event is one decision with its cause.
+type Event struct {
+	At       time.Time
+	Host     unit.HostID
+	Request  unit.RequestID
+	Part     string
+	Decision string
+	Cause    string
+}
+
+// Recorder stores events.
+type Recorder interface {
+	// Record stores an event and stamps it with host and time.
+	Record(e Event)
+	// Explain returns the events of a request, oldest first.
+	Explain(id unit.RequestID) []Event
+	// Recent returns the newest events, oldest first.
+	Recent(n int) []Event
+}
+
+// Options configures a Journal.
+type Options struct {
+	Host     unit.HostID
+	Capacity int
+	Timer    timer.Service
+}
+
+// Journal is the default Recorder: a ring in memory.
+type Journal struct {
+	options Options
+	mu      sync.Mutex
+	ring    []Event
+	next    int
+}
+
+// New returns an empty Journal.
+func New(o Options) *Journal {
+	return &Journal{options: o, ring: make([]Event, 0, max(1, o.Capacity))}
+}
+
+// Record stores an event and drops the oldest one when the ring is full.
+func (j *Journal) Record(e Event) {
+	e.At, e.Host = j.options.Timer.Now(), j.options.Host
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	if len(j.ring) < cap(j.ring) {
+		j.ring = append(j.ring, e)
+		return
+	}
+	j.ring[j.next] = e
+	j.next = (j.next + 1) % len(j.ring)
+}
+
+// Explain returns the events of a request, oldest first.
+func (j *Journal) Explain(id unit.RequestID) []Event {
+	var out []Event
+	for _, e := range j.Recent(cap(j.ring)) {
+		if e.Request == id {
+			out = append(out, e)
+		}
+	}
+	return out
+}
+
+// Recent returns the newest events, oldest first.
+func (j *Journal) Recent(n int) []Event {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	all := append(append([]Event{}, j.ring[j.next:]...), j.ring[:j.next]...)
+	return all[max(0, len(all)-n):]
+}
--- /dev/null
+++ b/oleandercove/request/request.go
@@ -0,0 +1,64 @@
+// Package request holds one request of a caller on its way through the filter
+// chain.
+//
+// Usage:
+//
+//	r := &request.Request{ID: id, Kind: catalogue.KindModel, Name: "report"}
+package request
+
+import (
+	"net/http"
+	"time"
+
+	"oleandercove.example/core/catalogue"
+	"oleandercove.example/core/engine"
+	"oleandercove.example/core/unit"
+)
+
+// Request is a request of a caller. Filters fill in Account and Entry.
+type Request struct {
+	ID             unit.RequestID
+	Bearer         string
+	Account        unit.AccountID
+	Kind           catalogue.Kind
+	Name           unit.EntryName
+	Entry          *catalogue.Entry
+	Arrived        time.Time
+	Deadline       time.Time
+	Priority       engine.Priority
+	IdempotencyKey string
+
+	// Completion is set for model requests.
+	Completion *Completion
+	// Call is set for service calls.
+	Call *Call
+}
+
+// Completion is the part of a request that concerns a model.
+type Completion struct {
+	Prompt    string
+	MaxTokens int
+	// Emit passes a generated token to the caller, in order.
+	Emit func(text string) error
+	// Finish and Tokens are set when the answer is complete.
+	Finish engine.FinishReason
+	Tokens int
+}
+
+// Call is the part of a request that concerns a service.
+type Call struct {
+	Method string
+	Path   string
+	Query  string
+	Header http.Header
+	Body   []byte
+	// Result is set when the call is answered.
+	Result *Result
+}
+
+// Result is the answer of a service.
+type Result struct {
+	Status int
+	Header http.Header
+	Body   []byte
+}
--- /dev/null
+++ b/oleandercove/server/completions.go
@@ -0,0 +1,110 @@
+package server
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+	"strings"
+
+	"github.com/julienschmidt/httprouter"
+
+	"oleandercove.example/core/api"
+	"oleandercove.example/core/catalogue"
+	"oleandercove.example/core/unit"
+	"oleandercove.example/core/verdict"
+	"oleandercove.example/oleandercove/request"
+)
+
+// defaultMaxTokens applies when the caller names none.
+const defaultMaxTokens = 128
+
+func (s *Server) handleChat(w http.ResponseWriter, r *http.Request, _ httprouter.Params) {
+	s.complete(w, r, true)
+}
+
+func (s *Server) handleCompletion(w http.ResponseWriter, r *http.Request, _ httprouter.Params) {
+	s.complete(w, r, false)
+}
+
+func (s *Server) complete(w http.ResponseWriter, r *http.Request, chat bool) {
+	q, err := s.newRequest(r, catalogue.KindModel)
+	if err != nil {
+		s.refuse(w, q, err)
+		return
+	}
+	m, err := readCompletion(w, r, chat)
+	if err != nil {
+		s.refuse(w, q, err)
+		return
+	}
+	q.Name = unit.EntryName(m.Model)
+	a := &answer{w: w, id: q.ID, model: m.Model, chat: chat, stream: m.Stream, created: q.Arrived.Unix()}
+	q.Completion = &request.Completion{Prompt: prompt(m), MaxTokens: m.MaxTokens, Emit: a.emit}
+	ctx, cancel := context.WithDeadline(r.Context(), q.Deadline)
+	defer cancel()
+	if err := s.options.Handler(ctx, q); err != nil {
+		if a.started {
+			a.fail(asVerdict(err))
+			return
+		}
+		s.refuse(w, q, err)
+		return
+	}
+	a.finish(q.Completion)
+}
+
+func readCompletion(w http.ResponseWriter, r *http.Request, chat bool) (*api.CompletionRequest, error) {
+	body, err := readBody(w, r)
+	if err != nil {
+		return nil, err
+	}
+	m := &api.CompletionRequest{}
+	if err := json.Unmarshal(body, m); err != nil {
+		return nil, verdict.New(verdict.NotRun, verdict.BadRequest, "body is not a valid completion request: %v", err)
+	}
+	if m.MaxTokens < 0 {
+		return nil, verdict.New(verdict.NotRun, verdict.BadRequest, "max_tokens must not be negative")
+	}
+	if m.MaxTokens == 0 {
+		m.MaxTokens = defaultMaxTokens
+	}
+	if m.Model == "" || strings.TrimSpace(prompt(m)) == "" {
+		return nil, verdict.New(verdict.NotRun, verdict.BadRequest, "model and %s are required", inputField(chat))
+	}
+	return m, nil
+}
+
+func inputField(chat bool) string {
+	if chat {
+		return "messages"
+	}
+	return "prompt"
+}
+
+func prompt(m *api.CompletionRequest) string {
+	if len(m.Messages) == 0 {
+		return m.Prompt
+	}
+	parts := make([]string, len(m.Messages))
+	for i, c := range m.Messages {
+		parts[i] = c.Role + ": " + c.Content
+	}
+	return strings.Join(parts, "\n")
+}
+
+func (s *Server) handleModels(w http.ResponseWriter, r *http.Request, _ httprouter.Params) {
+	q, err := s.newRequest(r, catalogue.KindModel)
+	if _, ok := s.options.Catalogue.AccountByToken(q.Bearer); err == nil && !ok {
+		err = verdict.New(verdict.NotRun, verdict.Unauthorized, "bearer token is missing or unknown")
+	}
+	if err != nil {
+		s.refuse(w, q, err)
+		return
+	}
+	l := api.ModelList{Object: "list", Data: []api.ModelInfo{}}
+	for _, e := range s.options.Catalogue.List(catalogue.KindModel) {
+		l.Data = append(l.Data, api.ModelInfo{ID: string(e.Name), Object: "model", OwnedBy: e.Owner})
+	}
+	w.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(w).Encode(l)
+}
--- /dev/null
+++ b/oleandercove/streamer/streamer.go
@@ -0,0 +1,220 @@
+// Package streamer owns model streams: it chooses a chain, passes tokens to
+// the caller in order, and recovers from failed stages.
+//
+// Each attempt has its own epoch. Events of other epochs are dropped, and a
+// token is emitted only at the next position, so that late, doubled or crossed
+// answers can't reach the caller. After a failure only the failed stage is
+// replaced; the other stages keep their KV state and are not run again.
+//
+// Usage:
+//
+//	s := streamer.New(streamer.Options{Backends: w, Dispatcher: d})
+//	err := s.Serve(ctx, r)
+package streamer
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"github.com/charmbracelet/log"
+
+	"oleandercove.example/core/engine"
+	"oleandercove.example/core/timer"
+	"oleandercove.example/core/unit"
+	"oleandercove.example/core/verdict"
+	"oleandercove.example/oleandercove/dispatcher"
+	"oleandercove.example/oleandercove/recorder"
+	"oleandercove.example/oleandercove/request"
+	"oleandercove.example/oleandercove/tracker"
+	"oleandercove.example/oleandercove/watcher"
+)
+
+const (
+	// maxAttempts bounds the recoveries of one stream.
+	maxAttempts = 12
+	// replanDelay is the pause before a new plan when no chain is left.
+	replanDelay = 100 * time.Millisecond
+	// comeBack is when a caller should try again after a refusal.
+	comeBack = time.Second
+)
+
+// Options configures a Streamer.
+type Options struct {
+	Backends   watcher.Backends
+	Tracker    *tracker.Tracker
+	Dispatcher dispatcher.Dispatcher
+	Recorder   recorder.Recorder
+	Timer      timer.Service
+	Log        *log.Logger
+}
+
+// Streamer serves model requests.
+type Streamer struct{ options Options }
+
+// New returns a Streamer.
+func New(o Options) *Streamer { return &Streamer{options: o} }
+
+// run is the state of one stream at its owner.
+type run struct {
+	*Streamer
+	r        *request.Request
+	id       unit.StreamID
+	epoch    unit.Epoch
+	prompt   unit.Position
+	emitted  []unit.Token
+	chain    []engine.Stage
+	excluded map[unit.BackendID]bool
+	// started is true once an engine may have run a part of the request.
+	started bool
+	// held lists all stages that may hold state of the stream.
+	held map[unit.BackendID]engine.Stage
+}
+
+// Serve runs the request to its end or returns a *verdict.Error.
+func (s *Streamer) Serve(ctx context.Context, r *request.Request) error {
+	t := &run{
+		Streamer: s, r: r, id: unit.StreamID(r.ID),
+		excluded: map[unit.BackendID]bool{}, held: map[unit.BackendID]engine.Stage{},
+	}
+	defer t.release(ctx)
+	for range maxAttempts {
+		if err := t.plan(ctx); err != nil {
+			return err
+		}
+		done, err := t.attempt(ctx)
+		if done || err != nil {
+			return err
+		}
+	}
+	return t.failure(verdict.BackendFailed, "gave up after %d attempts", maxAttempts)
+}
+
+// failure returns an error whose verdict says whether an engine ran.
+func (t *run) failure(reason verdict.Reason, format string, args ...any) error {
+	v := verdict.NotRun
+	if t.started {
+		v = verdict.MayHaveRun
+	}
+	return verdict.New(v, reason, format, args...).After(comeBack)
+}
+
+// attempt opens the stream with the next epoch and reads it until it ends.
+func (t *run) attempt(ctx context.Context) (done bool, err error) {
+	t.epoch++
+	finish := t.track()
+	defer finish()
+	s, err := t.options.Dispatcher.Open(ctx, engine.StreamRequest{
+		Stream: t.id, Epoch: t.epoch, Model: t.r.Name, Prompt: t.r.Completion.Prompt,
+		Emitted: t.emitted, MaxTokens: t.r.Completion.MaxTokens, Priority: t.r.Priority, Chain: t.chain,
+	})
+	t.started = true
+	if err != nil {
+		return false, t.lost(ctx, t.chain[0].Backend, err)
+	}
+	defer s.Close()
+	for e, err := range s.Events() {
+		if err != nil {
+			return false, t.lost(ctx, t.chain[0].Backend, err)
+		}
+		done, err := t.apply(ctx, e)
+		if done || err != nil || e.Kind == engine.EventFailed {
+			return done, err
+		}
+	}
+	return false, nil
+}
+
+// track counts the stream on every stage of its chain.
+func (t *run) track() (finish func()) {
+	var ends []func()
+	for _, s := range t.chain {
+		t.held[s.Backend] = s
+		ends = append(ends, t.options.Tracker.Start(s.Backend))
+	}
+	return func() {
+		for _, end := range ends {
+			end()
+		}
+	}
+}
+
+// apply handles one event of the current attempt.
+func (t *run) apply(ctx context.Context, e engine.Event) (done bool, err error) {
+	if e.Epoch != t.epoch || e.Stream != t.id {
+		return false, nil
+	}
+	switch e.Kind {
+	case engine.EventToken:
+		return false, t.emit(e)
+	case engine.EventEnd:
+		t.r.Completion.Finish, t.r.Completion.Tokens = e.Finish, len(t.emitted)
+		return true, nil
+	case engine.EventFailed:
+		return false, t.failed(ctx, e.Failure)
+	default:
+		return false, nil
+	}
+}
+
+// emit passes a token on if it is the next one.
+func (t *run) emit(e engine.Event) error {
+	if len(t.emitted) == 0 {
+		t.prompt = e.Position
+	}
+	next := t.prompt + unit.Position(len(t.emitted))
+	if e.Position != next {
+		return nil
+	}
+	t.emitted = append(t.emitted, e.Token)
+	if err := t.r.Completion.Emit(e.Text); err != nil {
+		return verdict.New(verdict.MayHaveRun, verdict.Canceled, "caller went away: %v", err)
+	}
+	return nil
+}
+
+// lost handles a broken or silent connection to the first stage.
+func (t *run) lost(ctx context.Context, b unit.BackendID, err error) error {
+	if ctx.Err() != nil {
+		return t.ended(ctx)
+	}
+	return t.failed(ctx, &engine.Failure{Backend: b, Cause: engine.CauseUnreachable, Detail: err.Error()})
+}
+
+func (t *run) ended(ctx context.Context) error {
+	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
+		return t.failure(verdict.DeadlineExceeded, "deadline passed after %d tokens", len(t.emitted))
+	}
+	return t.failure(verdict.Canceled, "caller went away after %d tokens", len(t.emitted))
+}
+
+// failed excludes the failed stage from the next plan.
+func (t *run) failed(_ context.Context, f *engine.Failure) error {
+	if f == nil {
+		return t.failure(verdict.Internal, "engine reported a failure without a cause")
+	}
+	t.options.Log.Warn("stage failed", "stream", t.id, "backend", f.Backend, "cause", f.Cause, "detail", f.Detail)
+	t.options.Recorder.Record(recorder.Event{
+		Request: t.r.ID, Part: "streamer", Decision: "ReplaceStage",
+		Cause: string(f.Backend) + ": " + string(f.Cause) + ": " + f.Detail,
+	})
+	if f.Cause == engine.CauseOldEpoch {
+		return nil
+	}
+	t.excluded[f.Backend] = true
+	if f.Cause == engine.CauseUnreachable {
+		t.options.Backends.Suspect(f.Backend)
+	}
+	return nil
+}
+
+// release drops the stream's state on all engines that may hold it.
+func (t *run) release(ctx context.Context) {
+	ctx = context.WithoutCancel(ctx)
+	held, c := t.held, engine.CancelRequest{Stream: t.id, Epoch: t.epoch}
+	go func() {
+		for _, s := range held {
+			t.options.Dispatcher.Cancel(ctx, s, c)
+		}
+	}()
+}
