--- /dev/null
+++ b/Makefile
@@ -0,0 +1,33 @@
+MODULES := core oleandercove oleanderfake prover
+GO_FILES := $(shell git ls-files --cached --others --exclude-standard '*.go' | grep -v '\.pb\.go$$')
+
+.PHONY: build tools generate format lint test unit demo clean
+
+build:
+	mkdir -p bin
+	go build -o bin/ ./oleandercove ./oleanderfake
+
+tools: bin/gofumpt bin/staticcheck
+
+bin/gofumpt bin/staticcheck: tools/linters/go.mod tools/linters/go.sum
+	mkdir -p bin
+	cd tools/linters && GOWORK=off go build -o ../../bin/ tool
+
+format: tools
+	bin/gofumpt -w $(GO_FILES)
+
+lint: tools
+	@out=$$(bin/gofumpt -l $(GO_FILES)); if [ -n "$$out" ]; then echo "not formatted:"; echo "$$out"; exit 1; fi
+	go vet $(MODULES:%=./%/...)
+	bin/staticcheck $(MODULES:%=./%/...)
+
+unit:
+	go test -race -count=1 $(MODULES:%=./%/...)
+
+test: lint build unit
+
+demo: build
+	go run ./prover/demo
+
+clean:
+	rm -rf bin out
--- /dev/null
+++ b/prover/invoker/invoker.go
@@ -0,0 +1,141 @@
+// Package invoker is a small caller of the daemon for tests and the demo.
+//
+// Usage:
+//
+//	c := invoker.Client{Token: "token-depot-7"}
+//	a := c.Complete(ctx, address, invoker.Prompt{Model: "report", Text: "net 4"})
+package invoker
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"time"
+
+	"oleandercove.example/core/api"
+)
+
+// Client calls a daemon with a bearer token.
+type Client struct {
+	Token string
+	HTTP  *http.Client
+}
+
+// Prompt is a request for a streamed completion.
+type Prompt struct {
+	ID        string
+	Model     string
+	Text      string
+	MaxTokens int
+	// OnToken is called after each token, with their number so far.
+	OnToken func(n int)
+}
+
+// Answer is what the caller received.
+type Answer struct {
+	Status  int
+	Text    string
+	Tokens  int
+	Done    bool
+	Refusal api.Refusal
+	Header  http.Header
+	First   time.Duration
+	// Gap is the longest time between two tokens.
+	Gap time.Duration
+}
+
+func (c Client) client() *http.Client {
+	if c.HTTP != nil {
+		return c.HTTP
+	}
+	return http.DefaultClient
+}
+
+// Complete sends a streamed completion and reads it to its end.
+func (c Client) Complete(ctx context.Context, address string, p Prompt) (Answer, error) {
+	body, err := json.Marshal(api.CompletionRequest{Model: p.Model, Prompt: p.Text, MaxTokens: p.MaxTokens, Stream: true})
+	if err != nil {
+		return Answer{}, err
+	}
+	start := time.Now()
+	res, err := c.Do(ctx, http.MethodPost, "http://"+address+"/v1/completions", body, http.Header{api.HeaderRequestID: {p.ID}})
+	if err != nil {
+		return Answer{}, err
+	}
+	defer res.Body.Close()
+	a := Answer{Status: res.StatusCode, Header: res.Header}
+	if res.StatusCode != http.StatusOK {
+		return a, json.NewDecoder(res.Body).Decode(&a.Refusal)
+	}
+	return a, a.read(res.Body, start, p.OnToken)
+}
+
+func (a *Answer) read(r io.Reader, start time.Time, onToken func(int)) error {
+	lines := bufio.NewScanner(r)
+	last := start
+	for lines.Scan() {
+		data, ok := strings.CutPrefix(lines.Text(), "data: ")
+		if !ok {
+			continue
+		}
+		if data == "[DONE]" {
+			a.Done = true
+			return nil
+		}
+		text, err := a.chunk([]byte(data))
+		if err != nil || text == "" {
+			continue
+		}
+		now := time.Now()
+		if a.Tokens == 0 {
+			a.First = now.Sub(start)
+		} else {
+			a.Gap = max(a.Gap, now.Sub(last))
+		}
+		last = now
+		a.Tokens++
+		a.Text += text
+		if onToken != nil {
+			onToken(a.Tokens)
+		}
+	}
+	return lines.Err()
+}
+
+func (a *Answer) chunk(data []byte) (string, error) {
+	var m struct {
+		api.Completion
+		Error *api.Refusal `json:"error"`
+	}
+	if err := json.Unmarshal(data, &m); err != nil {
+		return "", err
+	}
+	if m.Error != nil {
+		a.Refusal = *m.Error
+		return "", nil
+	}
+	if len(m.Choices) == 0 {
+		return "", fmt.Errorf("chunk without choices")
+	}
+	return m.Choices[0].Text, nil
+}
+
+// Do sends any request with the client's token.
+func (c Client) Do(ctx context.Context, method, url string, body []byte, h http.Header) (*http.Response, error) {
+	req, err := http.NewRequestWithContext(ctx, method, url, bytes.NewReader(body))
+	if err != nil {
+		return nil, err
+	}
+	for k, v := range h {
+		if v[0] != "" {
+			req.Header[k] = v
+		}
+	}
+	req.Header.Set("Authorization", "Bearer "+c.Token)
+	return c.client().Do(req)
+}
--- /dev/null
+++ b/prover/launcher/process.go
@@ -0,0 +1,112 @@
+package launcher
+
+import (
+	"fmt"
+	"net"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"sync"
+	"syscall"
+	"time"
+)
+
+// Process is one started program.
+type Process struct {
+	Name    string
+	Address string
+	Args    []string
+
+	launcher *Launcher
+	mu       sync.Mutex
+	cmd      *exec.Cmd
+	exited   chan struct{}
+	state    *os.ProcessState
+}
+
+// start runs the program; its output goes to a file in the launcher's folder.
+func (p *Process) start() error {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	out, err := os.OpenFile(filepath.Join(p.launcher.Dir, p.Name+".log"), os.O_APPEND|os.O_CREATE|os.O_WRONLY, 0o644)
+	if err != nil {
+		return err
+	}
+	defer out.Close()
+	cmd := exec.Command(p.Args[0], p.Args[1:]...)
+	cmd.Stdout, cmd.Stderr = out, out
+	// The kernel ends the process if the launcher dies first.
+	cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
+	if err := cmd.Start(); err != nil {
+		return fmt.Errorf("start %s: %w", p.Name, err)
+	}
+	exited := make(chan struct{})
+	p.cmd, p.exited = cmd, exited
+	go func() {
+		_ = cmd.Wait()
+		p.mu.Lock()
+		p.state = cmd.ProcessState
+		p.mu.Unlock()
+		close(exited)
+	}()
+	return nil
+}
+
+func (p *Process) signal(s syscall.Signal) error {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.cmd.Process.Signal(s)
+}
+
+// Kill ends the process with SIGKILL and waits for its end.
+func (p *Process) Kill() {
+	_ = p.signal(syscall.SIGKILL)
+	<-p.done()
+}
+
+// Terminate asks the process to shut down gracefully.
+func (p *Process) Terminate() error { return p.signal(syscall.SIGTERM) }
+
+// Pause stops the process with SIGSTOP.
+func (p *Process) Pause() error { return p.signal(syscall.SIGSTOP) }
+
+// Resume continues a paused process.
+func (p *Process) Resume() error { return p.signal(syscall.SIGCONT) }
+
+// Restart starts the program again after its end.
+func (p *Process) Restart() error { return p.start() }
+
+func (p *Process) done() <-chan struct{} {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.exited
+}
+
+// WaitExit waits for the end of the process and returns its exit code.
+func (p *Process) WaitExit(limit time.Duration) (int, error) {
+	select {
+	case <-p.done():
+	case <-time.After(limit):
+		return 0, fmt.Errorf("%s did not exit within %s", p.Name, limit)
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.state.ExitCode(), nil
+}
+
+// PID returns the id of the process.
+func (p *Process) PID() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.cmd.Process.Pid
+}
+
+// FreeAddress returns a loopback address with a port that was free just now.
+func FreeAddress() (string, error) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return "", err
+	}
+	defer l.Close()
+	return l.Addr().String(), nil
+}
--- /dev/null
+++ b/prover/path_test.go
@@ -0,0 +1,99 @@
+package prover_test
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"oleandercove.example/core/catalogue"
+	"oleandercove.example/oleanderfake/runner"
+	"oleandercove.example/prover/invoker"
+	"oleandercove.example/prover/launcher"
+)
+
+const (
+	layers    = 12
+	modelName = "report"
+	account   = "field-crew"
+)
+
+// rig is a small deployment: one platform, stages of engines and daemons.
+type rig struct {
+	*launcher.Launcher
+	client  invoker.Client
+	daemons []*launcher.Process
+	engines []*launcher.Process
+}
+
+// newRig starts two engines for each of three stages and n daemons.
+func newRig(t *testing.T, n int) *rig {
+	t.Helper()
+	is := is.New(t)
+	r := &rig{Launcher: launcher.New("../bin", t.TempDir()), client: invoker.Client{Token: launcher.Token(account)}}
+	t.Cleanup(r.Close)
+	_, err := r.Platform()
+	is.NoErr(err)
+	is.NoErr(r.Account(t.Context(), account))
+	is.NoErr(r.Put(t.Context(), &catalogue.Entry{
+		Kind: catalogue.KindModel, Name: modelName, Owner: "assistant-team", Class: catalogue.ClassInteractive,
+		Model: &catalogue.Model{Layers: layers, MaxTokens: 4096},
+	}))
+	is.NoErr(r.Put(t.Context(), &catalogue.Entry{
+		Kind: catalogue.KindService, Name: "logbook", Owner: "logbook-team", Class: catalogue.ClassStandard,
+		Service: &catalogue.Service{IdempotentMethods: []string{http.MethodGet}},
+	}))
+	for i := range 6 {
+		stage := i / 2
+		e, err := r.Engine(launcher.EngineSpec{
+			ID: fmt.Sprintf("engine-%d", i), DataCentre: "dc-a", Model: modelName, Kind: "a",
+			Layers: layers, From: stage * 4, To: stage*4 + 4, LayerTime: 500 * time.Microsecond,
+		})
+		is.NoErr(err)
+		r.engines = append(r.engines, e)
+	}
+	for i := range n {
+		d, err := r.Daemon(fmt.Sprintf("entry-%d", i), "dc-a")
+		is.NoErr(err)
+		r.daemons = append(r.daemons, d)
+	}
+	is.NoErr(launcher.Wait(20*time.Second, "complete answer on every daemon", func() bool { return r.serves(t.Context()) }))
+	return r
+}
+
+func (r *rig) serves(ctx context.Context) bool {
+	for i := range r.daemons {
+		if a, err := r.complete(ctx, i, "warm up", 1, nil); err != nil || !a.Done {
+			return false
+		}
+	}
+	return true
+}
+
+func (r *rig) complete(ctx context.Context, daemon int, text string, n int, onToken func(int)) (invoker.Answer, error) {
+	return r.client.Complete(ctx, r.daemons[daemon].Address, invoker.Prompt{
+		Model: modelName, Text: text, MaxTokens: n, OnToken: onToken,
+	})
+}
+
+// TestStageKilled guards against a truncated or wrong answer when an engine of
+// any stage dies in the middle of a token.
+func TestStageKilled(t *testing.T) {
+	for stage := range 3 {
+		t.Run(fmt.Sprintf("stage %d", stage), func(t *testing.T) {
+			is := is.New(t)
+			r := newRig(t, 1)
+			a, err := r.complete(t.Context(), 0, "yield of net 4", 120, func(n int) {
+				if n == 30 {
+					r.engines[2*stage].Kill()
+				}
+			})
+			is.NoErr(err)
+			is.True(a.Done)
+			is.Equal(a.Text, runner.ReferenceText(layers, "yield of net 4", 120))
+		})
+	}
+}
