--- a/prover/path_test.go
+++ b/prover/path_test.go
@@ -10,6 +10,7 @@
 	"github.com/matryer/is"
 
 	"oleandercove.example/core/catalogue"
+	"oleandercove.example/core/timer"
 	"oleandercove.example/oleanderfake/runner"
 	"oleandercove.example/prover/invoker"
 	"oleandercove.example/prover/launcher"
@@ -25,6 +26,7 @@
 type rig struct {
 	*launcher.Launcher
 	client  invoker.Client
+	timer   *timer.Real
 	daemons []*launcher.Process
 	engines []*launcher.Process
 }
@@ -33,7 +35,7 @@
 func newRig(t *testing.T, n int) *rig {
 	t.Helper()
 	is := is.New(t)
-	r := &rig{Launcher: launcher.New("../bin", t.TempDir()), client: invoker.Client{Token: launcher.Token(account)}}
+	r := &rig{Launcher: launcher.New("../bin", t.TempDir()), client: invoker.Client{Token: launcher.Token(account)}, timer: timer.NewReal()}
 	t.Cleanup(r.Close)
 	_, err := r.Platform()
 	is.NoErr(err)
