quarantiner: limit a poison request to two crashes

Cause: a request that crashes each engine that runs it, and is sent again, would take one engine after another until no stage is left. Ruled out: counting crashes alone, which convicts bystanders; holding back all streams of a crashed engine, which breaks the limit for the gap after a kill; counting the remaining requests of a crash at the time of the decision, which convicts the last innocent one (TestLastOfCrash, TestConviction failed first). Change: marks for requests that ran in a crash, one suspect at a time on each backend server, conviction at the second crash; a broken connection is told apart from one that was never made, and a crash counts only if the process has ended. A request that crashes engines only after its first token, beside others that moved with it, may need a third crash.

--- a/core/engine/engine.go
+++ b/core/engine/engine.go
@@ -82,8 +82,12 @@
 type FailureCause string
 
 const (
-	// CauseUnreachable means that the stage could not be reached.
+	// CauseUnreachable means that no connection to the stage could be made or
+	// that it was silent.
 	CauseUnreachable FailureCause = "Unreachable"
+	// CauseBroken means that the connection broke while the stage had work of
+	// the stream.
+	CauseBroken FailureCause = "Broken"
 	// CauseOldEpoch means that the stage has seen a newer epoch.
 	CauseOldEpoch FailureCause = "OldEpoch"
 	// CauseOverloaded means that the stage has no room for the stream.
--- a/oleandercove/daemon/daemon.go
+++ b/oleandercove/daemon/daemon.go
@@ -24,6 +24,7 @@
 	"oleandercove.example/oleandercove/caller"
 	"oleandercove.example/oleandercove/chain"
 	"oleandercove.example/oleandercove/dispatcher"
+	"oleandercove.example/oleandercove/quarantiner"
 	"oleandercove.example/oleandercove/recorder"
 	"oleandercove.example/oleandercove/router"
 	"oleandercove.example/oleandercove/server"
@@ -68,12 +69,13 @@
 func (d *Daemon) newServer(t timer.Service) *server.Server {
 	j := recorder.New(recorder.Options{Host: d.settings.Host, Capacity: journalCapacity, Timer: t})
 	k := tracker.New()
+	q := quarantiner.New(quarantiner.Options{Timer: t, Recorder: j, Log: d.log.WithPrefix("quarantiner"), Prober: quarantiner.NewProber()})
 	models := streamer.New(streamer.Options{
-		Backends: d.watcher, Tracker: k, Dispatcher: dispatcher.New(dispatcher.Options{}),
+		Backends: d.watcher, Tracker: k, Dispatcher: dispatcher.New(dispatcher.Options{}), Quarantine: q,
 		Recorder: j, Timer: t, Log: d.log.WithPrefix("streamer"),
 	})
 	services := caller.New(caller.Options{Backends: d.watcher, Tracker: k, Recorder: j, Log: d.log.WithPrefix("caller")})
-	h := chain.Build(router.New(models.Serve, services.Serve).Handle, authenticator.New(d.spreader))
+	h := chain.Build(router.New(models.Serve, services.Serve).Handle, authenticator.New(d.spreader), q)
 	return server.New(server.Options{
 		Handler: h, Catalogue: d.spreader, Recorder: j, Timer: t,
 		Log: d.log.WithPrefix("server"), Ready: d.ready,
--- a/oleandercove/dispatcher/dispatcher.go
+++ b/oleandercove/dispatcher/dispatcher.go
@@ -159,6 +159,12 @@
 	s.body.Close()
 }
 
+// NotConnected tells whether an error means that no connection was made.
+func NotConnected(err error) bool {
+	var op *net.OpError
+	return errors.As(err, &op) && op.Op == "dial"
+}
+
 // cause prefers the reason for which ctx was canceled over err.
 func cause(ctx context.Context, err error) error {
 	if c := context.Cause(ctx); c != nil && !errors.Is(c, context.Canceled) {
--- /dev/null
+++ b/oleandercove/quarantiner/book_test.go
@@ -0,0 +1,90 @@
+package quarantiner
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+func TestConviction(t *testing.T) {
+	now := time.Unix(1_000_000, 0)
+	mark := func(f Fingerprint, c CrashID, progressed, isolated bool) Mark {
+		return Mark{Fingerprint: f, Crash: c, Progressed: progressed, Isolated: isolated, At: now}
+	}
+	const poison, innocent = Fingerprint(1), Fingerprint(2)
+	tests := []struct {
+		name     string
+		give     []Mark
+		poison   bool
+		innocent bool
+		suspect  bool
+	}{
+		{"one crash convicts a request", []Mark{mark(poison, "a", false, false)}, false, false, true},
+		{"a crash after the first token isolates a request", []Mark{mark(poison, "a", true, false)}, false, false, false},
+		{"the same crash is counted twice", []Mark{mark(poison, "a", false, false), mark(poison, "a", false, true)}, false, false, true},
+		{"a second crash alone under suspicion is forgiven", []Mark{mark(poison, "a", false, false), mark(poison, "b", false, true)}, true, false, true},
+		{"a bystander of the second crash is convicted", []Mark{
+			mark(innocent, "a", false, false), mark(poison, "a", false, false), mark(innocent, "b", true, false), mark(poison, "b", true, false),
+		}, false, false, true},
+		{"a bystander of one crash hides the only request in both", []Mark{
+			mark(poison, "a", true, false), mark(innocent, "b", true, false), mark(poison, "b", true, false),
+		}, true, false, true},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			is := is.New(t)
+			b := newBook()
+			for _, m := range test.give {
+				b.add(m, now)
+			}
+			is.Equal(b.convicted(poison, now.Add(settleDelay)), test.poison)
+			is.Equal(b.convicted(innocent, now.Add(settleDelay)), test.innocent)
+			is.Equal(b.suspect(poison, now), test.suspect)
+		})
+	}
+}
+
+// TestPassed guards against an innocent request that stays under suspicion
+// after two independent host failures.
+func TestPassed(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(1_000_000, 0)
+	b := newBook()
+	b.add(Mark{Fingerprint: 1, Crash: "a", Position: 30, Progressed: true, At: now}, now)
+	is.Equal(b.passed(1, 31), false) // a poison request may crash again at the next token
+	is.Equal(b.passed(1, 32), true)
+	b.add(Mark{Fingerprint: 1, Crash: "b", Position: 60, Progressed: true, At: now}, now)
+	is.Equal(b.convicted(1, now), false)
+}
+
+// TestPrune guards against marks and convictions that grow without bound.
+func TestPrune(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(1_000_000, 0)
+	b := newBook()
+	for f := range Fingerprint(100) {
+		b.add(Mark{Fingerprint: f, Crash: "a", At: now}, now)
+		b.add(Mark{Fingerprint: f, Crash: "b", Isolated: true, At: now}, now)
+	}
+	is.Equal(len(b.records), 100)
+	is.Equal(b.convicted(1, now.Add(2*memory)), false)
+	is.Equal(len(b.records), 0)
+}
+
+// TestLastOfCrash guards against an innocent request that is convicted because
+// the others of its crash have been cleared already.
+func TestLastOfCrash(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(1_000_000, 0)
+	b := newBook()
+	for _, c := range []CrashID{"a", "b"} {
+		for f := range Fingerprint(3) {
+			b.add(Mark{Fingerprint: f, Crash: c, Position: 10, Progressed: true, At: now}, now)
+		}
+	}
+	is.True(b.passed(0, 20))
+	is.True(b.passed(1, 20))
+	is.Equal(b.convicted(2, now.Add(settleDelay)), false)
+	is.Equal(b.suspect(2, now), true)
+}
--- /dev/null
+++ b/oleandercove/quarantiner/prober.go
@@ -0,0 +1,45 @@
+package quarantiner
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"net/http"
+	"syscall"
+	"time"
+
+	"oleandercove.example/core/engine"
+)
+
+// probeTimeout bounds the check of a backend server after a failure.
+const probeTimeout = 300 * time.Millisecond
+
+// httpProber asks the backend server for its status on a new connection.
+type httpProber struct{ http *http.Client }
+
+// NewProber returns a Prober over HTTP.
+func NewProber() Prober {
+	return &httpProber{http: &http.Client{
+		Timeout: probeTimeout, Transport: &http.Transport{DisableKeepAlives: true},
+	}}
+}
+
+// Crashed returns true if the port refuses connections or another process
+// answers. A host that is silent has failed as a whole, which no request can
+// cause, so it does not count.
+func (p *httpProber) Crashed(ctx context.Context, s engine.Stage, start string) bool {
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+s.Address+"/v1/status", nil)
+	if err != nil {
+		return false
+	}
+	res, err := p.http.Do(req)
+	if err != nil {
+		return errors.Is(err, syscall.ECONNREFUSED) || errors.Is(err, syscall.ECONNRESET)
+	}
+	defer res.Body.Close()
+	var status engine.Status
+	if json.NewDecoder(res.Body).Decode(&status) != nil {
+		return false
+	}
+	return status.Start != start
+}
--- a/oleandercove/streamer/planning.go
+++ b/oleandercove/streamer/planning.go
@@ -58,6 +58,7 @@
 	if !b.Healthy || (b.Draining && !keep) {
 		return planner.Engine{}, false
 	}
+	t.starts[b.ID] = b.Engine.Start
 	return planner.Engine{
 		Stage:      engine.Stage{Backend: b.ID, Address: b.Address, From: b.Engine.From, To: b.Engine.To},
 		Iteration:  time.Duration(b.Engine.TokenTimeMicros) * time.Microsecond,
--- a/oleandercove/streamer/streamer.go
+++ b/oleandercove/streamer/streamer.go
@@ -24,6 +24,7 @@
 	"oleandercove.example/core/unit"
 	"oleandercove.example/core/verdict"
 	"oleandercove.example/oleandercove/dispatcher"
+	"oleandercove.example/oleandercove/quarantiner"
 	"oleandercove.example/oleandercove/recorder"
 	"oleandercove.example/oleandercove/request"
 	"oleandercove.example/oleandercove/tracker"
@@ -44,6 +45,8 @@
 	Backends   watcher.Backends
 	Tracker    *tracker.Tracker
 	Dispatcher dispatcher.Dispatcher
+	// Quarantine isolates requests that may crash backend servers.
+	Quarantine *quarantiner.Quarantiner
 	Recorder   recorder.Recorder
 	Timer      timer.Service
 	Log        *log.Logger
@@ -60,6 +63,7 @@
 	*Streamer
 	r        *request.Request
 	id       unit.StreamID
+	print    quarantiner.Fingerprint
 	epoch    unit.Epoch
 	prompt   unit.Position
 	emitted  []unit.Token
@@ -69,13 +73,20 @@
 	started bool
 	// held lists all stages that may hold state of the stream.
 	held map[unit.BackendID]engine.Stage
+	// starts holds the process of each engine at the time of the plan.
+	starts map[unit.BackendID]string
+	// touched is the number of emitted tokens when the attempt began.
+	touched  int
+	isolated bool
+	// marked is true once the request was in a crash or under suspicion.
+	marked bool
 }
 
 // Serve runs the request to its end or returns a *verdict.Error.
 func (s *Streamer) Serve(ctx context.Context, r *request.Request) error {
 	t := &run{
-		Streamer: s, r: r, id: unit.StreamID(r.ID),
-		excluded: map[unit.BackendID]bool{}, held: map[unit.BackendID]engine.Stage{},
+		Streamer: s, r: r, id: unit.StreamID(r.ID), print: quarantiner.Of(r.Name, r.Completion.Prompt),
+		excluded: map[unit.BackendID]bool{}, held: map[unit.BackendID]engine.Stage{}, starts: map[unit.BackendID]string{},
 	}
 	defer t.release(ctx)
 	for range maxAttempts {
@@ -101,6 +112,13 @@
 
 // attempt opens the stream with the next epoch and reads it until it ends.
 func (t *run) attempt(ctx context.Context) (done bool, err error) {
+	leave, isolated, err := t.options.Quarantine.Enter(ctx, t.print, t.chain)
+	if err != nil {
+		return false, t.refused(ctx, err)
+	}
+	defer leave()
+	t.isolated, t.touched = isolated, len(t.emitted)
+	t.marked = t.marked || isolated
 	t.epoch++
 	finish := t.track()
 	defer finish()
@@ -110,12 +128,12 @@
 	})
 	t.started = true
 	if err != nil {
-		return false, t.lost(ctx, t.chain[0].Backend, err)
+		return false, t.lost(ctx, err)
 	}
 	defer s.Close()
 	for e, err := range s.Events() {
 		if err != nil {
-			return false, t.lost(ctx, t.chain[0].Backend, err)
+			return false, t.lost(ctx, err)
 		}
 		done, err := t.apply(ctx, e)
 		if done || err != nil || e.Kind == engine.EventFailed {
@@ -167,18 +185,33 @@
 		return nil
 	}
 	t.emitted = append(t.emitted, e.Token)
+	if t.marked {
+		t.options.Quarantine.Passed(t.print, len(t.emitted))
+	}
 	if err := t.r.Completion.Emit(e.Text); err != nil {
 		return verdict.New(verdict.MayHaveRun, verdict.Canceled, "caller went away: %v", err)
 	}
 	return nil
 }
 
+// refused turns the end of a wait for quarantine into the caller's error.
+func (t *run) refused(ctx context.Context, err error) error {
+	if ctx.Err() != nil {
+		return t.ended(ctx)
+	}
+	return err
+}
+
 // lost handles a broken or silent connection to the first stage.
-func (t *run) lost(ctx context.Context, b unit.BackendID, err error) error {
+func (t *run) lost(ctx context.Context, err error) error {
 	if ctx.Err() != nil {
 		return t.ended(ctx)
 	}
-	return t.failed(ctx, &engine.Failure{Backend: b, Cause: engine.CauseUnreachable, Detail: err.Error()})
+	cause := engine.CauseBroken
+	if errors.Is(err, dispatcher.ErrSilent) || dispatcher.NotConnected(err) {
+		cause = engine.CauseUnreachable
+	}
+	return t.failed(ctx, &engine.Failure{Backend: t.chain[0].Backend, Cause: cause, Detail: err.Error()})
 }
 
 func (t *run) ended(ctx context.Context) error {
@@ -189,7 +222,7 @@
 }
 
 // failed excludes the failed stage from the next plan.
-func (t *run) failed(_ context.Context, f *engine.Failure) error {
+func (t *run) failed(ctx context.Context, f *engine.Failure) error {
 	if f == nil {
 		return t.failure(verdict.Internal, "engine reported a failure without a cause")
 	}
@@ -202,10 +235,17 @@
 		return nil
 	}
 	t.excluded[f.Backend] = true
-	if f.Cause == engine.CauseUnreachable {
+	if f.Cause == engine.CauseUnreachable || f.Cause == engine.CauseBroken {
 		t.options.Backends.Suspect(f.Backend)
 	}
-	return nil
+	if f.Cause != engine.CauseBroken {
+		return nil
+	}
+	t.marked = true
+	return t.options.Quarantine.Failed(ctx, t.r.ID, t.print, quarantiner.Crash{
+		Stage: t.held[f.Backend], Start: t.starts[f.Backend], Position: len(t.emitted),
+		Progressed: len(t.emitted) > t.touched, Isolated: t.isolated,
+	})
 }
 
 // release drops the stream's state on all engines that may hold it.
--- a/oleanderfake/runner/stepper.go
+++ b/oleanderfake/runner/stepper.go
@@ -4,8 +4,10 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"time"
 
@@ -168,9 +170,16 @@
 	return reply
 }
 
+// unreachable reports a stage that did not answer. A connection that broke
+// after it was made counts as broken, except when the watchdog closed it.
 func unreachable(to engine.Stage, err error) engine.StepReply {
+	cause := engine.CauseBroken
+	var op *net.OpError
+	if errors.Is(err, context.Canceled) || (errors.As(err, &op) && op.Op == "dial") {
+		cause = engine.CauseUnreachable
+	}
 	return engine.StepReply{Code: engine.StepFailed, Failure: &engine.Failure{
-		Backend: to.Backend, Cause: engine.CauseUnreachable, Detail: err.Error(),
+		Backend: to.Backend, Cause: cause, Detail: err.Error(),
 	}}
 }
 
--- a/prover/launcher/process.go
+++ b/prover/launcher/process.go
@@ -94,6 +94,16 @@
 	return p.state.ExitCode(), nil
 }
 
+// Exited tells whether the process has ended.
+func (p *Process) Exited() bool {
+	select {
+	case <-p.done():
+		return true
+	default:
+		return false
+	}
+}
+
 // PID returns the id of the process.
 func (p *Process) PID() int {
 	p.mu.Lock()
--- a/prover/path_test.go
+++ b/prover/path_test.go
@@ -32,7 +32,7 @@
 }
 
 // newRig starts two engines for each of three stages and n daemons.
-func newRig(t *testing.T, n int) *rig {
+func newRig(t *testing.T, n int, engineFlags ...string) *rig {
 	t.Helper()
 	is := is.New(t)
 	r := &rig{Launcher: launcher.New("../bin", t.TempDir()), client: invoker.Client{Token: launcher.Token(account)}, timer: timer.NewReal()}
@@ -53,6 +53,7 @@
 		e, err := r.Engine(launcher.EngineSpec{
 			ID: fmt.Sprintf("engine-%d", i), DataCentre: "dc-a", Model: modelName, Kind: "a",
 			Layers: layers, From: stage * 4, To: stage*4 + 4, LayerTime: 500 * time.Microsecond,
+			Flags: engineFlags,
 		})
 		is.NoErr(err)
 		r.engines = append(r.engines, e)
