--- a/core/catalogue/catalogue.go
+++ b/core/catalogue/catalogue.go
@@ -96,12 +96,30 @@
 
 // Change is one edit in the history of an entry.
 type Change struct {
+	// ID identifies the edit, so that a write whose answer was lost can be
+	// found again.
+	ID      string `json:",omitempty"`
 	By      string
 	At      time.Time
 	Version unit.Version
 	Fields  []string
 }
 
+// maxHistory bounds the changes that an entry keeps; older ones are dropped.
+const maxHistory = 20
+
+// AppendChange returns a history with one more change, trimmed to the latest.
+func AppendChange(history []Change, c Change) []Change {
+	all := append(append([]Change{}, history...), c)
+	return all[max(0, len(all)-maxHistory):]
+}
+
+// Tombstone returns the deleted form of an entry, which keeps its key and
+// history so that versions never restart.
+func (e *Entry) Tombstone() *Entry {
+	return &Entry{Kind: e.Kind, Name: e.Name, Owner: e.Owner, Class: e.Class, Deleted: true, History: e.History, Version: e.Version}
+}
+
 // Key identifies an entry.
 type Key struct {
 	Kind Kind
--- a/core/catalogue/decoder.go
+++ b/core/catalogue/decoder.go
@@ -3,7 +3,9 @@
 import (
 	"bytes"
 	"encoding/json"
+	"errors"
 	"fmt"
+	"io"
 
 	"oleandercove.example/core/unit"
 )
@@ -17,6 +19,9 @@
 	if err := d.Decode(&e); err != nil {
 		return nil, fmt.Errorf("decode catalogue entry: %w", err)
 	}
+	if _, err := d.Token(); !errors.Is(err, io.EOF) {
+		return nil, errors.New("decode catalogue entry: data after the entry")
+	}
 	e.Version = version
 	return &e, nil
 }
