--- a/core/verdict/verdict.go
+++ b/core/verdict/verdict.go
@@ -64,6 +64,9 @@
 	PlatformUnavailable Reason = "PlatformUnavailable"
 	// Conflict means that a conditional update lost against another one.
 	Conflict Reason = "Conflict"
+	// OutcomeUnknown means that a write was sent and its outcome could not be
+	// found out.
+	OutcomeUnknown Reason = "OutcomeUnknown"
 	// Internal means a fault in this program.
 	Internal Reason = "Internal"
 )
@@ -123,7 +126,7 @@
 		return http.StatusConflict
 	case BackendFailed:
 		return http.StatusBadGateway
-	case DeadlineExceeded:
+	case DeadlineExceeded, OutcomeUnknown:
 		return http.StatusGatewayTimeout
 	case Canceled:
 		return 499 // nginx's customary status for a caller that went away
