oleandercove: add the listener for operators, state dump and drain marks

Cause: operators need to edit entries, see what a daemon knows and decided, and take hosts and backend servers out of service. Ruled out: a drain field in the catalogue entry, because a mark must reach every daemon even for a backend server whose entry is being edited. The launcher gives each daemon a listener for operators.

--- a/core/api/operators.go
+++ b/core/api/operators.go
@@ -1,6 +1,7 @@
 package api
 
 import (
+	"encoding/json"
 	"time"
 
 	"oleandercove.example/core/catalogue"
@@ -14,6 +15,8 @@
 	HeaderIfVersion = "If-Version"
 	// HeaderOperator names the operator in the history of an entry.
 	HeaderOperator = "X-Operator"
+	// HeaderHost names the entry host that answered.
+	HeaderHost = "X-Host"
 )
 
 // EntryView is an entry with its version.
@@ -111,3 +114,18 @@
 	Target string
 	Role   platform.Role
 }
+
+// Dump is the answer to GET /v1/dump.
+type Dump struct {
+	Host     unit.HostID
+	At       time.Time
+	Sections []DumpSection
+}
+
+// DumpSection is the state of one part of the daemon.
+type DumpSection struct {
+	Name  string
+	State json.RawMessage `json:",omitempty"`
+	// Error says why the state is missing.
+	Error string `json:",omitempty"`
+}
--- a/core/platform/platform.go
+++ b/core/platform/platform.go
@@ -27,6 +27,8 @@
 	KindClaim Kind = "Claim"
 	// KindLease holds leases of controllers.
 	KindLease Kind = "Lease"
+	// KindDrain holds the operators' drain marks of backend servers and hosts.
+	KindDrain Kind = "Drain"
 )
 
 // Object is a versioned object of the platform.
--- a/oleandercove/daemon/daemon.go
+++ b/oleandercove/daemon/daemon.go
@@ -51,6 +51,9 @@
 	spreader *spreader.Spreader
 	watcher  *watcher.Watcher
 	server   *server.Server
+	recorder *recorder.Journal
+	tracker  *tracker.Tracker
+	operator *operators
 	draining atomic.Bool
 }
 
@@ -62,19 +65,21 @@
 	d := &Daemon{settings: s, log: l}
 	d.spreader = spreader.New(spreader.Options{Platform: p, Timer: t, Log: l.WithPrefix("spreader")})
 	d.watcher = watcher.New(watcher.Options{Platform: p, Timer: t, Log: l.WithPrefix("watcher")})
+	d.recorder = recorder.New(recorder.Options{Host: s.Host, Capacity: journalCapacity, Timer: t})
+	d.tracker = tracker.New()
+	d.operator = d.newOperators(p, t)
 	d.server = d.newServer(t)
 	return d
 }
 
 func (d *Daemon) newServer(t timer.Service) *server.Server {
-	j := recorder.New(recorder.Options{Host: d.settings.Host, Capacity: journalCapacity, Timer: t})
-	k := tracker.New()
+	j, k, backends := d.recorder, d.tracker, d.operator.backends
 	q := quarantiner.New(quarantiner.Options{Timer: t, Recorder: j, Log: d.log.WithPrefix("quarantiner"), Prober: quarantiner.NewProber()})
 	models := streamer.New(streamer.Options{
-		Backends: d.watcher, Tracker: k, Dispatcher: dispatcher.New(dispatcher.Options{}), Quarantine: q,
+		Backends: backends, Tracker: k, Dispatcher: dispatcher.New(dispatcher.Options{}), Quarantine: q,
 		Recorder: j, Timer: t, Log: d.log.WithPrefix("streamer"),
 	})
-	services := caller.New(caller.Options{Backends: d.watcher, Tracker: k, Recorder: j, Log: d.log.WithPrefix("caller")})
+	services := caller.New(caller.Options{Backends: backends, Tracker: k, Recorder: j, Log: d.log.WithPrefix("caller")})
 	h := chain.Build(router.New(models.Serve, services.Serve).Handle, authenticator.New(d.spreader), q)
 	return server.New(server.Options{
 		Handler: h, Catalogue: d.spreader, Recorder: j, Timer: t,
@@ -91,11 +96,16 @@
 		return trace.Wrap(err, "listen for callers on %s", d.settings.Callers.Listen)
 	}
 	background, cancel := context.WithCancel(context.WithoutCancel(ctx))
+	ctx, stop := d.operator.stoppable(ctx)
+	defer stop()
 	var wg conc.WaitGroup
 	wg.Go(func() { d.spreader.Run(background) })
 	wg.Go(func() { d.watcher.Run(background) })
 	defer wg.Wait()
 	defer cancel()
+	if err := d.operator.serve(background, &wg); err != nil {
+		return err
+	}
 	srv := &http.Server{
 		Handler: d.server.Callers(), ReadHeaderTimeout: readHeaderTimeout, MaxHeaderBytes: maxHeaderBytes,
 	}
@@ -109,7 +119,7 @@
 	}
 	d.draining.Store(true)
 	d.log.WithPrefix("daemon").Info("shutting down", "limit", d.settings.Shutdown.Limit())
-	limit, stop := context.WithTimeout(background, d.settings.Shutdown.Limit())
-	defer stop()
+	limit, release := context.WithTimeout(background, d.settings.Shutdown.Limit())
+	defer release()
 	return trace.Wrap(srv.Shutdown(limit))
 }
--- /dev/null
+++ b/oleandercove/operator/insight.go
@@ -0,0 +1,103 @@
+package operator
+
+import (
+	"net/http"
+	"time"
+
+	"github.com/julienschmidt/httprouter"
+
+	"oleandercove.example/core/api"
+	"oleandercove.example/core/platform"
+	"oleandercove.example/core/unit"
+	"oleandercove.example/core/verdict"
+	"oleandercove.example/oleandercove/marker"
+)
+
+// retryAfter is when an operator should repeat a call that needs the platform.
+const retryAfter = 5 * time.Second
+
+func (s *Server) getHosts(w http.ResponseWriter, r *http.Request, _ httprouter.Params) {
+	hosts, err := s.options.Hosts(r.Context())
+	if err != nil {
+		s.refuse(w, verdict.New(verdict.NotRun, verdict.PlatformUnavailable, "host list: %v", err).After(retryAfter))
+		return
+	}
+	answer(w, api.HostList{Hosts: hosts})
+}
+
+func (s *Server) getBackends(w http.ResponseWriter, _ *http.Request, _ httprouter.Params) {
+	l := api.BackendList{Backends: []api.Backend{}}
+	for _, b := range s.options.Backends.Backends() {
+		l.Backends = append(l.Backends, api.Backend{
+			ID: b.ID, Role: b.Role, Address: b.Address, DataCentre: b.DataCentre, Serves: b.Serves,
+			Healthy: b.Healthy, Draining: b.Draining, InFlight: s.options.Tracker.InFlight(b.ID), Seen: b.Seen,
+		})
+	}
+	answer(w, l)
+}
+
+func (s *Server) getDump(w http.ResponseWriter, _ *http.Request, _ httprouter.Params) {
+	answer(w, s.options.Dumper.Dump())
+}
+
+func (s *Server) getExplanation(w http.ResponseWriter, _ *http.Request, p httprouter.Params) {
+	x := api.Explanation{Request: unit.RequestID(p.ByName("id")), Host: s.options.Host, Events: []api.Event{}}
+	for _, e := range s.options.Recorder.Explain(x.Request) {
+		x.Events = append(x.Events, api.Event{
+			At: e.At, Host: e.Host, Request: e.Request, Part: e.Part, Decision: e.Decision, Cause: e.Cause,
+		})
+	}
+	answer(w, x)
+}
+
+func (s *Server) postDrain(w http.ResponseWriter, r *http.Request, _ httprouter.Params) {
+	var body api.DrainRequest
+	by, err := author(r)
+	if err == nil {
+		err = readJSON(w, r, &body)
+	}
+	var role platform.Role
+	if err == nil {
+		role, err = s.role(r, body)
+	}
+	if err == nil {
+		err = s.options.Marks.Set(r.Context(), marker.Mark{Target: body.Target, Role: role, Draining: !body.Cancel, By: by})
+	}
+	if err != nil {
+		s.refuse(w, err)
+		return
+	}
+	answer(w, api.DrainAccepted{Target: body.Target, Role: role})
+}
+
+// role finds the target of a drain and rejects one that nobody would honour.
+func (s *Server) role(r *http.Request, d api.DrainRequest) (platform.Role, error) {
+	for _, b := range s.options.Backends.Backends() {
+		if string(b.ID) == d.Target {
+			return b.Role, nil
+		}
+	}
+	if d.Target != string(s.options.Host) {
+		if err := s.listed(r, d.Target); err != nil {
+			return "", err
+		}
+	}
+	if d.Cancel {
+		return "", verdict.New(verdict.NotRun, verdict.BadRequest, "the shutdown of an entry host cannot be canceled")
+	}
+	return platform.RoleEntry, nil
+}
+
+// listed fails if the platform does not list an entry host.
+func (s *Server) listed(r *http.Request, target string) error {
+	hosts, err := s.options.Hosts(r.Context())
+	if err != nil {
+		return verdict.New(verdict.NotRun, verdict.PlatformUnavailable, "host list: %v", err).After(retryAfter)
+	}
+	for _, h := range hosts {
+		if h.ID == target && h.Role == platform.RoleEntry {
+			return nil
+		}
+	}
+	return verdict.New(verdict.NotRun, verdict.UnknownEntry, "no backend server or entry host %q", target)
+}
--- a/prover/launcher/launcher.go
+++ b/prover/launcher/launcher.go
@@ -155,22 +155,37 @@
 [Callers]
 Listen = %q
 
+[Operators]
+Listen = %q
+Token = %q
+
 [Platform]
 Address = %q
 `
 
+// OperatorToken is the bearer token of the operators of all daemons.
+const OperatorToken = "token-of-the-operators"
+
 // Daemon starts a daemon and waits until it is ready.
 func (l *Launcher) Daemon(id, dataCentre string) (*Process, error) {
 	a, err := FreeAddress()
 	if err != nil {
 		return nil, err
 	}
+	operators, err := FreeAddress()
+	if err != nil {
+		return nil, err
+	}
 	path := filepath.Join(l.Dir, id+".toml")
-	text := fmt.Sprintf(settingsFormat, id, dataCentre, a, l.platform.Address)
+	text := fmt.Sprintf(settingsFormat, id, dataCentre, a, operators, OperatorToken, l.platform.Address)
 	if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
 		return nil, err
 	}
-	return l.run(id, a, "/readyz", filepath.Join(l.Binaries, "oleandercove"), "run", "--config", path)
+	p, err := l.run(id, a, "/readyz", filepath.Join(l.Binaries, "oleandercove"), "run", "--config", path)
+	if p != nil {
+		p.Operators = operators
+	}
+	return p, err
 }
 
 // Token returns the bearer token of an account that Account creates.
--- a/prover/launcher/process.go
+++ b/prover/launcher/process.go
@@ -15,7 +15,9 @@
 type Process struct {
 	Name    string
 	Address string
-	Args    []string
+	// Operators is the address of a daemon's listener for operators.
+	Operators string
+	Args      []string
 
 	launcher *Launcher
 	mu       sync.Mutex
