oleanderctl: add the command line of the operators

Cause: operators need to edit entries and to look into daemons without writing HTTP requests, and scripts need to tell a refused edit from an unknown one.

--- a/Makefile
+++ b/Makefile
@@ -1,11 +1,11 @@
-MODULES := core oleandercove oleanderfake prover
+MODULES := core oleandercove oleanderctl oleanderfake prover
 GO_FILES := $(shell git ls-files --cached --others --exclude-standard '*.go' | grep -v '\.pb\.go$$')
 
 .PHONY: build tools generate format lint test unit demo clean
 
 build:
 	mkdir -p bin
-	go build -o bin/ ./oleandercove ./oleanderfake
+	go build -o bin/ ./oleandercove ./oleanderctl ./oleanderfake
 
 tools: bin/gofumpt bin/staticcheck
 
