--- a/prover/launcher/launcher.go
+++ b/prover/launcher/launcher.go
@@ -191,6 +191,12 @@
 // Token returns the bearer token of an account that Account creates.
 func Token(account string) string { return "token-" + account }
 
+// TokenHash returns the hash of an account's token, as in its entry.
+func TokenHash(account string) string {
+	sum := sha256.Sum256([]byte(Token(account)))
+	return hex.EncodeToString(sum[:])
+}
+
 // Put writes a catalogue entry straight to the platform.
 func (l *Launcher) Put(ctx context.Context, e *catalogue.Entry) error {
 	v, err := catalogue.Encode(e)
@@ -204,9 +210,8 @@
 
 // Account writes an account entry with the token that Token returns.
 func (l *Launcher) Account(ctx context.Context, name string) error {
-	sum := sha256.Sum256([]byte(Token(name)))
 	return l.Put(ctx, &catalogue.Entry{
 		Kind: catalogue.KindAccount, Name: unit.EntryName(name), Owner: "operator",
-		Class: catalogue.ClassStandard, Account: &catalogue.Account{TokenHash: hex.EncodeToString(sum[:])},
+		Class: catalogue.ClassStandard, Account: &catalogue.Account{TokenHash: TokenHash(name)},
 	})
 }
