--- a/oleandercove/editor/refuser.go
+++ b/oleandercove/editor/refuser.go
@@ -44,7 +44,7 @@
 
 func invalid(f []catalogue.Fault) error {
 	r := &Refused{Faults: f}
-	v := verdict.New(verdict.NotRun, verdict.BadRequest, "entry has %d faults: %v", len(f), r)
+	v := verdict.New(verdict.NotRun, verdict.BadRequest, "entry has %d faults", len(f))
 	v.Err = r
 	return v
 }
@@ -63,7 +63,7 @@
 	if current != nil && current.Deleted {
 		state = "is deleted and has"
 	}
-	v := verdict.New(verdict.NotRun, verdict.Conflict, "entry %s version %d, edit expected %d; %v", state, r.Version, expected, r)
+	v := verdict.New(verdict.NotRun, verdict.Conflict, "entry %s version %d, edit expected %d", state, r.Version, expected)
 	v.Err = r
 	return v
 }
