streamer: give each stream an id of its own on the engines

Cause: the request id served as the stream id. Callers choose request ids, so two callers with the same id shared KV state on the engines and got each other's tokens. Ruled out: refusing a second request with the same id; ids of different client accounts may collide by chance. Change: the owning daemon draws a stream id for each request. Before: go test -run SameRequestID ./prover: 15 of 16 answers wrong or without an end marker. After: 0 of 16.

--- a/oleandercove/streamer/streamer.go
+++ b/oleandercove/streamer/streamer.go
@@ -18,6 +18,7 @@
 	"time"
 
 	"github.com/charmbracelet/log"
+	"github.com/google/uuid"
 
 	"oleandercove.example/core/engine"
 	"oleandercove.example/core/timer"
@@ -85,7 +86,7 @@
 // Serve runs the request to its end or returns a *verdict.Error.
 func (s *Streamer) Serve(ctx context.Context, r *request.Request) error {
 	t := &run{
-		Streamer: s, r: r, id: unit.StreamID(r.ID), print: quarantiner.Of(r.Name, r.Completion.Prompt),
+		Streamer: s, r: r, id: unit.StreamID(uuid.NewString()), print: quarantiner.Of(r.Name, r.Completion.Prompt),
 		excluded: map[unit.BackendID]bool{}, held: map[unit.BackendID]engine.Stage{}, starts: map[unit.BackendID]string{},
 	}
 	defer t.release(ctx)
@@ -226,7 +227,7 @@
 	if f == nil {
 		return t.failure(verdict.Internal, "engine reported a failure without a cause")
 	}
-	t.options.Log.Warn("stage failed", "stream", t.id, "backend", f.Backend, "cause", f.Cause, "detail", f.Detail)
+	t.options.Log.Warn("stage failed", "request", t.r.ID, "stream", t.id, "backend", f.Backend, "cause", f.Cause, "detail", f.Detail)
 	t.options.Recorder.Record(recorder.Event{
 		Request: t.r.ID, Part: "streamer", Decision: "ReplaceStage",
 		Cause: string(f.Backend) + ": " + string(f.Cause) + ": " + f.Detail,
--- a/prover/streams_test.go
+++ b/prover/streams_test.go
@@ -131,3 +131,24 @@
 		}
 	}
 }
+
+// TestSameRequestID guards against crossed answers when several callers choose
+// the same request id at the same time.
+func TestSameRequestID(t *testing.T) {
+	r := newRig(t, 2)
+	jobs := make([]*job, 16)
+	var wg sync.WaitGroup
+	for i := range jobs {
+		j := &job{text: fmt.Sprintf("route note %d", i), tokens: 40}
+		jobs[i] = j
+		wg.Go(func() {
+			j.answer, j.err = r.client.Complete(t.Context(), r.daemons[i%2].Address, invoker.Prompt{
+				ID: "chosen-by-caller", Model: modelName, Text: j.text, MaxTokens: j.tokens,
+			})
+		})
+	}
+	wg.Wait()
+	for _, err := range violations(jobs) {
+		t.Error(err)
+	}
+}
