loader: read strict settings and report all faults in one run

Cause: a wrong settings file gave one fault without its key, and a missing address or a duration without a unit was accepted. Ruled out: go-toml's strict decoder alone, because it stops at the first type fault and does not know which keys are required. Change: core/loader builds a tree with line numbers from go-toml's unstable parser and checks it against the struct; settings uses it for every field. Shutdown.LimitSeconds becomes Limit, a duration with a unit. A Policy section holds the silence limit of streams and the poll interval of backend servers.

--- /dev/null
+++ b/core/loader/assigner.go
@@ -0,0 +1,212 @@
+package loader
+
+import (
+	"encoding"
+	"fmt"
+	"math"
+	"net/netip"
+	"reflect"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/pelletier/go-toml/v2/unstable"
+)
+
+// expecter is implemented by types that describe their valid values.
+type expecter interface{ Expected() string }
+
+func join(path, name string) string {
+	if path == "" {
+		return name
+	}
+	return path + "." + name
+}
+
+// table assigns the keys of a table to the fields of a struct.
+func (r *reader) table(n *node, path string, v reflect.Value) {
+	if n.children == nil {
+		r.fault(n.line, path, "expected a table")
+		return
+	}
+	t := v.Type()
+	for _, name := range n.names {
+		c := n.children[name]
+		f, ok := t.FieldByName(name)
+		if !ok || !f.IsExported() || len(f.Index) > 1 {
+			r.fault(c.line, join(path, name), "unknown key; expected %s", suggestion(t, name))
+			continue
+		}
+		r.value(c, join(path, name), v.FieldByIndex(f.Index))
+	}
+	before := len(r.faults)
+	r.checkFields(n, path, v)
+	if c, ok := v.Addr().Interface().(Checker); ok && len(r.faults) == before {
+		for _, p := range c.Check() {
+			r.fault(lineOf(n, p.Key), join(path, p.Key), "expected %s", p.Expected)
+		}
+	}
+}
+
+// suggestion names the key that was probably meant, or all keys.
+func suggestion(t reflect.Type, name string) string {
+	var names []string
+	for i := range t.NumField() {
+		f := t.Field(i).Name
+		if strings.EqualFold(f, name) {
+			return f
+		}
+		names = append(names, f)
+	}
+	return "one of " + strings.Join(names, ", ")
+}
+
+func lineOf(n *node, name string) int {
+	if c := n.children[name]; c != nil {
+		return c.line
+	}
+	return n.line
+}
+
+// checkFields applies the tags of fields and descends into absent tables.
+func (r *reader) checkFields(n *node, path string, v reflect.Value) {
+	t := v.Type()
+	for i := range t.NumField() {
+		f := t.Field(i)
+		c := n.children[f.Name]
+		if c == nil && !r.partial && f.Type.Kind() == reflect.Struct && f.IsExported() {
+			r.table(newTable(n.line), join(path, f.Name), v.Field(i))
+		}
+		for tag := range strings.SplitSeq(f.Tag.Get("check"), ",") {
+			if tag == "" || (c == nil && r.partial) || (c != nil && r.faulty(c, join(path, f.Name))) {
+				continue
+			}
+			if expected := check(tag, v.Field(i)); expected != "" {
+				r.fault(lineOf(n, f.Name), join(path, f.Name), "expected %s", expected)
+				break
+			}
+		}
+	}
+}
+
+// faulty tells whether the key already has a fault.
+func (r *reader) faulty(c *node, key string) bool {
+	for _, f := range r.faults {
+		if f.Line == c.line && f.Key == key {
+			return true
+		}
+	}
+	return false
+}
+
+// check returns what a tag expects, or nothing if the value is right.
+func check(tag string, v reflect.Value) string {
+	switch tag {
+	case "required":
+		if v.IsZero() {
+			return "a value; the key is missing or empty"
+		}
+	case "address":
+		if s := v.String(); s != "" && !isAddress(s) {
+			return fmt.Sprintf(`an IP address and port, such as "10.0.0.1:8080", not %q`, s)
+		}
+	case "positive":
+		if v.CanInt() && v.Int() <= 0 || v.CanFloat() && v.Float() <= 0 {
+			return "a value above zero"
+		}
+	default:
+		return "a known check; the tag " + strconv.Quote(tag) + " is unknown"
+	}
+	return ""
+}
+
+func isAddress(s string) bool {
+	_, err := netip.ParseAddrPort(s)
+	return err == nil
+}
+
+// value assigns one value.
+func (r *reader) value(n *node, path string, v reflect.Value) {
+	if u, ok := v.Addr().Interface().(encoding.TextUnmarshaler); ok {
+		r.text(n, path, u)
+		return
+	}
+	if v.Type() == reflect.TypeFor[time.Duration]() {
+		r.text(n, path, (*Duration)(v.Addr().Interface().(*time.Duration)))
+		return
+	}
+	switch v.Kind() {
+	case reflect.Struct:
+		r.table(n, path, v)
+	case reflect.Slice:
+		r.array(n, path, v)
+	default:
+		if expected := scalar(n, v); expected != "" {
+			r.fault(n.line, path, "expected %s", expected)
+		}
+	}
+}
+
+func (r *reader) text(n *node, path string, u encoding.TextUnmarshaler) {
+	expected := "a string"
+	if e, ok := u.(expecter); ok {
+		expected = e.Expected()
+	}
+	if n.kind != unstable.String || u.UnmarshalText([]byte(n.text)) != nil {
+		r.fault(n.line, path, "expected %s", expected)
+	}
+}
+
+func (r *reader) array(n *node, path string, v reflect.Value) {
+	if n.kind != unstable.Array {
+		r.fault(n.line, path, "expected an array")
+		return
+	}
+	out := reflect.MakeSlice(v.Type(), len(n.elements), len(n.elements))
+	for i, e := range n.elements {
+		r.value(e, fmt.Sprintf("%s[%d]", path, i), out.Index(i))
+	}
+	v.Set(out)
+}
+
+// scalar assigns a scalar and returns what was expected if it doesn't fit.
+func scalar(n *node, v reflect.Value) string {
+	switch {
+	case v.Kind() == reflect.String:
+		if n.kind != unstable.String {
+			return "a string"
+		}
+		v.SetString(n.text)
+	case v.Kind() == reflect.Bool:
+		if n.kind != unstable.Bool {
+			return "true or false"
+		}
+		v.SetBool(n.text == "true")
+	case v.CanInt():
+		i, err := strconv.ParseInt(n.text, 0, 64)
+		if n.kind != unstable.Integer || err != nil || v.OverflowInt(i) {
+			return "a whole number"
+		}
+		v.SetInt(i)
+	case v.CanUint():
+		i, err := strconv.ParseUint(strings.TrimPrefix(n.text, "+"), 0, 64)
+		if n.kind != unstable.Integer || err != nil || v.OverflowUint(i) {
+			return "a whole number that is not negative"
+		}
+		v.SetUint(i)
+	case v.CanFloat():
+		return float(n, v)
+	default:
+		return "no value, because settings of type " + v.Type().String() + " are not supported"
+	}
+	return ""
+}
+
+func float(n *node, v reflect.Value) string {
+	f, err := strconv.ParseFloat(strings.ReplaceAll(n.text, "_", ""), 64)
+	if (n.kind != unstable.Float && n.kind != unstable.Integer) || err != nil || math.IsNaN(f) || math.IsInf(f, 0) {
+		return "a finite number"
+	}
+	v.SetFloat(f)
+	return ""
+}
--- a/oleandercove/command/command.go
+++ b/oleandercove/command/command.go
@@ -30,10 +30,11 @@
 // Run executes the command line and returns the exit code.
 func Run(args []string) int {
 	code := exitFailure
-	c := &cobra.Command{Use: "oleandercove", Short: "Router for model pipelines and services", SilenceUsage: true}
+	c := &cobra.Command{Use: "oleandercove", Short: "Router for model pipelines and services", SilenceUsage: true, SilenceErrors: true}
 	c.AddCommand(newRun(&code), newCheck(&code), newVersion())
 	c.SetArgs(args)
 	if err := c.Execute(); err != nil {
+		fmt.Fprintln(c.ErrOrStderr(), err)
 		return code
 	}
 	return 0
--- a/oleandercove/daemon/daemon.go
+++ b/oleandercove/daemon/daemon.go
@@ -38,7 +38,8 @@
 const (
 	// journalCapacity bounds the events kept for explain.
 	journalCapacity = 20000
-	// readHeaderTimeout bounds a slow sender of headers.
+	// readHeaderTimeout bounds a slow sender of headers on the listener for
+	// operators.
 	readHeaderTimeout = 5 * time.Second
 	// maxHeaderBytes bounds the headers of a request.
 	maxHeaderBytes = 32 << 10
@@ -64,7 +65,7 @@
 	p := platform.NewClient(platform.Options{Address: s.Platform.Address})
 	d := &Daemon{settings: s, log: l}
 	d.spreader = spreader.New(spreader.Options{Platform: p, Timer: t, Log: l.WithPrefix("spreader")})
-	d.watcher = watcher.New(watcher.Options{Platform: p, Timer: t, Log: l.WithPrefix("watcher")})
+	d.watcher = watcher.New(watcher.Options{Platform: p, Timer: t, Log: l.WithPrefix("watcher"), Interval: s.Policy.PollInterval.Std()})
 	d.recorder = recorder.New(recorder.Options{Host: s.Host, Capacity: journalCapacity, Timer: t})
 	d.tracker = tracker.New()
 	d.operator = d.newOperators(p, t)
@@ -76,7 +77,7 @@
 	j, k, backends := d.recorder, d.tracker, d.operator.backends
 	q := quarantiner.New(quarantiner.Options{Timer: t, Recorder: j, Log: d.log.WithPrefix("quarantiner"), Prober: quarantiner.NewProber()})
 	models := streamer.New(streamer.Options{
-		Backends: backends, Tracker: k, Dispatcher: dispatcher.New(dispatcher.Options{}), Quarantine: q,
+		Backends: backends, Tracker: k, Dispatcher: dispatcher.New(dispatcher.Options{Silence: d.settings.Policy.SilenceLimit.Std()}), Quarantine: q,
 		Recorder: j, Timer: t, Log: d.log.WithPrefix("streamer"),
 	})
 	services := caller.New(caller.Options{Backends: backends, Tracker: k, Recorder: j, Log: d.log.WithPrefix("caller")})
@@ -107,7 +108,7 @@
 		return err
 	}
 	srv := &http.Server{
-		Handler: d.server.Callers(), ReadHeaderTimeout: readHeaderTimeout, MaxHeaderBytes: maxHeaderBytes,
+		Handler: d.server.Callers(), ReadHeaderTimeout: d.settings.Callers.HeaderTimeout.Std(), MaxHeaderBytes: maxHeaderBytes,
 	}
 	failed := make(chan error, 1)
 	go func() { failed <- srv.Serve(ln) }()
@@ -118,8 +119,8 @@
 	case <-ctx.Done():
 	}
 	d.draining.Store(true)
-	d.log.WithPrefix("daemon").Info("shutting down", "limit", d.settings.Shutdown.Limit())
-	limit, release := context.WithTimeout(background, d.settings.Shutdown.Limit())
+	d.log.WithPrefix("daemon").Info("shutting down", "limit", d.settings.Shutdown.Limit.Std())
+	limit, release := context.WithTimeout(background, d.settings.Shutdown.Limit.Std())
 	defer release()
 	return trace.Wrap(srv.Shutdown(limit))
 }
--- a/oleandercove/settings/settings.go
+++ b/oleandercove/settings/settings.go
@@ -6,38 +6,44 @@
 package settings
 
 import (
-	"bytes"
-	"os"
 	"time"
 
-	"github.com/pelletier/go-toml/v2"
-
+	"oleandercove.example/core/loader"
 	"oleandercove.example/core/unit"
 )
 
 // Settings are the settings of one daemon.
 type Settings struct {
-	Host       unit.HostID
-	DataCentre unit.DataCentre
+	Host       unit.HostID     `check:"required"`
+	DataCentre unit.DataCentre `check:"required"`
 	Region     unit.Region
 	Callers    Callers
 	Operators  Operators
 	Platform   Platform
 	Log        Log
 	Shutdown   Shutdown
+	Policy     Policy
 }
 
 // Callers configures the listener for callers.
-type Callers struct{ Listen string }
+type Callers struct {
+	Listen string `check:"required,address"`
+	// HeaderTimeout bounds the time for the headers of a request.
+	HeaderTimeout loader.Duration `check:"positive"`
+	// BodyTimeout bounds the time for the body of a request.
+	BodyTimeout loader.Duration `check:"positive"`
+}
 
 // Operators configures the listener for operators.
 type Operators struct {
-	Listen string
+	Listen string `check:"address"`
 	Token  string
 }
 
 // Platform names the object API.
-type Platform struct{ Address string }
+type Platform struct {
+	Address string `check:"required,address"`
+}
 
 // Log configures the log.
 type Log struct {
@@ -45,20 +51,29 @@
 	Format string
 }
 
-// Shutdown configures the graceful shutdown.
-type Shutdown struct{ LimitSeconds int }
-
-// Limit returns the longest graceful shutdown.
-func (s Shutdown) Limit() time.Duration { return time.Duration(s.LimitSeconds) * time.Second }
-
-// Load reads and checks a settings file.
+// Load reads and checks a settings file. Faults of the file are loader.Faults.
 func Load(path string) (*Settings, error) {
-	data, err := os.ReadFile(path)
-	if err != nil {
+	s := defaults()
+	if err := loader.Load(path, s); err != nil {
 		return nil, err
 	}
-	s := &Settings{Log: Log{Level: "info", Format: "text"}, Shutdown: Shutdown{LimitSeconds: 30}}
-	d := toml.NewDecoder(bytes.NewReader(data))
-	d.DisallowUnknownFields()
-	return s, d.Decode(s)
+	return s, nil
+}
+
+func defaults() *Settings {
+	return &Settings{
+		Callers: Callers{
+			HeaderTimeout: loader.Duration(5 * time.Second),
+			BodyTimeout:   loader.Duration(10 * time.Second),
+		},
+		Log: Log{Level: "info", Format: "text"},
+		Shutdown: Shutdown{
+			BalancerDelay: loader.Duration(time.Second),
+			Limit:         loader.Duration(30 * time.Second),
+		},
+		Policy: Policy{
+			SilenceLimit: loader.Duration(time.Second),
+			PollInterval: loader.Duration(500 * time.Millisecond),
+		},
+	}
 }
--- a/oleandercove/watcher/watcher.go
+++ b/oleandercove/watcher/watcher.go
@@ -70,6 +70,8 @@
 	Platform platform.Client
 	Timer    timer.Service
 	Log      *log.Logger
+	// Interval replaces the default time between two rounds of status calls.
+	Interval time.Duration
 }
 
 // Watcher is the default Backends.
@@ -83,6 +85,9 @@
 
 // New returns a Watcher that knows no backend server yet.
 func New(o Options) *Watcher {
+	if o.Interval == 0 {
+		o.Interval = pollInterval
+	}
 	return &Watcher{
 		options:  o,
 		http:     &http.Client{Timeout: statusTimeout},
@@ -116,7 +121,7 @@
 func (w *Watcher) Run(ctx context.Context) {
 	for ctx.Err() == nil {
 		w.round(ctx)
-		_ = w.options.Timer.Sleep(ctx, pollInterval)
+		_ = w.options.Timer.Sleep(ctx, w.options.Interval)
 	}
 }
 
