drainer: shut daemons down gracefully and keep work off leaving backend servers

Cause: a stopping daemon closed its listener at once and cut streams at the limit without an error; a restarted engine stayed hidden for ever after its row said Leaving; a hanging platform delayed status calls; a restarted daemon was ready before it knew a backend server; a stopping service worker closed its listener before any daemon noticed. Ruled out: trusting only the newest row, because rows lag and flip back. Change: package drainer with the phases unready, refusing and ending. The watcher polls the host list and the status separately, withdraws a sign only after 5 s without one or after a restart, and takes 503 and Draining answers of engines as signs. The streamer does not try a draining engine again that lacks the stream. Fakes keep answering for at least 3 s while they leave, and engine journals carry the time of each record.

--- a/core/engine/engine.go
+++ b/core/engine/engine.go
@@ -13,7 +13,11 @@
 //	GET  /v1/status   -> Status
 package engine
 
-import "oleandercove.example/core/unit"
+import (
+	"time"
+
+	"oleandercove.example/core/unit"
+)
 
 // Priority orders the work of an engine; higher runs first.
 type Priority int
@@ -234,4 +238,6 @@
 	First   unit.Position
 	Count   int
 	Replay  bool
+	// At is the time at which the work ended.
+	At time.Time `json:",omitzero"`
 }
--- a/oleandercove/daemon/daemon.go
+++ b/oleandercove/daemon/daemon.go
@@ -10,7 +10,6 @@
 	"context"
 	"net"
 	"net/http"
-	"sync/atomic"
 	"time"
 
 	"github.com/charmbracelet/log"
@@ -24,6 +23,7 @@
 	"oleandercove.example/oleandercove/caller"
 	"oleandercove.example/oleandercove/chain"
 	"oleandercove.example/oleandercove/dispatcher"
+	"oleandercove.example/oleandercove/drainer"
 	"oleandercove.example/oleandercove/quarantiner"
 	"oleandercove.example/oleandercove/recorder"
 	"oleandercove.example/oleandercove/router"
@@ -55,7 +55,8 @@
 	recorder *recorder.Journal
 	tracker  *tracker.Tracker
 	operator *operators
-	draining atomic.Bool
+	drainer  *drainer.Drainer
+	models   *streamer.Streamer
 }
 
 // New builds a daemon from its settings.
@@ -63,7 +64,7 @@
 	l := logger.New(logger.Options{Level: s.Log.Level, Format: s.Log.Format}).With("host", s.Host)
 	t := timer.NewReal()
 	p := platform.NewClient(platform.Options{Address: s.Platform.Address})
-	d := &Daemon{settings: s, log: l}
+	d := &Daemon{settings: s, log: l, drainer: newDrainer(s.Shutdown, t, l)}
 	d.spreader = spreader.New(spreader.Options{Platform: p, Timer: t, Log: l.WithPrefix("spreader")})
 	d.watcher = watcher.New(watcher.Options{Platform: p, Timer: t, Log: l.WithPrefix("watcher"), Interval: s.Policy.PollInterval.Std()})
 	d.recorder = recorder.New(recorder.Options{Host: s.Host, Capacity: journalCapacity, Timer: t})
@@ -76,19 +77,20 @@
 func (d *Daemon) newServer(t timer.Service) *server.Server {
 	j, k, backends := d.recorder, d.tracker, d.operator.backends
 	q := quarantiner.New(quarantiner.Options{Timer: t, Recorder: j, Log: d.log.WithPrefix("quarantiner"), Prober: quarantiner.NewProber()})
-	models := streamer.New(streamer.Options{
+	d.models = streamer.New(streamer.Options{
 		Backends: backends, Tracker: k, Dispatcher: dispatcher.New(dispatcher.Options{Silence: d.settings.Policy.SilenceLimit.Std()}), Quarantine: q,
 		Recorder: j, Timer: t, Log: d.log.WithPrefix("streamer"),
+		Signs: d.watcher,
 	})
 	services := caller.New(caller.Options{Backends: backends, Tracker: k, Recorder: j, Log: d.log.WithPrefix("caller")})
-	h := chain.Build(router.New(models.Serve, services.Serve).Handle, authenticator.New(d.spreader), q)
+	h := chain.Build(router.New(d.models.Serve, services.Serve).Handle, d.drainer, authenticator.New(d.spreader), q)
 	return server.New(server.Options{
 		Handler: h, Catalogue: d.spreader, Recorder: j, Timer: t,
 		Log: d.log.WithPrefix("server"), Ready: d.ready,
 	})
 }
 
-func (d *Daemon) ready() bool { return d.spreader.Ready() && !d.draining.Load() }
+func (d *Daemon) ready() bool { return d.spreader.Ready() && d.watcher.Ready() && d.drainer.Ready() }
 
 // Run serves until ctx is done, then shuts down gracefully.
 func (d *Daemon) Run(ctx context.Context) error {
@@ -108,7 +110,7 @@
 		return err
 	}
 	srv := &http.Server{
-		Handler: d.server.Callers(), ReadHeaderTimeout: d.settings.Callers.HeaderTimeout.Std(), MaxHeaderBytes: maxHeaderBytes,
+		Handler: d.closing(d.server.Callers()), ReadHeaderTimeout: d.settings.Callers.HeaderTimeout.Std(), MaxHeaderBytes: maxHeaderBytes,
 	}
 	failed := make(chan error, 1)
 	go func() { failed <- srv.Serve(ln) }()
@@ -118,9 +120,5 @@
 		return trace.Wrap(err)
 	case <-ctx.Done():
 	}
-	d.draining.Store(true)
-	d.log.WithPrefix("daemon").Info("shutting down", "limit", d.settings.Shutdown.Limit.Std())
-	limit, release := context.WithTimeout(background, d.settings.Shutdown.Limit.Std())
-	defer release()
-	return trace.Wrap(srv.Shutdown(limit))
+	return trace.Wrap(d.shutdown(background, srv))
 }
--- a/oleandercove/dispatcher/dispatcher.go
+++ b/oleandercove/dispatcher/dispatcher.go
@@ -39,6 +39,14 @@
 // ErrSilent means that the connection was open but silent for too long.
 var ErrSilent = errors.New("connection is silent")
 
+// StatusError means that a backend server answered with a failure status.
+type StatusError struct{ Status int }
+
+// Error names the status.
+func (e *StatusError) Error() string {
+	return fmt.Sprintf("backend server answered status %d", e.Status)
+}
+
 // Dispatcher sends model requests to engines.
 type Dispatcher interface {
 	// Open starts or resumes a stream at the first stage of its chain.
@@ -105,7 +113,7 @@
 	}
 	if res.StatusCode >= http.StatusBadRequest {
 		res.Body.Close()
-		return nil, fmt.Errorf("backend server answered status %d", res.StatusCode)
+		return nil, &StatusError{Status: res.StatusCode}
 	}
 	return res, nil
 }
--- a/oleandercove/streamer/planning.go
+++ b/oleandercove/streamer/planning.go
@@ -72,7 +72,7 @@
 
 func (t *run) keeps(b watcher.Backend) bool {
 	for _, s := range t.chain {
-		if s.Backend == b.ID && s.From == b.Engine.From && s.To == b.Engine.To {
+		if s.Backend == b.ID && !t.lacks[b.ID] && s.From == b.Engine.From && s.To == b.Engine.To {
 			return true
 		}
 	}
--- a/oleandercove/streamer/streamer.go
+++ b/oleandercove/streamer/streamer.go
@@ -15,6 +15,7 @@
 import (
 	"context"
 	"errors"
+	"sync"
 	"time"
 
 	"github.com/charmbracelet/log"
@@ -51,10 +52,15 @@
 	Recorder   recorder.Recorder
 	Timer      timer.Service
 	Log        *log.Logger
+	// Signs learns of engines that refuse work because they leave; nil is valid.
+	Signs watcher.Signs
 }
 
 // Streamer serves model requests.
-type Streamer struct{ options Options }
+type Streamer struct {
+	options  Options
+	releases sync.WaitGroup
+}
 
 // New returns a Streamer.
 func New(o Options) *Streamer { return &Streamer{options: o} }
@@ -70,6 +76,8 @@
 	emitted  []unit.Token
 	chain    []engine.Stage
 	excluded map[unit.BackendID]bool
+	// lacks lists draining engines that hold no state of the stream.
+	lacks map[unit.BackendID]bool
 	// started is true once an engine may have run a part of the request.
 	started bool
 	// held lists all stages that may hold state of the stream.
@@ -87,7 +95,7 @@
 func (s *Streamer) Serve(ctx context.Context, r *request.Request) error {
 	t := &run{
 		Streamer: s, r: r, id: unit.StreamID(uuid.NewString()), print: quarantiner.Of(r.Name, r.Completion.Prompt),
-		excluded: map[unit.BackendID]bool{}, held: map[unit.BackendID]engine.Stage{}, starts: map[unit.BackendID]string{},
+		excluded: map[unit.BackendID]bool{}, lacks: map[unit.BackendID]bool{}, held: map[unit.BackendID]engine.Stage{}, starts: map[unit.BackendID]string{},
 	}
 	defer t.release(ctx)
 	for range maxAttempts {
@@ -208,11 +216,7 @@
 	if ctx.Err() != nil {
 		return t.ended(ctx)
 	}
-	cause := engine.CauseBroken
-	if errors.Is(err, dispatcher.ErrSilent) || dispatcher.NotConnected(err) {
-		cause = engine.CauseUnreachable
-	}
-	return t.failed(ctx, &engine.Failure{Backend: t.chain[0].Backend, Cause: cause, Detail: err.Error()})
+	return t.failed(ctx, &engine.Failure{Backend: t.chain[0].Backend, Cause: causeOf(err), Detail: err.Error()})
 }
 
 func (t *run) ended(ctx context.Context) error {
@@ -236,8 +240,14 @@
 		return nil
 	}
 	t.excluded[f.Backend] = true
-	if f.Cause == engine.CauseUnreachable || f.Cause == engine.CauseBroken {
+	switch f.Cause {
+	case engine.CauseUnreachable, engine.CauseBroken:
 		t.options.Backends.Suspect(f.Backend)
+	case engine.CauseDraining:
+		t.lacks[f.Backend] = true
+		if t.options.Signs != nil {
+			t.options.Signs.Leaving(f.Backend, f.Detail)
+		}
 	}
 	if f.Cause != engine.CauseBroken {
 		return nil
@@ -253,9 +263,9 @@
 func (t *run) release(ctx context.Context) {
 	ctx = context.WithoutCancel(ctx)
 	held, c := t.held, engine.CancelRequest{Stream: t.id, Epoch: t.epoch}
-	go func() {
+	t.releases.Go(func() {
 		for _, s := range held {
 			t.options.Dispatcher.Cancel(ctx, s, c)
 		}
-	}()
+	})
 }
--- a/oleandercove/watcher/watcher.go
+++ b/oleandercove/watcher/watcher.go
@@ -21,6 +21,7 @@
 	"time"
 
 	"github.com/charmbracelet/log"
+	"github.com/sourcegraph/conc"
 	"github.com/sourcegraph/conc/pool"
 
 	"oleandercove.example/core/engine"
@@ -51,6 +52,11 @@
 	Engine *engine.Status
 	// Seen is the time of the last good status.
 	Seen time.Time
+
+	// leaving is the state of the backend server's row in the host list.
+	leaving bool
+	// signed is the time of the last sign that the backend server leaves.
+	signed time.Time
 }
 
 // Usable tells whether the backend server may get new work.
@@ -81,6 +87,17 @@
 
 	mu       sync.RWMutex
 	backends map[unit.BackendID]Backend
+	// listed is true after the first host list, ready after the first round of
+	// status calls that followed a host list.
+	listed, ready bool
+}
+
+// Ready tells whether the state of the backend servers is known. A daemon that
+// takes requests earlier would refuse them for lack of backend servers.
+func (w *Watcher) Ready() bool {
+	w.mu.RLock()
+	defer w.mu.RUnlock()
+	return w.ready
 }
 
 // New returns a Watcher that knows no backend server yet.
@@ -118,24 +135,46 @@
 }
 
 // Run polls until ctx is done.
+//
+// The host list has a loop of its own: a platform that hangs must not delay
+// the status calls that notice a leaving backend server.
 func (w *Watcher) Run(ctx context.Context) {
+	var wg conc.WaitGroup
+	wg.Go(func() { w.repeat(ctx, w.list) })
+	wg.Go(func() { w.repeat(ctx, w.round) })
+	wg.Wait()
+}
+
+func (w *Watcher) repeat(ctx context.Context, poll func(context.Context)) {
 	for ctx.Err() == nil {
-		w.round(ctx)
+		poll(ctx)
 		_ = w.options.Timer.Sleep(ctx, w.options.Interval)
 	}
 }
 
-func (w *Watcher) round(ctx context.Context) {
-	if hosts, err := w.options.Platform.Hosts(ctx); err == nil {
-		w.install(hosts)
-	} else {
-		w.options.Log.Warn("host list is unavailable; keeping the last one", "err", err)
+func (w *Watcher) list(ctx context.Context) {
+	hosts, err := w.options.Platform.Hosts(ctx)
+	if err != nil {
+		if ctx.Err() == nil {
+			w.options.Log.Warn("host list is unavailable; keeping the last one", "err", err)
+		}
+		return
 	}
+	w.install(hosts)
+}
+
+func (w *Watcher) round(ctx context.Context) {
+	w.mu.RLock()
+	known := w.listed || len(w.backends) > 0
+	w.mu.RUnlock()
 	p := pool.New().WithMaxGoroutines(maxParallelCalls)
 	for _, b := range w.Backends() {
 		p.Go(func() { w.check(ctx, b) })
 	}
 	p.Wait()
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.ready = w.ready || known
 }
 
 // install takes over the host list. A host that vanished from the list stays
@@ -143,6 +182,8 @@
 func (w *Watcher) install(hosts []platform.Host) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
+	w.listed = true
+	now := w.options.Timer.Now()
 	listed := map[unit.BackendID]bool{}
 	for _, h := range hosts {
 		if h.Role == platform.RoleEntry {
@@ -152,9 +193,8 @@
 		listed[id] = true
 		b := w.backends[id]
 		b.ID, b.Role, b.Address, b.DataCentre, b.Serves = id, h.Role, h.Address, h.DataCentre, h.Serves
-		if h.State == platform.HostLeaving {
-			b.Draining = true
-		}
+		b.leaving = h.State == platform.HostLeaving
+		b.settle(now, b.leaving)
 		w.backends[id] = b
 	}
 	for id, b := range w.backends {
@@ -177,9 +217,12 @@
 	}
 	now.Healthy = err == nil
 	if err == nil {
-		restarted := now.Engine != nil && status != nil && now.Engine.Start != status.Start
-		now.Draining = draining || (now.Draining && !restarted)
-		now.Engine, now.Seen = status, w.options.Timer.Now()
+		at := w.options.Timer.Now()
+		if now.Engine != nil && status != nil && now.Engine.Start != status.Start {
+			now.Draining = false // the sign concerned the process before the restart
+		}
+		now.settle(at, draining || now.leaving)
+		now.Engine, now.Seen = status, at
 	}
 	w.backends[b.ID] = now
 }
@@ -199,7 +242,10 @@
 	}
 	defer res.Body.Close()
 	if b.Role == platform.RoleService {
-		return nil, res.StatusCode == http.StatusServiceUnavailable, nil
+		return nil, res.StatusCode == http.StatusServiceUnavailable, serviceFault(res.StatusCode)
+	}
+	if res.StatusCode == http.StatusServiceUnavailable {
+		w.Leaving(b.ID, "status call answered 503")
 	}
 	if res.StatusCode != http.StatusOK {
 		return nil, false, fmt.Errorf("status %d", res.StatusCode)
--- a/oleanderfake/command/command.go
+++ b/oleanderfake/command/command.go
@@ -40,6 +40,8 @@
 	host     platform.Host
 	// drainLimit bounds the graceful shutdown.
 	drainLimit time.Duration
+	// leaveDelay is how long a leaving fake keeps answering at least.
+	leaveDelay time.Duration
 	// leave is called when the process is told to stop.
 	leave func()
 	// busy tells whether work is still running.
@@ -51,6 +53,7 @@
 	f.StringVar(&l.address, "listen", "127.0.0.1:0", "IP address and port to listen on")
 	f.StringVar(&l.platform, "platform", "", "address of the platform; empty registers nowhere")
 	f.DurationVar(&l.drainLimit, "drain-limit", 20*time.Second, "longest graceful shutdown")
+	f.DurationVar(&l.leaveDelay, "leave-delay", 3*time.Second, "shortest graceful shutdown, until routers have noticed it")
 }
 
 // serve listens until SIGTERM or SIGINT, then leaves gracefully.
@@ -89,8 +92,9 @@
 	h := l.host
 	h.State = platform.HostLeaving
 	registrar.Register(ctx, l.platform, h)
-	end := time.Now().Add(l.drainLimit)
-	for l.busy() && time.Now().Before(end) {
+	now := time.Now()
+	end, earliest := now.Add(l.drainLimit), now.Add(min(l.leaveDelay, l.drainLimit))
+	for (l.busy() || time.Now().Before(earliest)) && time.Now().Before(end) {
 		time.Sleep(20 * time.Millisecond)
 	}
 	ctx, cancel := context.WithDeadline(ctx, end.Add(time.Second))
--- a/oleanderfake/runner/stepper.go
+++ b/oleanderfake/runner/stepper.go
@@ -92,7 +92,7 @@
 func (e *Engine) record(r engine.StepRequest, from, to unit.Layer, first unit.Position, count int) {
 	replay := max(0, min(count, int(r.Fresh-first)))
 	base := engine.JournalRecord{
-		Backend: e.options.Backend, Start: e.start, Stream: r.Stream, Epoch: r.Epoch, From: from, To: to,
+		Backend: e.options.Backend, Start: e.start, Stream: r.Stream, Epoch: r.Epoch, From: from, To: to, At: time.Now(),
 	}
 	if replay > 0 {
 		j := base
--- /dev/null
+++ b/prover/drain_test.go
@@ -0,0 +1,181 @@
+package prover_test
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"oleandercove.example/core/engine"
+	"oleandercove.example/core/platform"
+	"oleandercove.example/core/unit"
+	"oleandercove.example/oleanderfake/booker"
+	"oleandercove.example/prover/launcher"
+)
+
+// serviceWorkers starts n workers of the logbook and waits until one answers.
+func (r *rig) serviceWorkers(t *testing.T, n int) []*launcher.Process {
+	t.Helper()
+	var out []*launcher.Process
+	for i := range n {
+		p, err := r.Service(fmt.Sprintf("worker-%d", i), "logbook")
+		is.New(t).NoErr(err)
+		out = append(out, p)
+	}
+	for i := range r.daemons {
+		await(t, "answer of the logbook", func() bool {
+			res, err := r.client.Do(t.Context(), http.MethodGet, "http://"+r.daemons[i].Address+"/services/logbook/x", nil, nil)
+			if err != nil {
+				return false
+			}
+			res.Body.Close()
+			return res.StatusCode == http.StatusOK
+		})
+	}
+	return out
+}
+
+// stop asks for a planned stop and checks that it ends well.
+func stop(t *testing.T, p *launcher.Process) {
+	t.Helper()
+	is := is.New(t)
+	is.NoErr(p.Terminate())
+	code, err := p.WaitExit(40 * time.Second)
+	is.NoErr(err)
+	is.Equal(code, 0)
+}
+
+func journal[T any](t *testing.T, p *launcher.Process) []T {
+	t.Helper()
+	is := is.New(t)
+	res, err := http.Get("http://" + p.Address + "/journal")
+	is.NoErr(err)
+	defer res.Body.Close()
+	var out []T
+	is.NoErr(json.NewDecoder(res.Body).Decode(&out))
+	return out
+}
+
+// TestDaemonsRolled guards against a planned stop of a daemon that refuses,
+// truncates or loses an answer, or leaves a new daemon ready too early.
+func TestDaemonsRolled(t *testing.T) {
+	r := newRig(t, 3)
+	r.serviceWorkers(t, 2)
+	b, end := startLoad(t, r, 6)
+	for i, d := range r.daemons {
+		stop(t, d)
+		is.New(t).NoErr(d.Restart())
+		await(t, "ready after the restart", b.ready[i].Load)
+	}
+	end()
+	b.check(t)
+}
+
+// TestEnginesRolled guards against a planned stop of an engine or worker that
+// truncates an answer, and against one that gets no work after its restart.
+func TestEnginesRolled(t *testing.T) {
+	// A small batch spreads the load over both engines of each stage.
+	r := newRig(t, 2, "--max-batch", "2")
+	workers := r.serviceWorkers(t, 2)
+	b, end := startLoad(t, r, 6)
+	// One engine of each stage stays up while the other one is stopped.
+	for parity := range 2 {
+		for stage := range 3 {
+			e := r.engines[2*stage+parity]
+			stop(t, e)
+			is.New(t).NoErr(e.Restart())
+			is.New(t).NoErr(launcher.WaitHTTP("http://"+e.Address+"/v1/status", 20*time.Second))
+		}
+		for stage := range 3 {
+			e := r.engines[2*stage+parity]
+			await(t, "work on the restarted engine", func() bool { return len(journal[engine.JournalRecord](t, e)) > 0 })
+		}
+	}
+	stop(t, workers[0])
+	end()
+	b.check(t)
+}
+
+// TestStreamAtLimit guards against a stream that is cut silently when the
+// limit of the shutdown passes, and against an exit after the limit.
+func TestStreamAtLimit(t *testing.T) {
+	is := is.New(t)
+	r := newRig(t, 0)
+	r.DaemonSettings = "\n[Shutdown]\nBalancerDelay = \"200ms\"\nLimit = \"3s\"\n"
+	d, err := r.Daemon("entry-0", "dc-a")
+	is.NoErr(err)
+	r.daemons = append(r.daemons, d)
+	await(t, "answer", func() bool { return r.serves(t.Context()) })
+	var at time.Time
+	a, err := r.complete(t.Context(), 0, "long", 4000, func(n int) {
+		if n == 10 {
+			at = time.Now()
+			is.NoErr(d.Terminate())
+		}
+	})
+	is.NoErr(err)
+	is.True(!a.Done)
+	is.Equal(string(a.Refusal.Reason), "Draining")
+	is.Equal(string(a.Refusal.Verdict), "MayHaveRun")
+	code, err := d.WaitExit(20 * time.Second)
+	is.NoErr(err)
+	is.Equal(code, 0)
+	is.True(time.Since(at) < 5*time.Second)
+}
+
+// TestLeavingGetsNothingNew guards against new work on a backend server later
+// than 3 s after the first sign, although it takes the work and the host list
+// flips back.
+func TestLeavingGetsNothingNew(t *testing.T) {
+	const allowed = 3 * time.Second
+	is := is.New(t)
+	r := newRig(t, 2)
+	workers := r.serviceWorkers(t, 2)
+	b, end := startLoad(t, r, 4)
+	leaving := []platform.Host{
+		{ID: "engine-0", Role: platform.RoleEngine, Address: r.engines[0].Address, Serves: modelName, State: platform.HostLeaving, DataCentre: "dc-a"},
+		{ID: "worker-0", Role: platform.RoleService, Address: workers[0].Address, Serves: "logbook", State: platform.HostLeaving},
+	}
+	sign := time.Now()
+	// The fakes keep registering themselves as live, so the rows flip.
+	await(t, "end of the signs", func() bool {
+		for _, h := range leaving {
+			r.register(t, h)
+		}
+		return time.Since(sign) > 4*time.Second
+	})
+	await(t, "rest of the window", func() bool { return time.Since(sign) > 7*time.Second })
+	end()
+	b.check(t)
+	streams, total := map[unit.StreamID]bool{}, 0
+	for _, j := range journal[engine.JournalRecord](t, r.engines[0]) {
+		first := !streams[j.Stream]
+		streams[j.Stream] = true
+		total++
+		is.True(!first || !within(j.At, sign.Add(allowed), sign.Add(7*time.Second))) // new stream on a leaving engine
+	}
+	for _, c := range journal[booker.Record](t, workers[0]) {
+		total++
+		is.True(!within(c.At, sign.Add(allowed), sign.Add(7*time.Second))) // new call on a leaving worker
+	}
+	is.True(total > 0)
+}
+
+func within(at, from, to time.Time) bool { return at.After(from) && at.Before(to) }
+
+// register writes a row of the host list.
+func (r *rig) register(t *testing.T, h platform.Host) {
+	t.Helper()
+	is := is.New(t)
+	body, err := json.Marshal(h)
+	is.NoErr(err)
+	req, err := http.NewRequestWithContext(t.Context(), http.MethodPut, "http://"+r.platform.Address+"/v1/hosts/"+h.ID, bytes.NewReader(body))
+	is.NoErr(err)
+	res, err := http.DefaultClient.Do(req)
+	is.NoErr(err)
+	res.Body.Close()
+}
--- a/prover/launcher/launcher.go
+++ b/prover/launcher/launcher.go
@@ -36,6 +36,8 @@
 	Binaries string
 	// Dir holds logs, settings and journals.
 	Dir string
+	// DaemonSettings is added to the settings file of each daemon.
+	DaemonSettings string
 
 	mu        sync.Mutex
 	processes []*Process
@@ -177,7 +179,7 @@
 		return nil, err
 	}
 	path := filepath.Join(l.Dir, id+".toml")
-	text := fmt.Sprintf(settingsFormat, id, dataCentre, a, operators, OperatorToken, l.platform.Address)
+	text := fmt.Sprintf(settingsFormat, id, dataCentre, a, operators, OperatorToken, l.platform.Address) + l.DaemonSettings
 	if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
 		return nil, err
 	}
--- a/prover/path_test.go
+++ b/prover/path_test.go
@@ -25,10 +25,12 @@
 // rig is a small deployment: one platform, stages of engines and daemons.
 type rig struct {
 	*launcher.Launcher
-	client  invoker.Client
-	timer   *timer.Real
-	daemons []*launcher.Process
-	engines []*launcher.Process
+	client invoker.Client
+	timer  *timer.Real
+	// platform is the stand-in of the platform.
+	platform *launcher.Process
+	daemons  []*launcher.Process
+	engines  []*launcher.Process
 }
 
 // newRig starts two engines for each of three stages and n daemons.
@@ -37,7 +39,8 @@
 	is := is.New(t)
 	r := &rig{Launcher: launcher.New("../bin", t.TempDir()), client: invoker.Client{Token: launcher.Token(account)}, timer: timer.NewReal()}
 	t.Cleanup(r.Close)
-	_, err := r.Platform()
+	p, err := r.Platform()
+	r.platform = p
 	is.NoErr(err)
 	is.NoErr(r.Account(t.Context(), account))
 	is.NoErr(r.Put(t.Context(), &catalogue.Entry{
