meter: add metrics in the Prometheus text format

Cause: nothing showed how often requests were refused, streams recovered or platform calls failed. Ruled out: tags with account or entry names, because their number is not bounded.

--- /dev/null
+++ b/oleandercove/meter/meter.go
@@ -0,0 +1,156 @@
+// Package meter counts and measures what the daemon does and serves the result
+// in the Prometheus text format.
+//
+// Usage:
+//
+//	m := meter.New()
+//	defer m.Close()
+//	m.Request(catalogue.KindModel, err)
+//	mux.Handle("/metrics", m.Handler())
+package meter
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"sync"
+	"time"
+
+	prom "github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/promhttp"
+	"github.com/uber-go/tally/v4"
+	"github.com/uber-go/tally/v4/prometheus"
+
+	"oleandercove.example/core/catalogue"
+	"oleandercove.example/core/engine"
+	"oleandercove.example/core/timer"
+	"oleandercove.example/core/verdict"
+	"oleandercove.example/oleandercove/chain"
+	"oleandercove.example/oleandercove/request"
+	"oleandercove.example/oleandercove/watcher"
+)
+
+// reportInterval is how often values pass from tally to the scraped registry.
+const reportInterval = time.Second
+
+// Buckets surround the targets of 1.1 s for the first token, 30 ms between
+// tokens and 1 s for the gap of a recovery.
+var (
+	firstTokenBuckets = tally.DurationBuckets{
+		25 * time.Millisecond, 50 * time.Millisecond, 100 * time.Millisecond, 250 * time.Millisecond,
+		500 * time.Millisecond, 800 * time.Millisecond, 1100 * time.Millisecond, 2 * time.Second, 5 * time.Second, 15 * time.Second,
+	}
+	gapBuckets = tally.DurationBuckets{
+		5 * time.Millisecond, 10 * time.Millisecond, 20 * time.Millisecond, 30 * time.Millisecond, 50 * time.Millisecond,
+		100 * time.Millisecond, 250 * time.Millisecond, 500 * time.Millisecond, time.Second, 2 * time.Second, 5 * time.Second,
+	}
+)
+
+// Meter holds the metrics of one daemon.
+type Meter struct {
+	scope   tally.Scope
+	closer  io.Closer
+	handler http.Handler
+	close   sync.Once
+
+	firstToken, gap tally.Histogram
+}
+
+// New returns a Meter; Close ends its reports.
+func New() *Meter {
+	registry := prom.NewRegistry()
+	reporter := prometheus.NewReporter(prometheus.Options{Registerer: registry, Gatherer: registry})
+	scope, closer := tally.NewRootScope(tally.ScopeOptions{
+		Prefix: "oleandercove", Separator: prometheus.DefaultSeparator, CachedReporter: reporter,
+		SanitizeOptions: &prometheus.DefaultSanitizerOpts, OmitCardinalityMetrics: true,
+	}, reportInterval)
+	return &Meter{
+		scope: scope, closer: closer, handler: promhttp.HandlerFor(registry, promhttp.HandlerOpts{}),
+		firstToken: scope.Histogram("first_token_seconds", firstTokenBuckets),
+		gap:        scope.Histogram("token_gap_seconds", gapBuckets),
+	}
+}
+
+// Handler serves the metrics in the Prometheus text format.
+func (m *Meter) Handler() http.Handler { return m.handler }
+
+// Close passes the last values on and ends the reports.
+func (m *Meter) Close() { m.close.Do(func() { _ = m.closer.Close() }) }
+
+func (m *Meter) count(name string, tags map[string]string) {
+	m.scope.Tagged(tags).Counter(name).Inc(1)
+}
+
+// Request counts a finished request of a kind; err is nil for a complete answer.
+func (m *Meter) Request(kind catalogue.Kind, err error) {
+	v, reason := verdict.Ran, verdict.Reason("Complete")
+	if err != nil {
+		v, reason = verdict.MayHaveRun, verdict.Internal
+		if e, ok := verdict.Of(err); ok {
+			v, reason = e.Verdict, e.Reason
+		}
+	}
+	if kind == "" {
+		kind = "None"
+	}
+	m.count("requests_total", map[string]string{"kind": string(kind), "verdict": string(v), "reason": string(reason)})
+}
+
+// Recovery counts the replacement of a stage.
+func (m *Meter) Recovery(cause engine.FailureCause) {
+	m.count("recoveries_total", map[string]string{"cause": string(cause)})
+}
+
+// Handle is a filter that measures the tokens of model requests.
+func (m *Meter) Handle(ctx context.Context, r *request.Request, next chain.Handler) error {
+	if r.Completion == nil {
+		return next(ctx, r)
+	}
+	emit := r.Completion.Emit
+	var last time.Time
+	r.Completion.Emit = func(text string) error {
+		now := time.Now()
+		if last.IsZero() {
+			m.firstToken.RecordDuration(now.Sub(r.Arrived))
+		} else {
+			m.gap.RecordDuration(now.Sub(last))
+		}
+		last = now
+		return emit(text)
+	}
+	return next(ctx, r)
+}
+
+// Watch counts the backend servers in each state at each interval until stop is
+// called.
+func (m *Meter) Watch(t timer.Service, b watcher.Backends) (stop func()) {
+	return t.Subscribe(reportInterval, func(time.Time) { m.backends(b.Backends()) })
+}
+
+// state names what a backend server may be used for.
+func state(b *watcher.Backend) string {
+	switch {
+	case !b.Healthy:
+		return "Unhealthy"
+	case b.Draining:
+		return "Draining"
+	default:
+		return "Usable"
+	}
+}
+
+func (m *Meter) backends(all []watcher.Backend) {
+	type key struct{ role, state string }
+	counts := map[key]int{}
+	for _, role := range []string{"Engine", "Service"} {
+		for _, s := range []string{"Usable", "Draining", "Unhealthy"} {
+			counts[key{role, s}] = 0
+		}
+	}
+	for i := range all {
+		counts[key{string(all[i].Role), state(&all[i])}]++
+	}
+	for k, n := range counts {
+		m.scope.Tagged(map[string]string{"role": k.role, "state": k.state}).Gauge("backends").Update(float64(n))
+	}
+}
