server: bound slow and broken requests and give each a verdict

Cause: a slow body held a connection for ever; an unknown path, a wrong method and a trailing slash got no verdict; a token without the Bearer scheme was accepted; a huge deadline overflowed; max_tokens above the entry's limit was accepted; a refusal before the body waited for that body. Ruled out: ReadTimeout of the HTTP server, because its deadline would also end the watch on callers of long answers. Change: a deadline for the body and for each write, an idle limit, JSON refusals on every path, and the bearer token and the drain state are checked before the body is read. Package validator applies the entry's max_tokens. The daemon exposes its metrics with Daemon.Metrics.

--- a/core/verdict/verdict.go
+++ b/core/verdict/verdict.go
@@ -38,6 +38,12 @@
 	BadRequest Reason = "BadRequest"
 	// TooLarge means that the request exceeds a size limit.
 	TooLarge Reason = "TooLarge"
+	// SlowBody means that the body of the request did not arrive in time.
+	SlowBody Reason = "SlowBody"
+	// UnknownPath means that no route has the requested path.
+	UnknownPath Reason = "UnknownPath"
+	// WrongMethod means that the path has no route for the method.
+	WrongMethod Reason = "WrongMethod"
 	// Unauthorized means that the bearer token is missing or unknown.
 	Unauthorized Reason = "Unauthorized"
 	// UnknownEntry means that no catalogue entry has the requested name.
@@ -116,7 +122,11 @@
 		return http.StatusRequestEntityTooLarge
 	case Unauthorized:
 		return http.StatusUnauthorized
-	case UnknownEntry:
+	case SlowBody:
+		return http.StatusRequestTimeout
+	case WrongMethod:
+		return http.StatusMethodNotAllowed
+	case UnknownEntry, UnknownPath:
 		return http.StatusNotFound
 	case AccountLimit:
 		return http.StatusTooManyRequests
--- a/oleandercove/daemon/daemon.go
+++ b/oleandercove/daemon/daemon.go
@@ -9,7 +9,6 @@
 import (
 	"context"
 	"net"
-	"net/http"
 	"time"
 
 	"github.com/charmbracelet/log"
@@ -24,6 +23,7 @@
 	"oleandercove.example/oleandercove/chain"
 	"oleandercove.example/oleandercove/dispatcher"
 	"oleandercove.example/oleandercove/drainer"
+	"oleandercove.example/oleandercove/meter"
 	"oleandercove.example/oleandercove/quarantiner"
 	"oleandercove.example/oleandercove/recorder"
 	"oleandercove.example/oleandercove/router"
@@ -32,6 +32,7 @@
 	"oleandercove.example/oleandercove/spreader"
 	"oleandercove.example/oleandercove/streamer"
 	"oleandercove.example/oleandercove/tracker"
+	"oleandercove.example/oleandercove/validator"
 	"oleandercove.example/oleandercove/watcher"
 )
 
@@ -41,7 +42,7 @@
 	// readHeaderTimeout bounds a slow sender of headers on the listener for
 	// operators.
 	readHeaderTimeout = 5 * time.Second
-	// maxHeaderBytes bounds the headers of a request.
+	// maxHeaderBytes bounds the headers of an operator's request.
 	maxHeaderBytes = 32 << 10
 )
 
@@ -56,6 +57,8 @@
 	tracker  *tracker.Tracker
 	operator *operators
 	drainer  *drainer.Drainer
+	meter    *meter.Meter
+	timer    timer.Service
 	models   *streamer.Streamer
 }
 
@@ -63,13 +66,15 @@
 func New(s *settings.Settings) *Daemon {
 	l := logger.New(logger.Options{Level: s.Log.Level, Format: s.Log.Format}).With("host", s.Host)
 	t := timer.NewReal()
-	p := platform.NewClient(platform.Options{Address: s.Platform.Address})
-	d := &Daemon{settings: s, log: l, drainer: newDrainer(s.Shutdown, t, l)}
+	m := meter.New()
+	p := m.Platform(platform.NewClient(platform.Options{Address: s.Platform.Address}))
+	d := &Daemon{settings: s, log: l, drainer: newDrainer(s.Shutdown, t, l), meter: m, timer: t}
 	d.spreader = spreader.New(spreader.Options{Platform: p, Timer: t, Log: l.WithPrefix("spreader")})
 	d.watcher = watcher.New(watcher.Options{Platform: p, Timer: t, Log: l.WithPrefix("watcher"), Interval: s.Policy.PollInterval.Std()})
 	d.recorder = recorder.New(recorder.Options{Host: s.Host, Capacity: journalCapacity, Timer: t})
 	d.tracker = tracker.New()
 	d.operator = d.newOperators(p, t)
+	d.operator.metrics = d.Metrics()
 	d.server = d.newServer(t)
 	return d
 }
@@ -80,13 +85,14 @@
 	d.models = streamer.New(streamer.Options{
 		Backends: backends, Tracker: k, Dispatcher: dispatcher.New(dispatcher.Options{Silence: d.settings.Policy.SilenceLimit.Std()}), Quarantine: q,
 		Recorder: j, Timer: t, Log: d.log.WithPrefix("streamer"),
-		Signs: d.watcher,
+		Signs: d.watcher, OnRecovery: d.meter.Recovery,
 	})
 	services := caller.New(caller.Options{Backends: backends, Tracker: k, Recorder: j, Log: d.log.WithPrefix("caller")})
-	h := chain.Build(router.New(d.models.Serve, services.Serve).Handle, d.drainer, authenticator.New(d.spreader), q)
+	h := chain.Build(router.New(d.models.Serve, services.Serve).Handle, d.meter, d.drainer, authenticator.New(d.spreader), validator.Filter{}, q)
 	return server.New(server.Options{
 		Handler: h, Catalogue: d.spreader, Recorder: j, Timer: t,
-		Log: d.log.WithPrefix("server"), Ready: d.ready,
+		Log: d.log.WithPrefix("server"), Ready: d.ready, Draining: d.drainer.Check, Done: d.meter.Request,
+		BodyTimeout: d.settings.Callers.BodyTimeout.Std(),
 	})
 }
 
@@ -109,9 +115,9 @@
 	if err := d.operator.serve(background, &wg); err != nil {
 		return err
 	}
-	srv := &http.Server{
-		Handler: d.closing(d.server.Callers()), ReadHeaderTimeout: d.settings.Callers.HeaderTimeout.Std(), MaxHeaderBytes: maxHeaderBytes,
-	}
+	defer d.meter.Close()
+	defer d.meter.Watch(d.timer, d.operator.backends)()
+	srv := server.HTTP(d.closing(d.server.Callers()), d.settings.Callers.HeaderTimeout.Std())
 	failed := make(chan error, 1)
 	go func() { failed <- srv.Serve(ln) }()
 	d.log.WithPrefix("daemon").Info("serving callers", "listen", ln.Addr())
--- /dev/null
+++ b/oleandercove/daemon/metrics.go
@@ -0,0 +1,6 @@
+package daemon
+
+import "net/http"
+
+// Metrics serves the daemon's metrics in the Prometheus text format.
+func (d *Daemon) Metrics() http.Handler { return d.meter.Handler() }
--- a/oleandercove/server/answer.go
+++ b/oleandercove/server/answer.go
@@ -50,6 +50,7 @@
 	if err != nil {
 		return err
 	}
+	limitWrite(a.w)
 	if _, err := a.w.Write([]byte("data: " + string(b) + "\n\n")); err != nil {
 		return err
 	}
@@ -80,6 +81,7 @@
 		_, _ = a.w.Write([]byte("data: [DONE]\n\n"))
 		return
 	}
+	limitWrite(a.w)
 	a.w.Header().Set("Content-Type", "application/json")
 	a.w.Header().Set(api.HeaderRequestID, string(a.id))
 	whole := a.chunk(a.text.String(), &reason)
--- a/oleandercove/server/completions.go
+++ b/oleandercove/server/completions.go
@@ -15,9 +15,6 @@
 	"oleandercove.example/oleandercove/request"
 )
 
-// defaultMaxTokens applies when the caller names none.
-const defaultMaxTokens = 128
-
 func (s *Server) handleChat(w http.ResponseWriter, r *http.Request, _ httprouter.Params) {
 	s.complete(w, r, true)
 }
@@ -27,9 +24,8 @@
 }
 
 func (s *Server) complete(w http.ResponseWriter, r *http.Request, chat bool) {
-	q, err := s.newRequest(r, catalogue.KindModel)
-	if err != nil {
-		s.refuse(w, q, err)
+	q, ok := s.begin(w, r, catalogue.KindModel)
+	if !ok {
 		return
 	}
 	m, err := readCompletion(w, r, chat)
@@ -44,12 +40,14 @@
 	defer cancel()
 	if err := s.options.Handler(ctx, q); err != nil {
 		if a.started {
+			s.done(q, err)
 			a.fail(asVerdict(err))
 			return
 		}
 		s.refuse(w, q, err)
 		return
 	}
+	s.done(q, nil)
 	a.finish(q.Completion)
 }
 
@@ -58,6 +56,11 @@
 	if err != nil {
 		return nil, err
 	}
+	return parseCompletion(body, chat)
+}
+
+// parseCompletion reads the body of a completion request.
+func parseCompletion(body []byte, chat bool) (*api.CompletionRequest, error) {
 	m := &api.CompletionRequest{}
 	if err := json.Unmarshal(body, m); err != nil {
 		return nil, verdict.New(verdict.NotRun, verdict.BadRequest, "body is not a valid completion request: %v", err)
@@ -65,9 +68,6 @@
 	if m.MaxTokens < 0 {
 		return nil, verdict.New(verdict.NotRun, verdict.BadRequest, "max_tokens must not be negative")
 	}
-	if m.MaxTokens == 0 {
-		m.MaxTokens = defaultMaxTokens
-	}
 	if m.Model == "" || strings.TrimSpace(prompt(m)) == "" {
 		return nil, verdict.New(verdict.NotRun, verdict.BadRequest, "model and %s are required", inputField(chat))
 	}
@@ -93,14 +93,11 @@
 }
 
 func (s *Server) handleModels(w http.ResponseWriter, r *http.Request, _ httprouter.Params) {
-	q, err := s.newRequest(r, catalogue.KindModel)
-	if _, ok := s.options.Catalogue.AccountByToken(q.Bearer); err == nil && !ok {
-		err = verdict.New(verdict.NotRun, verdict.Unauthorized, "bearer token is missing or unknown")
-	}
-	if err != nil {
-		s.refuse(w, q, err)
+	q, ok := s.begin(w, r, catalogue.KindModel)
+	if !ok {
 		return
 	}
+	s.done(q, nil)
 	l := api.ModelList{Object: "list", Data: []api.ModelInfo{}}
 	for _, e := range s.options.Catalogue.List(catalogue.KindModel) {
 		l.Data = append(l.Data, api.ModelInfo{ID: string(e.Name), Object: "model", OwnedBy: e.Owner})
--- a/oleandercove/server/server.go
+++ b/oleandercove/server/server.go
@@ -8,8 +8,6 @@
 
 import (
 	"encoding/json"
-	"errors"
-	"io"
 	"math"
 	"net/http"
 	"strconv"
@@ -52,6 +50,13 @@
 	Log       *log.Logger
 	// Ready tells whether the balancer may send requests.
 	Ready func() bool
+	// Draining returns the refusal of new requests during a shutdown; nil is
+	// valid.
+	Draining func() error
+	// Done is called at the end of each request; nil is valid.
+	Done func(kind catalogue.Kind, err error)
+	// BodyTimeout replaces the default time for the body of a request.
+	BodyTimeout time.Duration
 }
 
 // Server serves callers.
@@ -63,6 +68,9 @@
 // Callers returns the HTTP interface for callers.
 func (s *Server) Callers() http.Handler {
 	r := httprouter.New()
+	// A redirect would leave the caller without a verdict.
+	r.RedirectTrailingSlash, r.RedirectFixedPath = false, false
+	r.NotFound, r.MethodNotAllowed = s.refuseRoute(verdict.UnknownPath), s.refuseRoute(verdict.WrongMethod)
 	r.POST("/v1/chat/completions", s.handleChat)
 	r.POST("/v1/completions", s.handleCompletion)
 	r.GET("/v1/models", s.handleModels)
@@ -71,7 +79,15 @@
 	for _, m := range []string{"GET", "HEAD", "POST", "PUT", "PATCH", "DELETE"} {
 		r.Handle(m, "/services/:name/*path", s.handleService)
 	}
-	return r
+	return s.limitBody(r)
+}
+
+// refuseRoute answers requests that no route serves.
+func (s *Server) refuseRoute(reason verdict.Reason) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		q, _ := s.newRequest(r, "")
+		s.refuseUnread(w, r, q, verdict.New(verdict.NotRun, reason, "no route for %s %s", r.Method, r.URL.Path))
+	})
 }
 
 func (s *Server) handleReady(w http.ResponseWriter, _ *http.Request, _ httprouter.Params) {
@@ -80,17 +96,52 @@
 	}
 }
 
+// begin reads the headers and refuses a request that must not be read further:
+// nothing is read from a caller without a known token.
+func (s *Server) begin(w http.ResponseWriter, r *http.Request, kind catalogue.Kind) (*request.Request, bool) {
+	q, err := s.newRequest(r, kind)
+	if _, ok := s.options.Catalogue.AccountByToken(q.Bearer); !ok {
+		err = verdict.New(verdict.NotRun, verdict.Unauthorized, "bearer token is missing or unknown")
+	}
+	if s.options.Draining != nil {
+		if refusal := s.options.Draining(); refusal != nil {
+			err = refusal
+		}
+	}
+	if err != nil {
+		s.refuseUnread(w, r, q, err)
+	}
+	return q, err == nil
+}
+
+// refuseUnread refuses a request whose body was not read. Without the end of
+// the connection net/http reads the body before it sends the refusal.
+func (s *Server) refuseUnread(w http.ResponseWriter, r *http.Request, q *request.Request, err error) {
+	if r.ContentLength != 0 {
+		w.Header().Set("Connection", "close")
+	}
+	s.refuse(w, q, err)
+}
+
+func (s *Server) done(q *request.Request, err error) {
+	if s.options.Done != nil {
+		s.options.Done(q.Kind, err)
+	}
+}
+
 // newRequest reads the parts that all requests share.
 func (s *Server) newRequest(r *http.Request, kind catalogue.Kind) (*request.Request, error) {
 	now := s.options.Timer.Now()
 	q := &request.Request{Kind: kind, Arrived: now, IdempotencyKey: r.Header.Get(api.HeaderIdempotencyKey)}
-	q.Bearer, _ = strings.CutPrefix(r.Header.Get("Authorization"), "Bearer ")
+	if token, ok := strings.CutPrefix(r.Header.Get("Authorization"), "Bearer "); ok {
+		q.Bearer = token
+	}
 	q.ID = unit.RequestID(r.Header.Get(api.HeaderRequestID))
 	if q.ID == "" {
 		q.ID = unit.RequestID(uuid.NewString())
 	}
-	if len(q.ID) > maxIDLength || len(q.IdempotencyKey) > maxIDLength {
-		return q, verdict.New(verdict.NotRun, verdict.BadRequest, "ids are limited to %d characters", maxIDLength)
+	if !validID(string(q.ID)) || !validID(q.IdempotencyKey) {
+		return q, verdict.New(verdict.NotRun, verdict.BadRequest, "ids are limited to %d visible ASCII characters", maxIDLength)
 	}
 	var err error
 	if q.Deadline, err = deadline(now, r.Header.Get(api.HeaderDeadline)); err != nil {
@@ -100,6 +151,11 @@
 	return q, err
 }
 
+func validID(id string) bool {
+	invisible := func(c rune) bool { return c <= ' ' || c > '~' }
+	return len(id) <= maxIDLength && strings.IndexFunc(id, invisible) < 0
+}
+
 func deadline(now time.Time, header string) (time.Time, error) {
 	if header == "" {
 		return now.Add(defaultDeadline), nil
@@ -108,7 +164,8 @@
 	if err != nil || ms <= 0 {
 		return now, verdict.New(verdict.NotRun, verdict.BadRequest, "%s must be a positive number of milliseconds", api.HeaderDeadline)
 	}
-	return now.Add(min(time.Duration(ms)*time.Millisecond, maxDeadline)), nil
+	ms = min(ms, int(maxDeadline.Milliseconds()))
+	return now.Add(time.Duration(ms) * time.Millisecond), nil
 }
 
 func priority(header string) (engine.Priority, error) {
@@ -124,22 +181,11 @@
 	}
 }
 
-// readBody reads a bounded body.
-func readBody(w http.ResponseWriter, r *http.Request) ([]byte, error) {
-	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxBodyBytes))
-	var tooLarge *http.MaxBytesError
-	if errors.As(err, &tooLarge) {
-		return nil, verdict.New(verdict.NotRun, verdict.TooLarge, "body is limited to %d bytes", maxBodyBytes)
-	}
-	if err != nil {
-		return nil, verdict.New(verdict.NotRun, verdict.BadRequest, "read body: %v", err)
-	}
-	return body, nil
-}
-
 // refuse answers with the verdict of an error.
 func (s *Server) refuse(w http.ResponseWriter, q *request.Request, err error) {
 	v := asVerdict(err)
+	s.done(q, v)
+	limitWrite(w)
 	s.options.Log.Info("refused a request", "request", q.ID, "account", q.Account, "verdict", v.Verdict, "reason", v.Reason, "detail", v.Detail)
 	s.options.Recorder.Record(recorder.Event{Request: q.ID, Part: "server", Decision: "Refuse", Cause: v.Error()})
 	h := w.Header()
--- a/oleandercove/server/services.go
+++ b/oleandercove/server/services.go
@@ -13,9 +13,8 @@
 )
 
 func (s *Server) handleService(w http.ResponseWriter, r *http.Request, p httprouter.Params) {
-	q, err := s.newRequest(r, catalogue.KindService)
-	if err != nil {
-		s.refuse(w, q, err)
+	q, ok := s.begin(w, r, catalogue.KindService)
+	if !ok {
 		return
 	}
 	body, err := readBody(w, r)
@@ -31,11 +30,13 @@
 		s.refuse(w, q, err)
 		return
 	}
+	s.done(q, nil)
 	writeResult(w, q)
 }
 
 func writeResult(w http.ResponseWriter, q *request.Request) {
 	res := q.Call.Result
+	limitWrite(w)
 	for _, k := range []string{"Content-Type", "Location", "Retry-After"} {
 		if v := res.Header.Get(k); v != "" {
 			w.Header().Set(k, v)
--- a/oleandercove/streamer/streamer.go
+++ b/oleandercove/streamer/streamer.go
@@ -54,6 +54,8 @@
 	Log        *log.Logger
 	// Signs learns of engines that refuse work because they leave; nil is valid.
 	Signs watcher.Signs
+	// OnRecovery is called for each replacement of a stage; nil is valid.
+	OnRecovery func(engine.FailureCause)
 }
 
 // Streamer serves model requests.
@@ -236,6 +238,9 @@
 		Request: t.r.ID, Part: "streamer", Decision: "ReplaceStage",
 		Cause: string(f.Backend) + ": " + string(f.Cause) + ": " + f.Detail,
 	})
+	if t.options.OnRecovery != nil {
+		t.options.OnRecovery(f.Cause)
+	}
 	if f.Cause == engine.CauseOldEpoch {
 		return nil
 	}
--- /dev/null
+++ b/oleandercove/validator/validator.go
@@ -0,0 +1,38 @@
+// Package validator checks a request against the limits of its catalogue entry.
+//
+// Usage:
+//
+//	h := chain.Build(last, authenticator, validator.Filter{})
+package validator
+
+import (
+	"context"
+
+	"oleandercove.example/core/verdict"
+	"oleandercove.example/oleandercove/chain"
+	"oleandercove.example/oleandercove/request"
+)
+
+// defaultMaxTokens applies when the caller names no number of tokens.
+const defaultMaxTokens = 128
+
+// Filter is the default validator; it follows the authenticator, which sets
+// the entry.
+type Filter struct{}
+
+// Handle refuses a request that exceeds its entry's limits.
+func (Filter) Handle(ctx context.Context, r *request.Request, next chain.Handler) error {
+	if r.Completion == nil || r.Entry == nil || r.Entry.Model == nil {
+		return next(ctx, r)
+	}
+	limit := r.Entry.Model.MaxTokens
+	switch n := r.Completion.MaxTokens; {
+	case n == 0 && limit > 0:
+		r.Completion.MaxTokens = min(defaultMaxTokens, limit)
+	case n == 0:
+		r.Completion.MaxTokens = defaultMaxTokens
+	case limit > 0 && n > limit:
+		return verdict.New(verdict.NotRun, verdict.BadRequest, "max_tokens is %d, but %s allows at most %d", n, r.Name, limit)
+	}
+	return next(ctx, r)
+}
--- a/prover/drain_test.go
+++ b/prover/drain_test.go
@@ -101,7 +101,8 @@
 }
 
 // TestStreamAtLimit guards against a stream that is cut silently when the
-// limit of the shutdown passes, and against an exit after the limit.
+// limit of the shutdown passes, against an exit after the limit, and against
+// new requests that get no refusal meanwhile.
 func TestStreamAtLimit(t *testing.T) {
 	is := is.New(t)
 	r := newRig(t, 0)
@@ -115,6 +116,11 @@
 		if n == 10 {
 			at = time.Now()
 			is.NoErr(d.Terminate())
+			await(t, "refusal of a new request", func() bool {
+				late, err := r.complete(t.Context(), 0, "late", 1, nil)
+				return err == nil && late.Status == http.StatusServiceUnavailable && late.Refusal.Reason == "Draining" &&
+					late.Refusal.Verdict == "NotRun" && late.Header.Get("Retry-After") == "1"
+			})
 		}
 	})
 	is.NoErr(err)
