--- a/oleandercove/watcher/leaving_test.go
+++ b/oleandercove/watcher/leaving_test.go
@@ -1,11 +1,17 @@
 package watcher
 
 import (
+	"context"
+	"encoding/json"
+	"net/http"
+	"net/http/httptest"
+	"sync/atomic"
 	"testing"
 	"time"
 
 	"github.com/matryer/is"
 
+	"oleandercove.example/core/engine"
 	"oleandercove.example/core/logger"
 	"oleandercove.example/core/platform"
 	"oleandercove.example/core/timer"
@@ -36,3 +42,72 @@
 		})
 	}
 }
+
+// hanging is a platform that answers the first list and hangs from then on.
+type hanging struct {
+	platform.Client
+	hosts []platform.Host
+	calls atomic.Int64
+}
+
+func (h *hanging) Hosts(ctx context.Context) ([]platform.Host, error) {
+	if h.calls.Add(1) > 1 {
+		<-ctx.Done()
+		return nil, ctx.Err()
+	}
+	return h.hosts, nil
+}
+
+// TestPlatformHangs guards against a leaving worker that keeps its traffic
+// because the status calls wait for the platform.
+func TestPlatformHangs(t *testing.T) {
+	is := is.New(t)
+	var status atomic.Int64
+	status.Store(http.StatusOK)
+	srv := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(int(status.Load())) }))
+	defer srv.Close()
+	p := &hanging{hosts: []platform.Host{{ID: "s", Role: platform.RoleService, Address: srv.Listener.Addr().String(), State: platform.HostLive}}}
+	w := New(Options{Platform: p, Timer: timer.NewReal(), Log: logger.Discard(), Interval: 10 * time.Millisecond})
+	ctx, cancel := context.WithCancel(t.Context())
+	done := make(chan struct{})
+	go func() { w.Run(ctx); close(done) }()
+	reach := func(condition func(b Backend) bool) {
+		for end := time.Now().Add(10 * time.Second); ; <-time.After(time.Millisecond) {
+			if all := w.Backends(); len(all) == 1 && condition(all[0]) {
+				return
+			}
+			is.True(time.Now().Before(end)) // the state is not reached
+		}
+	}
+	reach(func(b Backend) bool { return b.Usable() && w.Ready() && p.calls.Load() > 1 })
+	status.Store(http.StatusServiceUnavailable)
+	reach(func(b Backend) bool { return b.Draining && b.Healthy })
+	status.Store(http.StatusInternalServerError)
+	reach(func(b Backend) bool { return !b.Healthy })
+	cancel()
+	<-done
+}
+
+// TestRestart guards against an engine that stays hidden after its restart.
+func TestRestart(t *testing.T) {
+	is := is.New(t)
+	var start atomic.Value
+	var draining atomic.Bool
+	start.Store("run-1")
+	srv := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		_ = json.NewEncoder(w).Encode(engine.Status{Start: start.Load().(string), Draining: draining.Load()})
+	}))
+	defer srv.Close()
+	w := New(Options{Timer: timer.NewManual(time.Unix(0, 0)), Log: logger.Discard()})
+	w.install([]platform.Host{{ID: "e", Role: platform.RoleEngine, Address: srv.Listener.Addr().String(), State: platform.HostLive}})
+	for _, step := range []struct {
+		run      string
+		draining bool
+		want     bool
+	}{{"run-1", false, false}, {"run-1", true, true}, {"run-1", false, true}, {"run-2", false, false}} {
+		start.Store(step.run)
+		draining.Store(step.draining)
+		w.round(t.Context())
+		is.Equal(w.Backends()[0].Draining, step.want)
+	}
+}
