prover: choose ports below the range of outgoing connections

The log was gone, so the cause is not proved; the likely one is a listener's port that an outgoing connection took first: the machine had 1565 established connections in the 28,000 ports from which FreeAddress chose. Ruled out: a longer limit, which would hide the fault. Change: FreeAddress chooses ports from 10000 to 32000, and a failed start shows the end of the program's log. Conclusion: the next failure of this kind shows its cause.

--- a/prover/launcher/launcher.go
+++ b/prover/launcher/launcher.go
@@ -66,7 +66,10 @@
 	l.mu.Lock()
 	l.processes = append(l.processes, p)
 	l.mu.Unlock()
-	return p, WaitHTTP("http://"+address+ready, readyLimit)
+	if err := WaitHTTP("http://"+address+ready, readyLimit); err != nil {
+		return p, fmt.Errorf("%s: %w; end of its log:\n%s", name, err, p.logTail())
+	}
+	return p, nil
 }
 
 // WaitHTTP waits until a URL answers below status 500.
--- a/prover/launcher/process.go
+++ b/prover/launcher/process.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"os"
 	"os/exec"
@@ -54,6 +55,18 @@
 	return nil
 }
 
+// maxTail bounds the part of a log in an error.
+const maxTail = 2000
+
+// logTail returns the end of the program's output, for errors.
+func (p *Process) logTail() string {
+	b, err := os.ReadFile(filepath.Join(p.launcher.Dir, p.Name+".log"))
+	if err != nil {
+		return err.Error()
+	}
+	return string(b[max(0, len(b)-maxTail):])
+}
+
 func (p *Process) signal(s syscall.Signal) error {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -113,12 +126,25 @@
 	return p.cmd.Process.Pid
 }
 
+const (
+	// firstPort and lastPort lie below the range from which the kernel takes the
+	// ports of outgoing connections: a port of that range can be taken between
+	// the choice and the start of the program.
+	firstPort, lastPort = 10000, 32000
+	// maxPortTries bounds the search for a free port.
+	maxPortTries = 100
+)
+
 // FreeAddress returns a loopback address with a port that was free just now.
 func FreeAddress() (string, error) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		return "", err
+	var err error
+	for range maxPortTries {
+		var l net.Listener
+		port := firstPort + rand.IntN(lastPort-firstPort)
+		if l, err = net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", port)); err == nil {
+			defer l.Close()
+			return l.Addr().String(), nil
+		}
 	}
-	defer l.Close()
-	return l.Addr().String(), nil
+	return "", err
 }
