demo: edit a catalogue entry through one daemon and show it on another

Cause: the demo showed no operator's edit. Change: the demo runs oleanderctl edit against entry-1 and waits until entry-3 applies the limit.

--- a/prover/demo/main.go
+++ b/prover/demo/main.go
@@ -3,11 +3,14 @@
 package main
 
 import (
+	"bytes"
 	"context"
 	"fmt"
 	"net/http"
 	"os"
+	"os/exec"
 	"os/signal"
+	"path/filepath"
 	"syscall"
 	"time"
 
@@ -47,7 +50,7 @@
 	l := launcher.New("bin", dir)
 	defer l.Close()
 	d := &demo{l: l, client: invoker.Client{Token: launcher.Token(account)}}
-	for _, step := range []func(context.Context) error{d.start, d.report, d.booking, d.recovery} {
+	for _, step := range []func(context.Context) error{d.start, d.report, d.booking, d.edit, d.recovery} {
 		if err := ctx.Err(); err != nil {
 			return err
 		}
@@ -167,6 +170,31 @@
 	return nil
 }
 
+// edit changes a limit through one daemon and waits until another applies it.
+func (d *demo) edit(ctx context.Context) error {
+	if _, err := d.control(ctx, 0, "edit", "Model", modelName, "--set", "Limits.RequestsPerSecond=500"); err != nil {
+		return err
+	}
+	start := time.Now()
+	err := launcher.Wait(10*time.Second, "edited entry on the other daemon", func() bool {
+		out, err := d.control(ctx, 2, "show", "Model", modelName, "--output", "json")
+		return err == nil && bytes.Contains(out, []byte(`"RequestsPerSecond": 500`))
+	})
+	if err != nil {
+		return err
+	}
+	fmt.Printf("edited a limit on entry-1; entry-3 applied it within %s\n", time.Since(start).Round(time.Millisecond))
+	return nil
+}
+
+// control runs oleanderctl against one daemon.
+func (d *demo) control(ctx context.Context, daemon int, args ...string) ([]byte, error) {
+	args = append(args, "--address", d.daemons[daemon].Operators, "--token", launcher.OperatorToken, "--operator", "demo")
+	c := exec.CommandContext(ctx, filepath.Join("bin", "oleanderctl"), args...)
+	c.Stderr = os.Stderr
+	return c.Output()
+}
+
 // recovery kills an engine of the second stage in the middle of a stream.
 func (d *demo) recovery(ctx context.Context) error {
 	a, err := d.complete(ctx, "report-2", 200, func(n int) {
