demo: end at once on an interrupt

Cause: after an interrupt the demo went on waiting for its current step, up to 10 s, with all processes running. Ruled out: a context for each wait; the steps may as well be left behind once the launcher has closed. Change: the demo stops waiting for its steps, the launcher starts nothing after it was closed.

--- a/prover/demo/main.go
+++ b/prover/demo/main.go
@@ -50,10 +50,18 @@
 	l := launcher.New("bin", dir)
 	defer l.Close()
 	d := &demo{l: l, client: invoker.Client{Token: launcher.Token(account)}}
+	done := make(chan error, 1)
+	go func() { done <- d.steps(ctx) }()
+	select {
+	case err := <-done:
+		return err
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+func (d *demo) steps(ctx context.Context) error {
 	for _, step := range []func(context.Context) error{d.start, d.report, d.booking, d.edit, d.recovery} {
-		if err := ctx.Err(); err != nil {
-			return err
-		}
 		if err := step(ctx); err != nil {
 			return err
 		}
--- a/prover/launcher/launcher.go
+++ b/prover/launcher/launcher.go
@@ -15,6 +15,7 @@
 	"context"
 	"crypto/sha256"
 	"encoding/hex"
+	"errors"
 	"fmt"
 	"net/http"
 	"os"
@@ -42,6 +43,7 @@
 	mu        sync.Mutex
 	processes []*Process
 	platform  *Process
+	closed    bool
 }
 
 // New returns a Launcher.
@@ -54,24 +56,35 @@
 	for _, p := range l.processes {
 		p.Kill()
 	}
-	l.processes = nil
+	l.processes, l.closed = nil, true
 }
 
 // run starts a program and waits until its address answers.
 func (l *Launcher) run(name, address, ready string, args ...string) (*Process, error) {
 	p := &Process{Name: name, Address: address, Args: args, launcher: l}
-	if err := p.start(); err != nil {
+	if err := l.add(p); err != nil {
 		return nil, err
 	}
-	l.mu.Lock()
-	l.processes = append(l.processes, p)
-	l.mu.Unlock()
 	if err := WaitHTTP("http://"+address+ready, readyLimit); err != nil {
 		return p, fmt.Errorf("%s: %w; end of its log:\n%s", name, err, p.logTail())
 	}
 	return p, nil
 }
 
+// add starts a process, unless the launcher has been closed meanwhile.
+func (l *Launcher) add(p *Process) error {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.closed {
+		return errors.New("launcher is closed")
+	}
+	if err := p.start(); err != nil {
+		return err
+	}
+	l.processes = append(l.processes, p)
+	return nil
+}
+
 // WaitHTTP waits until a URL answers below status 500.
 func WaitHTTP(url string, limit time.Duration) error {
 	return Wait(limit, "answer from "+url, func() bool {
