classifier: derive verdicts from the bytes sent and received

Cause: caller and streamer called every failure after a connection MayHaveRun, and the streamer also a refused connection. Ruled out: httptrace alone, because WroteRequest fires after a buffered write and says nothing about a part of the head or body. The streamer uses it for the call that opens a stream.

--- a/oleandercove/dispatcher/dispatcher.go
+++ b/oleandercove/dispatcher/dispatcher.go
@@ -22,6 +22,8 @@
 	"time"
 
 	"oleandercove.example/core/engine"
+	"oleandercove.example/oleandercove/classifier"
+	"oleandercove.example/oleandercove/tracer"
 )
 
 const (
@@ -37,7 +39,19 @@
 )
 
 // ErrSilent means that the connection was open but silent for too long.
-var ErrSilent = errors.New("connection is silent")
+var ErrSilent = tracer.ErrSilent
+
+// OpenError is a failed Open with what was sent and received.
+type OpenError struct {
+	Outcome classifier.Outcome
+	Err     error
+}
+
+// Error returns the text of the underlying error.
+func (e *OpenError) Error() string { return e.Err.Error() }
+
+// Unwrap returns the underlying error.
+func (e *OpenError) Unwrap() error { return e.Err }
 
 // StatusError means that a backend server answered with a failure status.
 type StatusError struct{ Status int }
@@ -79,9 +93,9 @@
 	if o.Silence == 0 {
 		o.Silence = Silence
 	}
-	d := net.Dialer{Timeout: dialTimeout}
+	d := tracer.Dial(&net.Dialer{Timeout: dialTimeout})
 	return &httpDispatcher{options: o, http: &http.Client{Transport: &http.Transport{
-		DialContext: d.DialContext, MaxIdleConnsPerHost: 512, IdleConnTimeout: 30 * time.Second,
+		DialContext: d, MaxIdleConnsPerHost: 512, IdleConnTimeout: 30 * time.Second,
 	}}}
 }
 
@@ -92,11 +106,12 @@
 	}
 	ctx, cancel := context.WithCancelCause(ctx)
 	watchdog := time.AfterFunc(d.options.Silence, func() { cancel(ErrSilent) })
+	ctx, trace := tracer.Start(ctx, len(body), nil)
 	res, err := d.post(ctx, r.Chain[0].Address, "/v1/streams", body)
 	if err != nil {
 		watchdog.Stop()
 		defer cancel(nil)
-		return nil, cause(ctx, err)
+		return nil, &OpenError{Outcome: trace.Outcome(res, true, tracer.Failure(ctx, err)), Err: cause(ctx, err)}
 	}
 	return &httpStream{ctx: ctx, cancel: cancel, body: res.Body, watchdog: watchdog, silence: d.options.Silence}, nil
 }
@@ -113,7 +128,7 @@
 	}
 	if res.StatusCode >= http.StatusBadRequest {
 		res.Body.Close()
-		return nil, &StatusError{Status: res.StatusCode}
+		return res, &StatusError{Status: res.StatusCode}
 	}
 	return res, nil
 }
--- a/oleandercove/streamer/streamer.go
+++ b/oleandercove/streamer/streamer.go
@@ -25,6 +25,7 @@
 	"oleandercove.example/core/timer"
 	"oleandercove.example/core/unit"
 	"oleandercove.example/core/verdict"
+	"oleandercove.example/oleandercove/classifier"
 	"oleandercove.example/oleandercove/dispatcher"
 	"oleandercove.example/oleandercove/quarantiner"
 	"oleandercove.example/oleandercove/recorder"
@@ -137,7 +138,7 @@
 		Stream: t.id, Epoch: t.epoch, Model: t.r.Name, Prompt: t.r.Completion.Prompt,
 		Emitted: t.emitted, MaxTokens: t.r.Completion.MaxTokens, Priority: t.r.Priority, Chain: t.chain,
 	})
-	t.started = true
+	t.started = t.started || mayHaveRun(err)
 	if err != nil {
 		return false, t.lost(ctx, err)
 	}
@@ -154,6 +155,13 @@
 	return false, nil
 }
 
+// mayHaveRun tells whether an engine may have run a part of the request after
+// the call that opened the stream.
+func mayHaveRun(err error) bool {
+	var e *dispatcher.OpenError
+	return !errors.As(err, &e) || classifier.Classify(e.Outcome) != verdict.NotRun
+}
+
 // track counts the stream on every stage of its chain.
 func (t *run) track() (finish func()) {
 	var ends []func()
