retrier: add a pure retry policy with a budget; use it in caller

Cause: caller tried every worker for every failed idempotent call, so an overload was multiplied by the number of workers, and a silent connection held a call until its deadline. Ruled out: hedging of reads; it was not measured and it adds load in exactly the overload that the budget bounds. Each attempt has a progress limit from deadline and TimeoutMs; an idempotent call tries a new connection first, then another worker. Conclusion: attempts stay within requests*(1+share)+reserve.

--- /dev/null
+++ b/oleandercove/caller/attempt.go
@@ -0,0 +1,145 @@
+package caller
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"net/http"
+	"time"
+
+	"oleandercove.example/core/api"
+	"oleandercove.example/core/unit"
+	"oleandercove.example/core/verdict"
+	"oleandercove.example/oleandercove/classifier"
+	"oleandercove.example/oleandercove/request"
+	"oleandercove.example/oleandercove/tracer"
+	"oleandercove.example/oleandercove/watcher"
+)
+
+const (
+	// defaultTimeout is the progress limit of an attempt if the entry has none.
+	defaultTimeout = 10 * time.Second
+	// minTimeout keeps a short deadline from cutting every attempt.
+	minTimeout = 20 * time.Millisecond
+	// answerMargin is kept free before the caller's deadline, so that the
+	// caller still receives the verdict.
+	answerMargin = 20 * time.Millisecond
+	// plannedAttempts shares the deadline of an idempotent call between a
+	// reused connection, a new one and another worker.
+	plannedAttempts = 3
+)
+
+// call is one service call with its attempts.
+type call struct {
+	*Caller
+	r          *request.Request
+	idempotent bool
+	tried      map[unit.BackendID]bool
+}
+
+// failure is a failed attempt.
+type failure struct {
+	outcome classifier.Outcome
+	reused  bool
+	err     *verdict.Error
+}
+
+// progressLimit returns how long an attempt may go without a byte from the
+// worker.
+func progressLimit(remaining time.Duration, timeoutMs int, idempotent bool) time.Duration {
+	limit := defaultTimeout
+	if timeoutMs > 0 {
+		limit = time.Duration(timeoutMs) * time.Millisecond
+	}
+	share := remaining - answerMargin
+	if idempotent {
+		share = remaining / plannedAttempts
+	}
+	return max(min(limit, share), minTimeout)
+}
+
+// send makes one attempt; nil means that the worker's answer is in r.Call.
+func (c *call) send(ctx context.Context, b watcher.Backend, reuse bool) *failure {
+	defer c.options.Tracker.Start(b.ID)()
+	client := c.fresh
+	if reuse {
+		client = c.reuse
+	}
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	limit := progressLimit(time.Until(c.r.Deadline), c.r.Entry.Service.TimeoutMs, c.idempotent)
+	watchdog := time.AfterFunc(limit, func() { cancel(tracer.ErrSilent) })
+	defer watchdog.Stop()
+	ctx, trace := tracer.Start(ctx, len(c.r.Call.Body), func() { watchdog.Reset(limit) })
+	req, err := newRequest(ctx, c.r, b)
+	if err != nil {
+		return &failure{err: verdict.New(verdict.NotRun, verdict.BadRequest, "%v", err)}
+	}
+	res, err := client.Do(req)
+	var body []byte
+	if err == nil {
+		defer res.Body.Close()
+		body, err = readAnswer(res.Body)
+	}
+	o := trace.Outcome(res, err == nil, tracer.Failure(ctx, err))
+	if err == nil && !c.repeatable(o) {
+		res.Header.Del(api.HeaderVerdict)
+		c.r.Call.Result = &request.Result{Status: res.StatusCode, Header: res.Header, Body: body}
+		return nil
+	}
+	return c.failed(b, o, trace.Reused(), err)
+}
+
+// repeatable tells whether a complete answer counts as a failed attempt.
+func (c *call) repeatable(o classifier.Outcome) bool {
+	return classifier.Classify(o) == verdict.NotRun
+}
+
+func readAnswer(r io.Reader) ([]byte, error) {
+	body, err := io.ReadAll(io.LimitReader(r, maxAnswerBytes+1))
+	if err == nil && len(body) > maxAnswerBytes {
+		err = io.ErrShortBuffer
+	}
+	return body, err
+}
+
+func (c *call) failed(b watcher.Backend, o classifier.Outcome, reused bool, err error) *failure {
+	if !reused && o.Failure != classifier.FailureNone && o.Failure != classifier.FailureCanceled && o.Received == classifier.ReceivedNothing {
+		c.options.Backends.Suspect(b.ID)
+	}
+	v := verdict.New(classifier.Classify(o), reason(o), "worker %s: %s (sent %d, received %d): %v", b.ID, o.Failure, o.Sent, o.Received, err)
+	return &failure{outcome: o, reused: reused, err: v.After(comeBack)}
+}
+
+func reason(o classifier.Outcome) verdict.Reason {
+	switch {
+	case o.Failure == classifier.FailureTimeout:
+		return verdict.DeadlineExceeded
+	case o.Failure == classifier.FailureCanceled:
+		return verdict.Canceled
+	case o.Failure == classifier.FailureNone:
+		return verdict.Overloaded
+	case !o.Connected:
+		return verdict.NoBackend
+	default:
+		return verdict.BackendFailed
+	}
+}
+
+func newRequest(ctx context.Context, r *request.Request, b watcher.Backend) (*http.Request, error) {
+	url := "http://" + b.Address + r.Call.Path
+	if r.Call.Query != "" {
+		url += "?" + r.Call.Query
+	}
+	req, err := http.NewRequestWithContext(ctx, r.Call.Method, url, bytes.NewReader(r.Call.Body))
+	if err != nil {
+		return nil, err
+	}
+	for _, k := range []string{"Content-Type", "Accept", api.HeaderIdempotencyKey} {
+		if v := r.Call.Header.Get(k); v != "" {
+			req.Header.Set(k, v)
+		}
+	}
+	req.Header.Set(api.HeaderRequestID, string(r.ID))
+	return req, nil
+}
--- a/oleandercove/caller/caller.go
+++ b/oleandercove/caller/caller.go
@@ -2,7 +2,9 @@
 //
 // A call that may not be repeated goes out on a fresh connection: the HTTP
 // transport repeats a request by itself when a reused connection breaks and
-// the request carries an Idempotency-Key header.
+// the request carries an Idempotency-Key header. The verdict of each attempt
+// comes from the bytes that its connection carried, and the retrier decides
+// whether it is sent again.
 //
 // Usage:
 //
@@ -11,25 +13,25 @@
 package caller
 
 import (
-	"bytes"
 	"context"
-	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
-	"net/http/httptrace"
 	"slices"
 	"strings"
-	"sync/atomic"
 	"time"
 
 	"github.com/charmbracelet/log"
 
-	"oleandercove.example/core/api"
 	"oleandercove.example/core/catalogue"
 	"oleandercove.example/core/platform"
+	"oleandercove.example/core/unit"
 	"oleandercove.example/core/verdict"
+	"oleandercove.example/oleandercove/classifier"
 	"oleandercove.example/oleandercove/recorder"
 	"oleandercove.example/oleandercove/request"
+	"oleandercove.example/oleandercove/retrier"
+	"oleandercove.example/oleandercove/tracer"
 	"oleandercove.example/oleandercove/tracker"
 	"oleandercove.example/oleandercove/watcher"
 )
@@ -49,22 +51,26 @@
 	Tracker  *tracker.Tracker
 	Recorder recorder.Recorder
 	Log      *log.Logger
+	// Retry bounds the retries.
+	Retry retrier.Options
 }
 
 // Caller serves service calls.
 type Caller struct {
 	options Options
+	budget  *retrier.Budget
 	// reuse keeps connections open; fresh makes one for each call.
 	reuse, fresh *http.Client
 }
 
 // New returns a Caller.
 func New(o Options) *Caller {
-	d := net.Dialer{Timeout: dialTimeout}
+	d := tracer.Dial(&net.Dialer{Timeout: dialTimeout})
 	return &Caller{
 		options: o,
-		reuse:   &http.Client{Transport: &http.Transport{DialContext: d.DialContext, MaxIdleConnsPerHost: 64}, CheckRedirect: noRedirect},
-		fresh:   &http.Client{Transport: &http.Transport{DialContext: d.DialContext, DisableKeepAlives: true}, CheckRedirect: noRedirect},
+		budget:  retrier.NewBudget(o.Retry),
+		reuse:   &http.Client{Transport: &http.Transport{DialContext: d, MaxIdleConnsPerHost: 64}, CheckRedirect: noRedirect},
+		fresh:   &http.Client{Transport: &http.Transport{DialContext: d, DisableKeepAlives: true}, CheckRedirect: noRedirect},
 	}
 }
 
@@ -79,39 +85,64 @@
 }
 
 // Serve sends the call to the worker with the least work in flight. A failed
-// call is repeated on another worker only if it did not run or may be
-// repeated.
+// call is sent again only if the retrier allows it.
 func (c *Caller) Serve(ctx context.Context, r *request.Request) error {
-	idempotent := Idempotent(r.Entry.Service, r.Call.Method, r.Call.Path)
-	tried := map[string]bool{}
-	var last error
-	for {
-		b, ok := c.pick(r, tried)
-		if !ok {
-			break
+	p := &call{Caller: c, r: r, tried: map[unit.BackendID]bool{}}
+	p.idempotent = Idempotent(r.Entry.Service, r.Call.Method, r.Call.Path)
+	b, ok := p.pick()
+	if !ok {
+		return verdict.New(verdict.NotRun, verdict.NoBackend, "no healthy worker serves %s", r.Name).After(comeBack)
+	}
+	c.budget.Deposit(b.ID)
+	reuse := p.idempotent
+	for number := 1; ; number++ {
+		p.tried[b.ID] = true
+		f := p.send(ctx, b, reuse)
+		if f == nil {
+			return nil
 		}
-		tried[string(b.ID)] = true
-		last = c.send(ctx, r, b, idempotent)
-		v, failed := verdict.Of(last)
-		if !failed {
-			return last
+		c.options.Recorder.Record(recorder.Event{Request: r.ID, Part: "caller", Decision: string(f.err.Verdict), Cause: string(b.ID) + ": " + f.err.Detail})
+		next, ok := p.next(ctx, b, f, number)
+		if !ok {
+			return f.err.After(max(f.err.RetryAfter, comeBack))
 		}
-		c.options.Recorder.Record(recorder.Event{Request: r.ID, Part: "caller", Decision: string(v.Verdict), Cause: string(b.ID) + ": " + v.Detail})
-		if ctx.Err() != nil || (v.Verdict != verdict.NotRun && !idempotent) {
-			return last
+		// A failed reused connection says little about its worker: the next
+		// attempt uses a new connection.
+		b, reuse = next, false
+	}
+}
+
+// next returns the worker of the next attempt, if there is to be one.
+func (c *call) next(ctx context.Context, b watcher.Backend, f *failure, number int) (watcher.Backend, bool) {
+	d := retrier.Decide(retrier.Attempt{
+		Verdict: f.err.Verdict, Idempotent: c.idempotent, Claimed: c.r.IdempotencyKey != "",
+		Untouched: f.outcome.Sent == classifier.SentNothing, Number: number, Remaining: time.Until(c.r.Deadline),
+	}, rand.Float64())
+	if !d.Retry || ctx.Err() != nil {
+		return b, false
+	}
+	if !f.reused {
+		var ok bool
+		if b, ok = c.pick(); !ok {
+			return b, false
 		}
 	}
-	if last != nil {
-		return last
+	if !c.budget.Withdraw(b.ID) {
+		return b, false
+	}
+	select {
+	case <-time.After(d.Delay):
+		return b, true
+	case <-ctx.Done():
+		return b, false
 	}
-	return verdict.New(verdict.NotRun, verdict.NoBackend, "no healthy worker serves %s", r.Name).After(comeBack)
 }
 
-func (c *Caller) pick(r *request.Request, tried map[string]bool) (watcher.Backend, bool) {
+func (c *call) pick() (watcher.Backend, bool) {
 	var best watcher.Backend
 	found := false
 	for _, b := range c.options.Backends.Backends() {
-		if b.Role != platform.RoleService || b.Serves != r.Name || !b.Usable() || tried[string(b.ID)] {
+		if b.Role != platform.RoleService || b.Serves != c.r.Name || !b.Usable() || c.tried[b.ID] {
 			continue
 		}
 		if !found || c.options.Tracker.InFlight(b.ID) < c.options.Tracker.InFlight(best.ID) {
@@ -120,58 +151,3 @@
 	}
 	return best, found
 }
-
-func (c *Caller) send(ctx context.Context, r *request.Request, b watcher.Backend, idempotent bool) error {
-	defer c.options.Tracker.Start(b.ID)()
-	client := c.fresh
-	if idempotent {
-		client = c.reuse
-	}
-	var connected atomic.Bool
-	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
-		GotConn: func(httptrace.GotConnInfo) { connected.Store(true) },
-	})
-	req, err := newRequest(ctx, r, b)
-	if err != nil {
-		return verdict.New(verdict.NotRun, verdict.BadRequest, "%v", err)
-	}
-	res, err := client.Do(req)
-	if err != nil {
-		c.options.Backends.Suspect(b.ID)
-		return classify(connected.Load(), err)
-	}
-	defer res.Body.Close()
-	body, err := io.ReadAll(io.LimitReader(res.Body, maxAnswerBytes))
-	if err != nil {
-		return verdict.New(verdict.Ran, verdict.BackendFailed, "answer of %s broke off: %v", b.ID, err)
-	}
-	r.Call.Result = &request.Result{Status: res.StatusCode, Header: res.Header, Body: body}
-	return nil
-}
-
-func newRequest(ctx context.Context, r *request.Request, b watcher.Backend) (*http.Request, error) {
-	url := "http://" + b.Address + r.Call.Path
-	if r.Call.Query != "" {
-		url += "?" + r.Call.Query
-	}
-	req, err := http.NewRequestWithContext(ctx, r.Call.Method, url, bytes.NewReader(r.Call.Body))
-	if err != nil {
-		return nil, err
-	}
-	for _, k := range []string{"Content-Type", "Accept", api.HeaderIdempotencyKey} {
-		if v := r.Call.Header.Get(k); v != "" {
-			req.Header.Set(k, v)
-		}
-	}
-	req.Header.Set(api.HeaderRequestID, string(r.ID))
-	return req, nil
-}
-
-// classify maps a transport error to a verdict: without a connection nothing
-// was sent.
-func classify(connected bool, err error) error {
-	if !connected {
-		return verdict.New(verdict.NotRun, verdict.NoBackend, "no connection: %v", err).After(comeBack)
-	}
-	return verdict.New(verdict.MayHaveRun, verdict.BackendFailed, "connection lost after the request was sent: %v", err)
-}
--- /dev/null
+++ b/oleandercove/caller/caller_test.go
@@ -0,0 +1,143 @@
+package caller
+
+import (
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"oleandercove.example/core/catalogue"
+	"oleandercove.example/core/platform"
+	"oleandercove.example/core/timer"
+	"oleandercove.example/core/unit"
+	"oleandercove.example/core/verdict"
+	"oleandercove.example/oleandercove/recorder"
+	"oleandercove.example/oleandercove/request"
+	"oleandercove.example/oleandercove/tracker"
+	"oleandercove.example/oleandercove/watcher"
+)
+
+type backends []watcher.Backend
+
+func (b backends) Backends() []watcher.Backend { return b }
+func (backends) Suspect(unit.BackendID)        {}
+
+// worker serves calls with a handler and counts those that it ran.
+func worker(t *testing.T, ran *atomic.Int64, h http.HandlerFunc) string {
+	t.Helper()
+	s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		_, _ = io.ReadAll(r.Body)
+		ran.Add(1)
+		h(w, r)
+	}))
+	t.Cleanup(s.Close)
+	return s.Listener.Addr().String()
+}
+
+// refusing returns an address that accepts no connections.
+func refusing(t *testing.T) string {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	is.New(t).NoErr(err)
+	defer l.Close()
+	return l.Addr().String()
+}
+
+func newCaller(addresses ...string) *Caller {
+	var b backends
+	for i, a := range addresses {
+		b = append(b, watcher.Backend{ID: unit.BackendID(rune('a' + i)), Role: platform.RoleService, Address: a, Serves: "logbook", Healthy: true})
+	}
+	return New(Options{Backends: b, Tracker: tracker.New(), Recorder: recorder.New(recorder.Options{Capacity: 10, Timer: timer.NewReal()})})
+}
+
+func newCall(method string, deadline time.Duration) *request.Request {
+	return &request.Request{
+		ID: "r", Name: "logbook", Deadline: time.Now().Add(deadline),
+		Entry: &catalogue.Entry{Service: &catalogue.Service{IdempotentMethods: []string{http.MethodGet}}},
+		Call:  &request.Call{Method: method, Path: "/trips", Header: http.Header{}, Body: []byte("net 4")},
+	}
+}
+
+func ok(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusCreated) }
+
+func cut(http.ResponseWriter, *http.Request) { panic(http.ErrAbortHandler) }
+
+func silent(_ http.ResponseWriter, r *http.Request) { <-r.Context().Done() }
+
+func status(code int, v verdict.Verdict) http.HandlerFunc {
+	return func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("X-Verdict", string(v))
+		w.WriteHeader(code)
+	}
+}
+
+func TestServe(t *testing.T) {
+	rows := []struct {
+		name    string
+		method  string
+		first   http.HandlerFunc // nil: the first worker refuses connections
+		verdict verdict.Verdict  // empty: the call succeeds
+		ran     int64
+	}{
+		{"a booking is lost to a dead worker", http.MethodPost, nil, "", 1},
+		{"a read is lost to a dead worker", http.MethodGet, nil, "", 1},
+		{"a booking runs twice after a cut connection", http.MethodPost, cut, verdict.MayHaveRun, 1},
+		{"a read is lost to a cut connection", http.MethodGet, cut, "", 2},
+		{"a booking runs twice after a silent connection", http.MethodPost, silent, verdict.MayHaveRun, 1},
+		{"a read is lost to a silent connection", http.MethodGet, silent, "", 2},
+		{"a booking without a claim is repeated after it was sent", http.MethodPost, status(503, verdict.NotRun), verdict.NotRun, 1},
+		{"a 503 in the middle of a call is repeated", http.MethodPost, status(503, ""), "", 1},
+	}
+	for _, row := range rows {
+		t.Run(row.name, func(t *testing.T) {
+			is := is.New(t)
+			var ran atomic.Int64
+			first := refusing(t)
+			if row.first != nil {
+				first = worker(t, &ran, row.first)
+			}
+			c := newCaller(first, worker(t, &ran, ok))
+			r := newCall(row.method, 2*time.Second)
+			ctx, cancel := context.WithDeadline(t.Context(), r.Deadline)
+			defer cancel()
+			err := c.Serve(ctx, r)
+			v, failed := verdict.Of(err)
+			is.Equal(failed, row.verdict != "")
+			if failed {
+				is.Equal(v.Verdict, row.verdict)
+				is.True(v.RetryAfter > 0)
+			}
+			is.Equal(ran.Load(), row.ran)
+			is.True(time.Now().Before(r.Deadline))
+		})
+	}
+}
+
+// TestSilentReusedConnection guards against a read that fails, or moves to
+// another worker, because an open connection went silent while new ones work.
+func TestSilentReusedConnection(t *testing.T) {
+	is := is.New(t)
+	var ran, other atomic.Int64
+	var seen sync.Map
+	first := worker(t, &ran, func(w http.ResponseWriter, r *http.Request) {
+		if _, again := seen.LoadOrStore(r.RemoteAddr, true); again {
+			silent(w, r)
+		}
+	})
+	c := newCaller(first, worker(t, &other, ok))
+	for range 2 {
+		r := newCall(http.MethodGet, 2*time.Second)
+		is.NoErr(c.Serve(t.Context(), r))
+		is.Equal(r.Call.Result.Status, http.StatusOK)
+	}
+	is.Equal(ran.Load(), int64(3))
+	is.Equal(other.Load(), int64(0))
+}
--- /dev/null
+++ b/oleandercove/retrier/retrier_test.go
@@ -0,0 +1,75 @@
+package retrier
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"oleandercove.example/core/unit"
+	"oleandercove.example/core/verdict"
+)
+
+func TestDecide(t *testing.T) {
+	rows := []struct {
+		name    string
+		attempt Attempt
+		retry   bool
+	}{
+		{"a failed read is lost", Attempt{Verdict: verdict.MayHaveRun, Idempotent: true, Number: 1, Remaining: time.Second}, true},
+		{"a booking runs twice", Attempt{Verdict: verdict.MayHaveRun, Number: 1, Remaining: time.Second}, false},
+		{"a booking with a claim runs twice", Attempt{Verdict: verdict.MayHaveRun, Claimed: true, Number: 1, Remaining: time.Second}, false},
+		{"a booking that ran is repeated", Attempt{Verdict: verdict.Ran, Claimed: true, Number: 1, Remaining: time.Second}, false},
+		{"a claimed booking that did not run is lost", Attempt{Verdict: verdict.NotRun, Claimed: true, Number: 1, Remaining: time.Second}, true},
+		{"a booking without a claim is repeated after its first byte", Attempt{Verdict: verdict.NotRun, Number: 1, Remaining: time.Second}, false},
+		{"a booking that was never sent is lost", Attempt{Verdict: verdict.NotRun, Untouched: true, Number: 1, Remaining: time.Second}, true},
+		{"a retry starts after the deadline", Attempt{Verdict: verdict.NotRun, Idempotent: true, Number: 1, Remaining: time.Millisecond}, false},
+		{"attempts have no end", Attempt{Verdict: verdict.NotRun, Idempotent: true, Number: maxAttempts, Remaining: time.Second}, false},
+	}
+	for _, row := range rows {
+		t.Run(row.name, func(t *testing.T) {
+			is.New(t).Equal(Decide(row.attempt, 0.5).Retry, row.retry)
+		})
+	}
+}
+
+// TestBudget guards against retries that multiply the load of an overload or
+// of a dying backend server.
+func TestBudget(t *testing.T) {
+	rows := []struct {
+		name  string
+		fails func(id unit.BackendID) bool
+	}{
+		{"an overload of all workers is amplified", func(unit.BackendID) bool { return true }},
+		{"a dying worker overloads the others", func(id unit.BackendID) bool { return id == "a" }},
+	}
+	const requests = 10000
+	for _, row := range rows {
+		t.Run(row.name, func(t *testing.T) {
+			is := is.New(t)
+			b := NewBudget(Options{})
+			ids := []unit.BackendID{"a", "b", "c"}
+			attempts, each := 0, map[unit.BackendID]int{}
+			for i := range requests {
+				id := ids[i%len(ids)]
+				b.Deposit(id)
+				attempts++
+				for n := 1; row.fails(id); n++ {
+					next := ids[(i+n)%len(ids)]
+					d := Decide(Attempt{Verdict: verdict.NotRun, Idempotent: true, Number: n, Remaining: time.Second}, 0)
+					if !d.Retry || !b.Withdraw(next) {
+						break
+					}
+					id = next
+					attempts++
+					each[next]++
+				}
+			}
+			t.Logf("%.4f attempts per request", float64(attempts)/requests)
+			is.True(float64(attempts) <= requests*(1+DefaultShare)+DefaultReserve)
+			for _, n := range each {
+				is.True(float64(n) <= (requests/3+1)*DefaultShare+DefaultReserve)
+			}
+		})
+	}
+}
