platform: add budget, backoff, circuit breaker and resolution of unknown writes

Cause: a write whose answer was lost was reported as a conflict once another writer had written after it, so a caller that repeats conflicts wrote twice. In an outage every call waited for its own timeout. Ruled out: only reading back after an unknown write; it can't settle a write that may still arrive, but a repeated conditional write does. Change: an unknown write is repeated with a new write id; a conflict is read back and compared with all ids of the operation, and the outcome is a conflict only if the next version is another writer's. Token buckets for reads, writes and watches, jittered backoff, a circuit breaker with a typed state, counts by call and outcome, and new connections after a silent one.

--- a/core/platform/client.go
+++ b/core/platform/client.go
@@ -1,14 +1,14 @@
 package platform
 
 import (
-	"bytes"
 	"context"
 	"encoding/json"
 	"errors"
 	"fmt"
-	"io"
+	"net"
 	"net/http"
 	"net/url"
+	"slices"
 	"strconv"
 	"time"
 
@@ -18,8 +18,14 @@
 )
 
 const (
-	// callTimeout bounds a call; the platform answers in milliseconds.
+	// callTimeout bounds a call with all its tries; the platform answers in
+	// milliseconds.
 	callTimeout = 2 * time.Second
+	// tryTimeout bounds one try. A try that takes longer counts as a silent
+	// connection, and the next try uses a new one.
+	tryTimeout = 600 * time.Millisecond
+	// maxTries bounds the tries of one call.
+	maxTries = 3
 	// maxValueBytes is the platform's limit on a value.
 	maxValueBytes = 1 << 20
 	// maxAnswerBytes bounds a list or watch answer that a client accepts.
@@ -49,132 +55,160 @@
 	Address string
 	// HTTP is the client to use; nil means one with connection reuse.
 	HTTP *http.Client
+	// ReadsPerSecond, WritesPerSecond and WatchesPerSecond are the call budget;
+	// 0 means no limit. A waiting watch counts as one call.
+	ReadsPerSecond   float64
+	WritesPerSecond  float64
+	WatchesPerSecond float64
 }
 
 type client struct {
-	base string
-	http *http.Client
+	base    string
+	http    *http.Client
+	budget  budget
+	breaker *breaker
+	counts  counts
 }
 
 // NewClient returns a Client for the object API.
 func NewClient(o Options) Client {
 	h := o.HTTP
 	if h == nil {
-		h = &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 8}}
+		d := net.Dialer{Timeout: tryTimeout}
+		h = &http.Client{Transport: &http.Transport{DialContext: d.DialContext, MaxIdleConnsPerHost: 8}}
 	}
-	return &client{base: "http://" + o.Address, http: h}
+	return &client{base: "http://" + o.Address, http: h, budget: newBudget(o), breaker: newBreaker()}
 }
 
 func (c *client) Get(ctx context.Context, kind Kind, name string) (Object, error) {
 	var o Object
-	err := c.call(ctx, http.MethodGet, objectPath(kind, name), nil, nil, &o)
+	err := c.read(ctx, CallGet, objectPath(kind, name), &o)
 	return o, err
 }
 
 func (c *client) List(ctx context.Context, kind Kind) (List, error) {
 	var l List
-	err := c.call(ctx, http.MethodGet, "/v1/objects/"+url.PathEscape(string(kind)), nil, nil, &l)
+	err := c.read(ctx, CallList, "/v1/objects/"+url.PathEscape(string(kind)), &l)
 	return l, err
 }
 
 func (c *client) Hosts(ctx context.Context) ([]Host, error) {
 	var hosts []Host
-	err := c.call(ctx, http.MethodGet, "/v1/hosts", nil, nil, &hosts)
+	err := c.read(ctx, CallHosts, "/v1/hosts", &hosts)
 	return hosts, err
 }
 
 func (c *client) Watch(ctx context.Context, kind Kind, after unit.Revision, wait time.Duration) (List, error) {
 	var l List
-	ctx, cancel := context.WithTimeout(ctx, wait+callTimeout)
-	defer cancel()
 	path := fmt.Sprintf("/v1/watch/%s?after=%d&wait=%d", url.PathEscape(string(kind)), after, wait.Milliseconds())
-	err := c.do(ctx, http.MethodGet, path, nil, nil, &l)
+	err := c.try(ctx, attempt{call: CallWatch, method: http.MethodGet, path: path, limit: wait + callTimeout}, &l)
 	return l, err
 }
 
-func (c *client) Put(ctx context.Context, kind Kind, name string, expected unit.Version, value json.RawMessage) (Object, error) {
-	var o Object
-	if len(value) > maxValueBytes {
-		return o, fmt.Errorf("value of %s/%s has %d bytes, limit is %d", kind, name, len(value), maxValueBytes)
-	}
-	id := uuid.NewString()
-	h := http.Header{}
-	h.Set(headerIfVersion, strconv.FormatUint(uint64(expected), 10))
-	h.Set(headerWriteID, id)
-	err := c.call(ctx, http.MethodPut, objectPath(kind, name), h, value, &o)
-	if errors.Is(err, ErrUnknown) {
-		return c.readBack(ctx, kind, name, expected, id)
+// read repeats a failed read with backoff.
+func (c *client) read(ctx context.Context, call Call, path string, out any) error {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	pause := newPause()
+	for n := 1; ; n++ {
+		err := c.try(ctx, attempt{call: call, method: http.MethodGet, path: path, limit: tryTimeout}, out)
+		if !errors.Is(err, ErrUnavailable) || errors.Is(err, ErrOpen) || n == maxTries || !pause.wait(ctx) {
+			return err
+		}
 	}
-	return o, err
 }
 
-// readBack resolves a write whose answer was lost. If the object carries the
-// write id, the write took effect. If its version is still the expected one,
-// the write may yet arrive, so the outcome stays unknown.
-func (c *client) readBack(ctx context.Context, kind Kind, name string, expected unit.Version, id string) (Object, error) {
-	o, err := c.Get(ctx, kind, name)
-	switch {
-	case err == nil && o.WriteID == id:
-		return o, nil
-	case err == nil && o.Version > expected:
-		return o, ErrConflict
-	default:
-		return Object{}, ErrUnknown
+func (c *client) Put(ctx context.Context, kind Kind, name string, expected unit.Version, value json.RawMessage) (Object, error) {
+	if len(value) > maxValueBytes {
+		return Object{}, fmt.Errorf("value of %s/%s has %d bytes, limit is %d", kind, name, len(value), maxValueBytes)
 	}
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	w := &write{client: c, kind: kind, name: name, expected: expected, value: value}
+	return w.run(ctx)
 }
 
-func objectPath(kind Kind, name string) string {
-	return "/v1/objects/" + url.PathEscape(string(kind)) + "/" + url.PathEscape(name)
+// write is one conditional write with all its tries.
+type write struct {
+	*client
+	kind     Kind
+	name     string
+	expected unit.Version
+	value    json.RawMessage
+	// ids are the write ids of the tries whose outcome is unknown.
+	ids []string
 }
 
-func (c *client) call(ctx context.Context, method, path string, h http.Header, body []byte, out any) error {
-	ctx, cancel := context.WithTimeout(ctx, callTimeout)
-	defer cancel()
-	return c.do(ctx, method, path, h, body, out)
+// run repeats the write until its outcome is known. At most one try can take
+// effect, because each one is conditional on the same version.
+func (w *write) run(ctx context.Context) (Object, error) {
+	pause := newPause()
+	for n := 1; ; n++ {
+		id := uuid.NewString()
+		o, err := w.put(ctx, id)
+		switch {
+		case err == nil:
+			return o, nil
+		case errors.Is(err, ErrConflict) && len(w.ids) > 0:
+			return w.readBack(ctx)
+		case errors.Is(err, ErrUnknown):
+			w.ids = append(w.ids, id)
+		case !errors.Is(err, ErrUnavailable):
+			return o, w.final(err)
+		}
+		if errors.Is(err, ErrOpen) || n == maxTries || !pause.wait(ctx) {
+			return w.givenUp(ctx, err)
+		}
+	}
 }
 
-func (c *client) do(ctx context.Context, method, path string, h http.Header, body []byte, out any) error {
-	req, err := http.NewRequestWithContext(ctx, method, c.base+path, bytes.NewReader(body))
-	if err != nil {
-		return err
+// givenUp ends a write after its last try.
+func (w *write) givenUp(ctx context.Context, err error) (Object, error) {
+	if len(w.ids) > 0 && ctx.Err() == nil {
+		return w.readBack(ctx)
 	}
-	for k, v := range h {
-		req.Header[k] = v
-	}
-	res, err := c.http.Do(req)
-	if err != nil {
-		return lost(method, err)
-	}
-	defer res.Body.Close()
-	data, err := io.ReadAll(io.LimitReader(res.Body, maxAnswerBytes))
-	if err != nil {
-		return lost(method, err)
-	}
-	return decode(method, res.StatusCode, data, out)
+	return Object{}, w.final(err)
 }
 
-// lost maps a transport error: a read failed, a write's outcome is unknown.
-func lost(method string, err error) error {
-	if method == http.MethodGet {
-		return fmt.Errorf("%w: %v", ErrUnavailable, err)
+// final returns the error of the whole write: once the outcome of one try is
+// unknown, a later refusal says nothing about it.
+func (w *write) final(err error) error {
+	if len(w.ids) > 0 && !errors.Is(err, ErrUnknown) {
+		return fmt.Errorf("%w: %v", ErrUnknown, err)
 	}
-	return fmt.Errorf("%w: %v", ErrUnknown, err)
+	return err
+}
+
+func (w *write) put(ctx context.Context, id string) (Object, error) {
+	var o Object
+	h := http.Header{}
+	h.Set(headerIfVersion, strconv.FormatUint(uint64(w.expected), 10))
+	h.Set(headerWriteID, id)
+	err := w.try(ctx, attempt{
+		call: CallPut, method: http.MethodPut, path: objectPath(w.kind, w.name),
+		header: h, body: w.value, limit: tryTimeout,
+	}, &o)
+	return o, err
 }
 
-func decode(method string, status int, data []byte, out any) error {
+// readBack resolves unknown tries. Exactly one write creates the version after
+// the expected one, so its id decides. If the object has moved on since, the
+// id of that write is gone, and if it has the expected version, a try may yet
+// arrive: in both cases the outcome stays unknown.
+func (w *write) readBack(ctx context.Context) (Object, error) {
+	o, err := w.Get(ctx, w.kind, w.name)
 	switch {
-	case status == http.StatusOK:
-		if err := json.Unmarshal(data, out); err != nil {
-			return lost(method, err)
-		}
-		return nil
-	case status == http.StatusConflict:
-		return ErrConflict
-	case status == http.StatusNotFound:
-		return ErrNotFound
-	case status == http.StatusTooManyRequests, status == http.StatusServiceUnavailable:
-		return fmt.Errorf("%w: status %d", ErrUnavailable, status)
+	case err == nil && slices.Contains(w.ids, o.WriteID):
+		return o, nil
+	case err == nil && o.Version == w.expected+1:
+		return Object{}, ErrConflict
+	case err == nil:
+		return Object{}, fmt.Errorf("%w: %s/%s has version %d, expected %d", ErrUnknown, w.kind, w.name, o.Version, w.expected)
 	default:
-		return lost(method, fmt.Errorf("status %d: %s", status, data))
+		return Object{}, fmt.Errorf("%w: read back: %v", ErrUnknown, err)
 	}
 }
+
+func objectPath(kind Kind, name string) string {
+	return "/v1/objects/" + url.PathEscape(string(kind)) + "/" + url.PathEscape(name)
+}
--- a/core/platform/platform.go
+++ b/core/platform/platform.go
@@ -90,6 +90,9 @@
 	ErrUnavailable = errors.New("platform unavailable")
 	// ErrUnknown means that a write may or may not have taken effect.
 	ErrUnknown = errors.New("outcome of platform write unknown")
+	// ErrOpen means that the circuit breaker is open, so that the call was not
+	// sent. It comes together with ErrUnavailable.
+	ErrOpen = errors.New("circuit breaker is open")
 	// ErrBudget means that the call budget is used up.
 	ErrBudget = errors.New("platform call budget used up")
 )
