claimer: run bookings with a key at most once

Cause: a booking that a caller sent again after a lost answer ran twice. Ruled out: keys in the daemon's memory (lost with the daemon), and a claim object for each booking (no group commit, and objects are never trimmed). Change: a filter claims a booking in a bucket object by conditional update before it is sent; claims and outcomes that arrive during a write join the next one. A claim whose write has an unknown outcome is released in the background, because nothing was sent. Outcomes are written after the answer.

--- a/core/verdict/verdict.go
+++ b/core/verdict/verdict.go
@@ -66,6 +66,9 @@
 	Quarantined Reason = "Quarantined"
 	// DuplicateRunning means that an earlier request with the same key runs.
 	DuplicateRunning Reason = "DuplicateRunning"
+	// AlreadyRan means that an earlier request with the same key ran and that
+	// its response is not kept.
+	AlreadyRan Reason = "AlreadyRan"
 	// PlatformUnavailable means that the platform's object API did not answer.
 	PlatformUnavailable Reason = "PlatformUnavailable"
 	// Conflict means that a conditional update lost against another one.
@@ -132,7 +135,7 @@
 		return http.StatusTooManyRequests
 	case Quarantined:
 		return http.StatusUnprocessableEntity
-	case DuplicateRunning, Conflict:
+	case DuplicateRunning, AlreadyRan, Conflict:
 		return http.StatusConflict
 	case BackendFailed:
 		return http.StatusBadGateway
--- a/oleandercove/daemon/daemon.go
+++ b/oleandercove/daemon/daemon.go
@@ -19,8 +19,8 @@
 	"oleandercove.example/core/platform"
 	"oleandercove.example/core/timer"
 	"oleandercove.example/oleandercove/authenticator"
-	"oleandercove.example/oleandercove/caller"
 	"oleandercove.example/oleandercove/chain"
+	"oleandercove.example/oleandercove/claimer"
 	"oleandercove.example/oleandercove/dispatcher"
 	"oleandercove.example/oleandercove/drainer"
 	"oleandercove.example/oleandercove/meter"
@@ -60,6 +60,8 @@
 	meter    *meter.Meter
 	timer    timer.Service
 	models   *streamer.Streamer
+	platform platform.Client
+	claimer  *claimer.Claimer
 }
 
 // New builds a daemon from its settings.
@@ -67,8 +69,8 @@
 	l := logger.New(logger.Options{Level: s.Log.Level, Format: s.Log.Format}).With("host", s.Host)
 	t := timer.NewReal()
 	m := meter.New()
-	p := m.Platform(platform.NewClient(platform.Options{Address: s.Platform.Address}))
-	d := &Daemon{settings: s, log: l, drainer: newDrainer(s.Shutdown, t, l), meter: m, timer: t}
+	p := m.Platform(newPlatform(s))
+	d := &Daemon{settings: s, log: l, drainer: newDrainer(s.Shutdown, t, l), meter: m, timer: t, platform: p}
 	d.spreader = spreader.New(spreader.Options{Platform: p, Timer: t, Log: l.WithPrefix("spreader")})
 	d.watcher = watcher.New(watcher.Options{Platform: p, Timer: t, Log: l.WithPrefix("watcher"), Interval: s.Policy.PollInterval.Std()})
 	d.recorder = recorder.New(recorder.Options{Host: s.Host, Capacity: journalCapacity, Timer: t})
@@ -87,8 +89,9 @@
 		Recorder: j, Timer: t, Log: d.log.WithPrefix("streamer"),
 		Signs: d.watcher, OnRecovery: d.meter.Recovery,
 	})
-	services := caller.New(caller.Options{Backends: backends, Tracker: k, Recorder: j, Log: d.log.WithPrefix("caller")})
-	h := chain.Build(router.New(d.models.Serve, services.Serve).Handle, d.meter, d.drainer, authenticator.New(d.spreader), validator.Filter{}, q)
+	services, claims := d.newServices(t, k, j)
+	d.claimer = claims
+	h := chain.Build(router.New(d.models.Serve, services.Serve).Handle, d.meter, d.drainer, authenticator.New(d.spreader), validator.Filter{}, q, claims)
 	return server.New(server.Options{
 		Handler: h, Catalogue: d.spreader, Recorder: j, Timer: t,
 		Log: d.log.WithPrefix("server"), Ready: d.ready, Draining: d.drainer.Check, Done: d.meter.Request,
--- a/oleandercove/daemon/shutdown.go
+++ b/oleandercove/daemon/shutdown.go
@@ -44,6 +44,7 @@
 		l.Warn("closing connections that did not end", "err", err)
 		return srv.Close()
 	}
+	d.claimer.Flush(ctx)
 	if finished {
 		d.models.Wait(ctx)
 	}
--- a/oleandercove/server/services.go
+++ b/oleandercove/server/services.go
@@ -37,7 +37,7 @@
 func writeResult(w http.ResponseWriter, q *request.Request) {
 	res := q.Call.Result
 	limitWrite(w)
-	for _, k := range []string{"Content-Type", "Location", "Retry-After"} {
+	for _, k := range []string{"Content-Type", "Location", "Retry-After", api.HeaderVerdict} {
 		if v := res.Header.Get(k); v != "" {
 			w.Header().Set(k, v)
 		}
--- a/oleandercove/settings/settings.go
+++ b/oleandercove/settings/settings.go
@@ -23,6 +23,7 @@
 	Log        Log
 	Shutdown   Shutdown
 	Policy     Policy
+	Services   Services
 }
 
 // Callers configures the listener for callers.
