prover: check bookings behind a fault-injecting proxy

Cause: no test with real processes checked verdicts and bookings under faults. Ruled out: checking against the daemon's own events; only the workers' journals and the caller's record count. SEEDS lists the seeds, default 0 to 4.

--- /dev/null
+++ b/prover/bookings_test.go
@@ -0,0 +1,302 @@
+package prover_test
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"os"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"oleandercove.example/core/api"
+	"oleandercove.example/core/catalogue"
+	"oleandercove.example/core/verdict"
+	"oleandercove.example/oleanderfake/booker"
+	"oleandercove.example/oleanderfake/storer"
+	"oleandercove.example/prover/faulter"
+	"oleandercove.example/prover/invoker"
+	"oleandercove.example/prover/launcher"
+)
+
+const (
+	bookingCallers = 8
+	bookingsEach   = 40
+	bookingSends   = 4
+	// bookingDeadline is short, so that silent connections end within a run.
+	bookingDeadline = "800"
+)
+
+// bookingRig has two workers and three daemons, with a proxy in front of each
+// worker and between each daemon and the platform.
+type bookingRig struct {
+	*launcher.Launcher
+	t        *testing.T
+	client   invoker.Client
+	platform *launcher.Process
+	workers  []*launcher.Process
+	daemons  []*launcher.Process
+	links    []*faulter.Proxy // to the workers
+	stores   []*faulter.Proxy // to the platform, one for each daemon
+}
+
+func newBookingRig(t *testing.T) *bookingRig {
+	is := is.New(t)
+	r := &bookingRig{Launcher: launcher.New("../bin", t.TempDir()), t: t, client: invoker.Client{Token: launcher.Token(account)}}
+	t.Cleanup(r.Close)
+	var err error
+	r.platform, err = r.Platform("--host-timeout", "0s", "--host-lag", "0s")
+	is.NoErr(err)
+	is.NoErr(r.Account(t.Context(), account))
+	is.NoErr(r.Put(t.Context(), &catalogue.Entry{
+		Kind: catalogue.KindService, Name: "logbook", Owner: "logbook-team", Class: catalogue.ClassStandard,
+		Service: &catalogue.Service{IdempotentMethods: []string{http.MethodGet}},
+	}))
+	for i := range 2 {
+		id := fmt.Sprintf("logbook-%d", i)
+		w, err := r.BareService(id, "--delay", "3ms")
+		is.NoErr(err)
+		r.workers, r.links = append(r.workers, w), append(r.links, r.proxy(id, w.Address))
+		r.Register(t.Context(), id, "logbook", r.links[i].Address)
+	}
+	for i := range 3 {
+		id := fmt.Sprintf("entry-%d", i)
+		r.stores = append(r.stores, r.proxy(id, r.platform.Address))
+		d, err := r.DaemonVia(id, r.stores[i].Address)
+		is.NoErr(err)
+		r.daemons = append(r.daemons, d)
+		is.NoErr(launcher.Wait(20*time.Second, "answer of a worker", func() bool {
+			a := r.send(booking{body: "warm-up", method: http.MethodGet}, i)
+			return a.status == http.StatusOK
+		}))
+	}
+	return r
+}
+
+func (r *bookingRig) proxy(name, upstream string) *faulter.Proxy {
+	p, err := faulter.New(name, upstream)
+	is.New(r.t).NoErr(err)
+	r.t.Cleanup(p.Close)
+	return p
+}
+
+// fault is an injected fault and its end.
+type fault struct {
+	name  string
+	start func(r *bookingRig, n int) error
+	heal  func(r *bookingRig, n int) error
+}
+
+func healLink(r *bookingRig, n int) error  { return r.links[n%2].Heal() }
+func healStore(r *bookingRig, n int) error { return r.stores[n%3].Heal() }
+func healPlatform(r *bookingRig, _ int) error {
+	return postFaults(r.platform.Address, storer.Faults{})
+}
+
+func postFaults(address string, f any) error {
+	b, err := json.Marshal(f)
+	if err != nil {
+		return err
+	}
+	res, err := http.Post("http://"+address+"/faults", "application/json", bytes.NewReader(b))
+	if err == nil {
+		res.Body.Close()
+	}
+	return err
+}
+
+var bookingFaults = []fault{
+	{"worker killed", func(r *bookingRig, n int) error { r.workers[n%2].Kill(); return nil }, func(r *bookingRig, n int) error { return r.workers[n%2].Restart() }},
+	{"daemon killed", func(r *bookingRig, n int) error { r.daemons[n%3].Kill(); return nil }, func(r *bookingRig, n int) error { return r.daemons[n%3].Restart() }},
+	{"worker cuts answers", func(r *bookingRig, n int) error {
+		return postFaults(r.workers[n%2].Address, booker.Faults{CutAfter: true})
+	}, func(r *bookingRig, n int) error { return postFaults(r.workers[n%2].Address, booker.Faults{}) }},
+	{"platform loses answers", func(r *bookingRig, _ int) error {
+		return postFaults(r.platform.Address, storer.Faults{LoseAnswers: 0.5})
+	}, healPlatform},
+	{"answers of a worker go silent", func(r *bookingRig, n int) error { return r.links[n%2].Silence(faulter.ToClient) }, healLink},
+	{"platform down", func(r *bookingRig, _ int) error {
+		return postFaults(r.platform.Address, storer.Faults{Down: true})
+	}, healPlatform},
+	{"link to a worker cut", func(r *bookingRig, n int) error { r.links[n%2].Cut(); return nil }, healLink},
+	{"answers of the platform go silent", func(r *bookingRig, n int) error { return r.stores[n%3].Silence(faulter.ToClient) }, healStore},
+	{"requests to a worker go silent", func(r *bookingRig, n int) error { return r.links[n%2].Silence(faulter.ToServer) }, healLink},
+	{"open links to the platform go silent", func(r *bookingRig, n int) error { return r.stores[n%3].HalfOpen(faulter.ToClient) }, healStore},
+}
+
+// booking is one booking of a caller; its body identifies it in the journals.
+type booking struct {
+	key, body, method string
+	answers           []bookingAnswer
+}
+
+// bookingAnswer is what the caller saw; status 0 means no answer.
+type bookingAnswer struct {
+	status  int
+	verdict verdict.Verdict
+}
+
+func (r *bookingRig) send(b booking, daemon int) bookingAnswer {
+	ctx, cancel := context.WithTimeout(r.t.Context(), 5*time.Second)
+	defer cancel()
+	h := http.Header{api.HeaderIdempotencyKey: {b.key}, api.HeaderDeadline: {bookingDeadline}}
+	res, err := r.client.Do(ctx, b.method, "http://"+r.daemons[daemon].Address+"/services/logbook/trips", []byte(b.body), h)
+	if err != nil {
+		return bookingAnswer{}
+	}
+	defer res.Body.Close()
+	a := bookingAnswer{status: res.StatusCode}
+	var f api.Refusal
+	if json.NewDecoder(res.Body).Decode(&f) != nil && a.status < http.StatusBadRequest {
+		return bookingAnswer{}
+	}
+	a.verdict = f.Verdict
+	return a
+}
+
+// run sends one booking, and repeats one with a key to other daemons until it
+// succeeds.
+func (r *bookingRig) run(rnd *rand.Rand, b *booking) {
+	sends := 1
+	if b.key != "" {
+		sends = 1 + rnd.IntN(bookingSends)
+	}
+	first := rnd.IntN(len(r.daemons))
+	for i := range sends {
+		a := r.send(*b, (first+i)%len(r.daemons))
+		b.answers = append(b.answers, a)
+		if a.status == http.StatusCreated && rnd.IntN(4) > 0 {
+			return
+		}
+	}
+}
+
+// load sends bookings from several callers while two faults start and end.
+func (r *bookingRig) load(seed uint64) []*booking {
+	var mu sync.Mutex
+	var all []*booking
+	var wg sync.WaitGroup
+	started := make(chan struct{}, bookingCallers*bookingsEach)
+	for c := range bookingCallers {
+		wg.Go(func() {
+			rnd := rand.New(rand.NewPCG(seed, uint64(c)))
+			for i := range bookingsEach {
+				b := &booking{method: http.MethodPost, body: fmt.Sprintf("booking-%d-%d", c, i)}
+				if rnd.IntN(4) > 0 {
+					b.key = "key-" + b.body
+				}
+				started <- struct{}{}
+				r.run(rnd, b)
+				mu.Lock()
+				all = append(all, b)
+				mu.Unlock()
+			}
+		})
+	}
+	r.inject(seed, started)
+	wg.Wait()
+	return all
+}
+
+// inject starts two faults after random numbers of bookings and ends them
+// after the same number again.
+func (r *bookingRig) inject(seed uint64, started <-chan struct{}) {
+	is := is.New(r.t)
+	rnd := rand.New(rand.NewPCG(seed, 1<<32))
+	skip := func() {
+		for range 20 + rnd.IntN(40) {
+			<-started
+		}
+	}
+	n := rnd.IntN(6)
+	for i := range 2 {
+		f := bookingFaults[(2*seed+uint64(i))%uint64(len(bookingFaults))]
+		r.t.Logf("fault: %s", f.name)
+		skip()
+		is.NoErr(f.start(r, n))
+		skip()
+		is.NoErr(f.heal(r, n))
+	}
+}
+
+// journal counts the runs of each booking, once all calls have ended.
+func (r *bookingRig) journal() map[string]int {
+	is := is.New(r.t)
+	runs := map[string]int{}
+	for _, w := range r.workers {
+		is.NoErr(w.Terminate())
+		_, err := w.WaitExit(30 * time.Second)
+		is.NoErr(err)
+		data, err := os.ReadFile(r.Journal(w.Name))
+		is.NoErr(err)
+		lines := bufio.NewScanner(bytes.NewReader(data))
+		for lines.Scan() {
+			var rec booker.Record
+			is.NoErr(json.Unmarshal(lines.Bytes(), &rec))
+			runs[rec.Body]++
+		}
+	}
+	return runs
+}
+
+// check compares the answers of a booking with its runs.
+func (b *booking) check(runs int) error {
+	succeeded, notRun := false, true
+	for _, a := range b.answers {
+		succeeded = succeeded || a.status == http.StatusCreated
+		notRun = notRun && a.verdict == verdict.NotRun
+	}
+	switch {
+	case runs > 1:
+		return fmt.Errorf("%s ran %d times: %v", b.body, runs, b.answers)
+	case succeeded && runs != 1:
+		return fmt.Errorf("%s succeeded without a run: %v", b.body, b.answers)
+	case notRun && runs != 0:
+		return fmt.Errorf("%s ran and is reported as not run: %v", b.body, b.answers)
+	}
+	return nil
+}
+
+func bookingSeeds(t *testing.T) []uint64 {
+	seeds := []uint64{0, 1, 2, 3, 4}
+	if text := os.Getenv("SEEDS"); text != "" {
+		seeds = nil
+		for _, s := range strings.Split(text, ",") {
+			var n uint64
+			_, err := fmt.Sscan(s, &n)
+			is.New(t).NoErr(err)
+			seeds = append(seeds, n)
+		}
+	}
+	return seeds
+}
+
+// TestBookings guards against a booking that runs twice, an untrue verdict,
+// and a success without a run, when any component fails at a random moment.
+// SEEDS lists the seeds; each default seed injects two of the ten faults.
+func TestBookings(t *testing.T) {
+	for _, seed := range bookingSeeds(t) {
+		t.Run(fmt.Sprintf("seed %d", seed), func(t *testing.T) {
+			r := newBookingRig(t)
+			all := r.load(seed)
+			runs := r.journal()
+			verdicts := map[string]int{}
+			for _, b := range all {
+				if err := b.check(runs[b.body]); err != nil {
+					t.Error(err)
+				}
+				for _, a := range b.answers {
+					verdicts[fmt.Sprintf("%d%s", a.status, a.verdict)]++
+				}
+			}
+			t.Logf("%d bookings, answers %v", len(all), verdicts)
+		})
+	}
+}
--- /dev/null
+++ b/prover/launcher/proxied.go
@@ -0,0 +1,44 @@
+package launcher
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"path/filepath"
+
+	"oleandercove.example/core/platform"
+	"oleandercove.example/core/unit"
+	"oleandercove.example/oleanderfake/registrar"
+)
+
+// BareService starts a fake service worker that does not register itself.
+func (l *Launcher) BareService(id string, flags ...string) (*Process, error) {
+	a, err := FreeAddress()
+	if err != nil {
+		return nil, err
+	}
+	args := append([]string{l.fake(), "service", "--listen", a, "--id", id, "--journal", l.Journal(id)}, flags...)
+	return l.run(id, a, "/healthz", args...)
+}
+
+// Register lists a service worker at the address of its proxy.
+func (l *Launcher) Register(ctx context.Context, id, serves, address string) {
+	registrar.Register(ctx, l.platform.Address, platform.Host{
+		ID: id, Role: platform.RoleService, Address: address, DataCentre: "dc-a",
+		State: platform.HostLive, Serves: unit.EntryName(serves),
+	})
+}
+
+// DaemonVia starts a daemon that reaches the platform at a given address.
+func (l *Launcher) DaemonVia(id, platformAddress string) (*Process, error) {
+	a, err := FreeAddress()
+	if err != nil {
+		return nil, err
+	}
+	path := filepath.Join(l.Dir, id+".toml")
+	text := fmt.Sprintf(settingsFormat, id, "dc-a", a, platformAddress)
+	if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
+		return nil, err
+	}
+	return l.run(id, a, "/readyz", filepath.Join(l.Binaries, "oleandercove"), "run", "--config", path)
+}
