--- a/oleandercove/claimer/claimer_test.go
+++ b/oleandercove/claimer/claimer_test.go
@@ -297,26 +297,45 @@
 // BenchmarkBookings reports the platform calls of each booking at several
 // arrival rates, with a platform that answers in 4 ms.
 func BenchmarkBookings(b *testing.B) {
-	for _, buckets := range []int{1, 1024} {
-		for _, rate := range []int{10, 100, 1000} {
-			b.Run(fmt.Sprintf("buckets=%d/rate=%d", buckets, rate), func(b *testing.B) {
-				s := newStore(1)
-				defer s.close()
-				s.daemons[0].options.Buckets = buckets
-				s.faults(storer.Faults{SlowMs: 4})
-				tick := time.NewTicker(time.Second / time.Duration(rate))
-				defer tick.Stop()
-				var wg sync.WaitGroup
-				for i := range b.N {
-					<-tick.C
-					wg.Go(func() { _ = book(s.daemons[0], booking(fmt.Sprint(i), "a"), "n", nil) })
-				}
-				wg.Wait()
-				s.daemons[0].Flush(b.Context())
-				c := s.calls()
-				b.ReportMetric(float64(c.Writes)/float64(b.N), "writes/booking")
-				b.ReportMetric(float64(c.Reads)/float64(b.N), "reads/booking")
-			})
-		}
+	rows := []struct{ daemons, buckets, rate int }{
+		{1, 1, 10},
+		{1, 1, 100},
+		{1, 1, 1000},
+		{1, 1024, 10},
+		{1, 1024, 1000},
+		{9, 1024, 20},
+		{9, 1024, 800},
+		{9, 16, 800},
+	}
+	for _, row := range rows {
+		b.Run(fmt.Sprintf("daemons=%d/buckets=%d/rate=%d", row.daemons, row.buckets, row.rate), func(b *testing.B) {
+			s := newStore(row.daemons)
+			defer s.close()
+			s.faults(storer.Faults{SlowMs: 4})
+			for _, d := range s.daemons {
+				d.options.Buckets = row.buckets
+			}
+			tick := time.NewTicker(time.Second / time.Duration(row.rate))
+			defer tick.Stop()
+			var wg sync.WaitGroup
+			var refused atomic.Int64
+			for i := range b.N {
+				<-tick.C
+				d := s.daemons[i%len(s.daemons)]
+				wg.Go(func() {
+					if book(d, booking(fmt.Sprint(i), "a"), "n", nil) != nil {
+						refused.Add(1)
+					}
+				})
+			}
+			wg.Wait()
+			for _, d := range s.daemons {
+				d.Flush(b.Context())
+			}
+			c := s.calls()
+			b.ReportMetric(float64(c.Writes)/float64(b.N), "writes/booking")
+			b.ReportMetric(float64(c.Reads)/float64(b.N), "reads/booking")
+			b.ReportMetric(float64(refused.Load())/float64(b.N), "refused/booking")
+		})
 	}
 }
--- /dev/null
+++ b/oleandercove/dispatcher/dispatcher_test.go
@@ -0,0 +1,44 @@
+package dispatcher
+
+import (
+	"errors"
+	"net/http"
+	"net/http/httptest"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"oleandercove.example/core/engine"
+	"oleandercove.example/core/verdict"
+	"oleandercove.example/oleandercove/classifier"
+)
+
+func TestOpenError(t *testing.T) {
+	rows := []struct {
+		name    string
+		handler http.HandlerFunc // nil: connections are refused
+		verdict verdict.Verdict
+	}{
+		{"a refused connection counts as run", nil, verdict.NotRun},
+		{"a cut connection counts as not run", func(http.ResponseWriter, *http.Request) { panic(http.ErrAbortHandler) }, verdict.MayHaveRun},
+		{"a silent engine counts as not run", func(_ http.ResponseWriter, r *http.Request) { <-r.Context().Done() }, verdict.MayHaveRun},
+		{"a 503 without proof counts as not run", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(503) }, verdict.MayHaveRun},
+		{"an error of an engine counts as not run", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(500) }, verdict.Ran},
+	}
+	for _, row := range rows {
+		t.Run(row.name, func(t *testing.T) {
+			is := is.New(t)
+			s := httptest.NewServer(row.handler)
+			defer s.Close()
+			if row.handler == nil {
+				s.Close()
+			}
+			d := New(Options{Silence: 200 * time.Millisecond})
+			_, err := d.Open(t.Context(), engine.StreamRequest{Chain: []engine.Stage{{Address: s.Listener.Addr().String()}}})
+			var e *OpenError
+			is.True(errors.As(err, &e))
+			is.Equal(classifier.Classify(e.Outcome), row.verdict)
+		})
+	}
+}
