dispatcher, prover: end the test server of a silent engine; list operators for proxied daemons

Cause: the handler of the silent engine did not read the body, so that the test server never saw the connection end and TestOpenError ran for 10 minutes.

--- a/oleandercove/dispatcher/dispatcher_test.go
+++ b/oleandercove/dispatcher/dispatcher_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"io"
 	"net/http"
 	"net/http/httptest"
 	"testing"
@@ -22,7 +23,7 @@
 	}{
 		{"a refused connection counts as run", nil, verdict.NotRun},
 		{"a cut connection counts as not run", func(http.ResponseWriter, *http.Request) { panic(http.ErrAbortHandler) }, verdict.MayHaveRun},
-		{"a silent engine counts as not run", func(_ http.ResponseWriter, r *http.Request) { <-r.Context().Done() }, verdict.MayHaveRun},
+		{"a silent engine counts as not run", func(_ http.ResponseWriter, r *http.Request) { _, _ = io.ReadAll(r.Body); <-r.Context().Done() }, verdict.MayHaveRun},
 		{"a 503 without proof counts as not run", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(503) }, verdict.MayHaveRun},
 		{"an error of an engine counts as not run", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(500) }, verdict.Ran},
 	}
--- a/prover/launcher/proxied.go
+++ b/prover/launcher/proxied.go
@@ -35,10 +35,18 @@
 	if err != nil {
 		return nil, err
 	}
+	operators, err := FreeAddress()
+	if err != nil {
+		return nil, err
+	}
 	path := filepath.Join(l.Dir, id+".toml")
-	text := fmt.Sprintf(settingsFormat, id, "dc-a", a, platformAddress)
+	text := fmt.Sprintf(settingsFormat, id, "dc-a", a, operators, OperatorToken, platformAddress) + l.DaemonSettings
 	if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
 		return nil, err
 	}
-	return l.run(id, a, "/readyz", filepath.Join(l.Binaries, "oleandercove"), "run", "--config", path)
+	p, err := l.run(id, a, "/readyz", filepath.Join(l.Binaries, "oleandercove"), "run", "--config", path)
+	if p != nil {
+		p.Operators = operators
+	}
+	return p, err
 }
