--- a/prover/bookings_test.go
+++ b/prover/bookings_test.go
@@ -232,6 +232,8 @@
 	runs := map[string]int{}
 	for _, w := range r.workers {
 		is.NoErr(w.Terminate())
+	}
+	for _, w := range r.workers {
 		_, err := w.WaitExit(30 * time.Second)
 		is.NoErr(err)
 		data, err := os.ReadFile(r.Journal(w.Name))
