--- a/Makefile
+++ b/Makefile
@@ -1,11 +1,11 @@
-MODULES := core oleandercove oleanderctl oleanderfake prover
+MODULES := core oleandercove oleanderctl oleanderfake oleanderload prover
 GO_FILES := $(shell git ls-files --cached --others --exclude-standard '*.go' | grep -v '\.pb\.go$$')
 
 .PHONY: build tools generate format lint test unit demo clean
 
 build:
 	mkdir -p bin
-	go build -o bin/ ./oleandercove ./oleanderctl ./oleanderfake
+	go build -o bin/ ./oleandercove ./oleanderctl ./oleanderfake ./oleanderload
 
 tools: bin/gofumpt bin/staticcheck
 
