planner: select the policy by [Policy] Balance

Cause: the default policy needs baselines to be measured against. Change: Plan takes a Policy; least-delay is the default with the same cost as before, round-robin and least-connections are the baselines. A misspelt name is a settings error. Conclusion: no change of behaviour without the setting.

--- a/oleandercove/daemon/daemon.go
+++ b/oleandercove/daemon/daemon.go
@@ -24,6 +24,7 @@
 	"oleandercove.example/oleandercove/dispatcher"
 	"oleandercove.example/oleandercove/drainer"
 	"oleandercove.example/oleandercove/meter"
+	"oleandercove.example/oleandercove/planner"
 	"oleandercove.example/oleandercove/quarantiner"
 	"oleandercove.example/oleandercove/recorder"
 	"oleandercove.example/oleandercove/router"
@@ -84,6 +85,7 @@
 	q := quarantiner.New(quarantiner.Options{Timer: t, Recorder: j, Log: d.log.WithPrefix("quarantiner"), Prober: quarantiner.NewProber()})
 	d.models = streamer.New(streamer.Options{
 		Backends: backends, Tracker: k, Dispatcher: dispatcher.New(dispatcher.Options{Silence: d.settings.Policy.SilenceLimit.Std()}), Quarantine: q,
+		Policy:   planner.NewPolicy(d.settings.Policy.Balance),
 		Recorder: j, Timer: t, Log: d.log.WithPrefix("streamer"),
 		Signs: d.watcher, OnRecovery: d.meter.Recovery,
 	})
--- a/oleandercove/planner/planner.go
+++ b/oleandercove/planner/planner.go
@@ -1,12 +1,13 @@
 // Package planner computes chains of engines that cover all layers of a model.
 //
-// A plan is a pure function of a snapshot of the engines. The chain with the
-// least expected time for a token wins; stages to keep cost less, so that a
+// A plan is a pure function of a snapshot of the engines and a policy. The
+// chain with the least cost wins; stages to keep cost nothing, so that a
 // running stream moves only where it must.
 //
 // Usage:
 //
-//	c, ok := planner.Plan(planner.Snapshot{Layers: 24, Engines: engines})
+//	p := planner.NewPolicy(planner.LeastDelay)
+//	c, ok := planner.Plan(planner.Snapshot{Layers: 24, Engines: engines}, p)
 package planner
 
 import (
@@ -39,18 +40,12 @@
 	Engines []Engine
 }
 
-// Cost estimates the time for one token on the engine, with one more stream.
-func (e *Engine) Cost() time.Duration {
-	batches := max(1, float64(e.InFlight+1)/float64(max(1, e.MaxBatch)))
-	return time.Duration(float64(e.Iteration)*batches) + e.Link
-}
-
 func (e *Engine) usable() bool {
 	return e.Keep || e.MaxStreams == 0 || e.InFlight < e.MaxStreams
 }
 
 // Plan returns the cheapest chain, or false if no chain covers all layers.
-func Plan(s Snapshot) ([]engine.Stage, bool) {
+func Plan(s Snapshot, p Policy) ([]engine.Stage, bool) {
 	engines := append([]Engine{}, s.Engines...)
 	sort.SliceStable(engines, func(i, j int) bool { return engines[i].Stage.From < engines[j].Stage.From })
 	best := make([]reach, s.Layers+1)
@@ -59,9 +54,13 @@
 	}
 	best[0].cost = 0
 	for i := range engines {
-		best = extend(best, engines, i, s.Layers)
+		best = extend(best, engines, i, s.Layers, p)
+	}
+	chain, ok := walk(best, engines, s.Layers)
+	if ok {
+		p.Chosen(chain)
 	}
-	return walk(best, engines, s.Layers)
+	return chain, ok
 }
 
 // reach is the cheapest way to cover the layers before a boundary.
@@ -70,7 +69,7 @@
 	via  int
 }
 
-func extend(best []reach, engines []Engine, i int, layers unit.Layer) []reach {
+func extend(best []reach, engines []Engine, i int, layers unit.Layer, p Policy) []reach {
 	e := &engines[i]
 	from, to := e.Stage.From, e.Stage.To
 	if from < 0 || to > layers || from >= to || best[from].cost == math.MaxInt64 || !e.usable() {
@@ -78,7 +77,7 @@
 	}
 	cost := best[from].cost
 	if !e.Keep {
-		cost += e.Cost()
+		cost += p.Cost(e)
 	}
 	if cost < best[to].cost {
 		best[to] = reach{cost: cost, via: i}
--- a/oleandercove/planner/planner_test.go
+++ b/oleandercove/planner/planner_test.go
@@ -51,7 +51,7 @@
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
 			is := is.New(t)
-			chain, ok := planner.Plan(planner.Snapshot{Layers: 8, Engines: test.give})
+			chain, ok := planner.Plan(planner.Snapshot{Layers: 8, Engines: test.give}, planner.NewPolicy(planner.LeastDelay))
 			var ids []string
 			for _, s := range chain {
 				ids = append(ids, string(s.Backend))
--- /dev/null
+++ b/oleandercove/planner/policy.go
@@ -0,0 +1,103 @@
+package planner
+
+import (
+	"fmt"
+	"sync"
+	"time"
+
+	"oleandercove.example/core/engine"
+	"oleandercove.example/core/unit"
+)
+
+// Balance names a policy.
+type Balance string
+
+const (
+	// LeastDelay prefers the chain with the least expected time for a token.
+	LeastDelay Balance = "least-delay"
+	// RoundRobin prefers the chain whose engines were chosen least often.
+	RoundRobin Balance = "round-robin"
+	// LeastConnections prefers the chain whose engines hold the fewest streams.
+	LeastConnections Balance = "least-connections"
+)
+
+// UnmarshalText reads the name of a policy; an empty one is the default.
+func (b *Balance) UnmarshalText(text []byte) error {
+	switch v := Balance(text); v {
+	case "", LeastDelay, RoundRobin, LeastConnections:
+		*b = v
+		return nil
+	default:
+		return fmt.Errorf("policy %q is not one of %s, %s, %s", v, LeastDelay, RoundRobin, LeastConnections)
+	}
+}
+
+// Policy compares engines. Its methods are safe for concurrent use.
+type Policy interface {
+	// Cost is added up over the engines of a chain.
+	Cost(e *Engine) time.Duration
+	// Chosen reports the chain that was selected.
+	Chosen(chain []engine.Stage)
+}
+
+// NewPolicy returns the policy with a name; an empty one is the default.
+func NewPolicy(b Balance) Policy {
+	switch b {
+	case RoundRobin:
+		return &roundRobin{counts: map[unit.BackendID]int{}}
+	case LeastConnections:
+		return leastConnections{}
+	default:
+		return leastDelay{}
+	}
+}
+
+type leastDelay struct{}
+
+// Cost estimates the time for one token on the engine, with one more stream.
+func (leastDelay) Cost(e *Engine) time.Duration {
+	batches := max(1, float64(e.InFlight+1)/float64(max(1, e.MaxBatch)))
+	return time.Duration(float64(e.Iteration)*batches) + e.Link
+}
+
+func (leastDelay) Chosen([]engine.Stage) {}
+
+// perLayer weighs a count with the layers of the engine, so that a chain of
+// few long stages does not count as less loaded than one of many short ones.
+func perLayer(e *Engine, count int) time.Duration {
+	return time.Duration(count) * time.Duration(e.Stage.To-e.Stage.From)
+}
+
+type leastConnections struct{}
+
+func (leastConnections) Cost(e *Engine) time.Duration { return perLayer(e, e.InFlight+1) }
+
+func (leastConnections) Chosen([]engine.Stage) {}
+
+type roundRobin struct {
+	mu     sync.Mutex
+	counts map[unit.BackendID]int
+}
+
+func (p *roundRobin) Cost(e *Engine) time.Duration {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	n, known := p.counts[e.Stage.Backend]
+	if !known {
+		// A new engine starts level with the others instead of taking all work
+		// until it has caught up.
+		for _, c := range p.counts {
+			n = max(n, c)
+		}
+		p.counts[e.Stage.Backend] = n
+	}
+	return perLayer(e, n+1)
+}
+
+func (p *roundRobin) Chosen(chain []engine.Stage) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, s := range chain {
+		p.counts[s.Backend]++
+	}
+}
--- a/oleandercove/settings/policy.go
+++ b/oleandercove/settings/policy.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"oleandercove.example/core/loader"
+	"oleandercove.example/oleandercove/planner"
 )
 
 const (
@@ -23,6 +24,8 @@
 	SilenceLimit loader.Duration `check:"positive"`
 	// PollInterval is the time between two status calls to a backend server.
 	PollInterval loader.Duration `check:"positive"`
+	// Balance is least-delay (the default), round-robin or least-connections.
+	Balance planner.Balance
 }
 
 // Check checks the ranges.
--- a/oleandercove/streamer/planning.go
+++ b/oleandercove/streamer/planning.go
@@ -21,7 +21,7 @@
 		if ctx.Err() != nil {
 			return t.ended(ctx)
 		}
-		if chain, ok := planner.Plan(t.snapshot()); ok {
+		if chain, ok := planner.Plan(t.snapshot(), t.options.Policy); ok {
 			t.chain = chain
 			t.options.Recorder.Record(recorder.Event{
 				Request: t.r.ID, Part: "planner", Decision: "Chain", Cause: names(chain),
--- a/oleandercove/streamer/streamer.go
+++ b/oleandercove/streamer/streamer.go
@@ -26,6 +26,7 @@
 	"oleandercove.example/core/unit"
 	"oleandercove.example/core/verdict"
 	"oleandercove.example/oleandercove/dispatcher"
+	"oleandercove.example/oleandercove/planner"
 	"oleandercove.example/oleandercove/quarantiner"
 	"oleandercove.example/oleandercove/recorder"
 	"oleandercove.example/oleandercove/request"
@@ -47,6 +48,7 @@
 	Backends   watcher.Backends
 	Tracker    *tracker.Tracker
 	Dispatcher dispatcher.Dispatcher
+	Policy     planner.Policy
 	// Quarantine isolates requests that may crash backend servers.
 	Quarantine *quarantiner.Quarantiner
 	Recorder   recorder.Recorder
