prover: add make bench

Cause: the policies, the recovery and the daemon's cost for each token have to be measured with real processes.

--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,7 @@
 MODULES := core oleandercove oleanderctl oleanderfake oleanderload prover
 GO_FILES := $(shell git ls-files --cached --others --exclude-standard '*.go' | grep -v '\.pb\.go$$')
 
-.PHONY: build tools generate format lint test unit demo clean
+.PHONY: build tools generate format lint test unit demo bench clean
 
 build:
 	mkdir -p bin
@@ -29,5 +29,13 @@
 demo: build
 	go run ./prover/demo
 
+SEED ?= 14
+BENCH ?=
+
+# Takes about five minutes; BENCH="-rigs mixed -policies least-delay" selects a
+# part.
+bench: build
+	go run ./prover/bench -seed $(SEED) $(BENCH)
+
 clean:
 	rm -rf bin out
--- /dev/null
+++ b/prover/bench/recovery.go
@@ -0,0 +1,103 @@
+package main
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"oleandercove.example/oleanderfake/runner"
+	"oleandercove.example/oleanderload/reporter"
+	"oleandercove.example/prover/invoker"
+	"oleandercove.example/prover/launcher"
+)
+
+const (
+	// kills is the number of stages killed in the recovery measurement.
+	kills = 30
+	// liveStreams run while a stage is killed.
+	liveStreams = 12
+	// killAt is the number of tokens of the first stream at the kill.
+	killAt = 15
+	// liveTokens is the length of each stream.
+	liveTokens = 60
+)
+
+// Recovery is the result of killing stages in the middle of streams.
+type Recovery struct {
+	Kills, Streams, Whole int
+	// Gap is the longest gap of the streams of each kill, in milliseconds.
+	Gap reporter.Quantiles
+	// Quiet is the longest gap of each round without a kill.
+	Quiet reporter.Quantiles
+}
+
+func measureRecovery(ctx context.Context, d design) (*Recovery, error) {
+	r, err := newRig(ctx, d, "")
+	if err != nil {
+		return nil, err
+	}
+	defer r.close()
+	out := &Recovery{Kills: kills}
+	var gaps, quiet []time.Duration
+	for range 5 {
+		gap, _ := r.streams(ctx, func() {})
+		quiet = append(quiet, gap)
+	}
+	for i := range kills {
+		e := r.engines[i%len(r.engines)]
+		gap, whole := r.streams(ctx, e.Kill)
+		gaps = append(gaps, gap)
+		out.Streams += liveStreams
+		out.Whole += whole
+		if err := r.revive(ctx, e); err != nil {
+			return nil, err
+		}
+	}
+	out.Gap, out.Quiet = reporter.Summarise(gaps), reporter.Summarise(quiet)
+	return out, nil
+}
+
+// streams runs streams and calls kill once all of them are under way. It
+// returns the longest gap and the number of whole answers.
+func (r *rig) streams(ctx context.Context, kill func()) (longest time.Duration, whole int) {
+	var mu sync.Mutex
+	var wg, under sync.WaitGroup
+	under.Add(liveStreams)
+	for i := range liveStreams {
+		wg.Go(func() {
+			var once sync.Once
+			ready := func() { once.Do(under.Done) }
+			defer ready()
+			c := invoker.Client{Token: launcher.Token(accounts[0])}
+			a, err := c.Complete(ctx, r.daemons[i%len(r.daemons)].Address, invoker.Prompt{
+				Model: modelName, Text: "state of the nets", MaxTokens: liveTokens, OnToken: func(n int) {
+					if n == killAt {
+						ready()
+					}
+				},
+			})
+			mu.Lock()
+			defer mu.Unlock()
+			longest = max(longest, a.Gap)
+			if err == nil && a.Done && a.Text == runner.ReferenceText(layers, "state of the nets", liveTokens) {
+				whole++
+			}
+		})
+	}
+	under.Wait()
+	kill()
+	wg.Wait()
+	return longest, whole
+}
+
+// revive starts a killed engine again and waits until the daemons use it.
+func (r *rig) revive(ctx context.Context, p *launcher.Process) error {
+	if err := p.Restart(); err != nil {
+		return err
+	}
+	if err := launcher.WaitHTTP("http://"+p.Address+"/v1/status", 10*time.Second); err != nil {
+		return err
+	}
+	time.Sleep(settle)
+	return ctx.Err()
+}
--- a/prover/invoker/invoker.go
+++ b/prover/invoker/invoker.go
@@ -34,6 +34,8 @@
 	MaxTokens int
 	// OnToken is called after each token, with their number so far.
 	OnToken func(n int)
+	// OnText is called with the text of each token.
+	OnText func(text string)
 }
 
 // Answer is what the caller received.
@@ -72,10 +74,10 @@
 	if res.StatusCode != http.StatusOK {
 		return a, json.NewDecoder(res.Body).Decode(&a.Refusal)
 	}
-	return a, a.read(res.Body, start, p.OnToken)
+	return a, a.read(res.Body, start, p)
 }
 
-func (a *Answer) read(r io.Reader, start time.Time, onToken func(int)) error {
+func (a *Answer) read(r io.Reader, start time.Time, p Prompt) error {
 	lines := bufio.NewScanner(r)
 	last := start
 	for lines.Scan() {
@@ -100,8 +102,11 @@
 		last = now
 		a.Tokens++
 		a.Text += text
-		if onToken != nil {
-			onToken(a.Tokens)
+		if p.OnToken != nil {
+			p.OnToken(a.Tokens)
+		}
+		if p.OnText != nil {
+			p.OnText(text)
 		}
 	}
 	return lines.Err()
