tracker: estimate the work of other daemons from reported load

Cause: three daemons that don't see each other's work each count a third of an engine's streams, so the cost of a busy engine is too low. Ruled out: taking the report as it is; it lags and would hide the daemon's own newest streams. Change: the count of others is the smoothed difference between the reported and the own streams; events and status both carry reports.

--- a/oleandercove/streamer/planning.go
+++ b/oleandercove/streamer/planning.go
@@ -59,12 +59,13 @@
 		return planner.Engine{}, false
 	}
 	t.starts[b.ID] = b.Engine.Start
+	t.options.Tracker.Report(b.ID, b.Engine.Load.Running, b.Seen)
 	return planner.Engine{
 		Stage:      engine.Stage{Backend: b.ID, Address: b.Address, From: b.Engine.From, To: b.Engine.To},
 		Iteration:  time.Duration(b.Engine.TokenTimeMicros) * time.Microsecond,
 		MaxBatch:   b.Engine.MaxBatch,
 		MaxStreams: b.Engine.MaxStreams,
-		InFlight:   t.options.Tracker.InFlight(b.ID),
+		InFlight:   t.options.Tracker.Load(b.ID),
 		Link:       linkTime(b.Engine.Links),
 		Keep:       keep,
 	}, true
--- a/oleandercove/streamer/streamer.go
+++ b/oleandercove/streamer/streamer.go
@@ -177,6 +177,9 @@
 	}
 	switch e.Kind {
 	case engine.EventToken:
+		if e.Load != nil {
+			t.options.Tracker.Report(t.chain[0].Backend, e.Load.Running, t.options.Timer.Now())
+		}
 		return false, t.emit(e)
 	case engine.EventEnd:
 		t.r.Completion.Finish, t.r.Completion.Tokens = e.Finish, len(t.emitted)
