admitter: run admitted low-class requests at normal engine priority

Change: stretch 2.0, and a granted request of the low class runs at normal priority, because admission already rationed it.

--- a/oleandercove/admitter/admitter.go
+++ b/oleandercove/admitter/admitter.go
@@ -18,6 +18,7 @@
 	"time"
 
 	"oleandercove.example/core/catalogue"
+	"oleandercove.example/core/engine"
 	"oleandercove.example/core/timer"
 	"oleandercove.example/core/unit"
 	"oleandercove.example/core/verdict"
@@ -65,6 +66,9 @@
 	if err := f.await(ctx, g, t); err != nil {
 		return err
 	}
+	// The low class is rationed here. Engines run higher classes strictly first
+	// and would starve a stream that was granted its least share.
+	r.Priority = max(r.Priority, engine.PriorityNormal)
 	start := f.options.Timer.Now()
 	f.observe(g, t.class, r.Completion)
 	defer func() { f.leave(g, t, r.Completion, start) }()
--- a/oleandercove/admitter/gate.go
+++ b/oleandercove/admitter/gate.go
@@ -10,7 +10,7 @@
 	// stretch is the time of a token, relative to engines without a queue, at
 	// which the engines count as saturated. Fewer streams than that leave
 	// gaps in the batches; more only wait in the engines' queues.
-	stretch = 1.6
+	stretch = 2.0
 	// startShare is the first limit of a daemon, relative to the streams that
 	// fill engines without a queue. Other daemons may run as many.
 	startShare = 0.5
