streamer: take the default policy when none is given

Cause: a Streamer without a policy ended in a nil dereference at the first plan. Change: New fills in least-delay. Conclusion: no change for the daemon, which always names one.

--- a/oleandercove/streamer/streamer.go
+++ b/oleandercove/streamer/streamer.go
@@ -48,7 +48,8 @@
 	Backends   watcher.Backends
 	Tracker    *tracker.Tracker
 	Dispatcher dispatcher.Dispatcher
-	Policy     planner.Policy
+	// Policy compares chains; nil is the default.
+	Policy planner.Policy
 	// Quarantine isolates requests that may crash backend servers.
 	Quarantine *quarantiner.Quarantiner
 	Recorder   recorder.Recorder
@@ -67,7 +68,12 @@
 }
 
 // New returns a Streamer.
-func New(o Options) *Streamer { return &Streamer{options: o} }
+func New(o Options) *Streamer {
+	if o.Policy == nil {
+		o.Policy = planner.NewPolicy(planner.LeastDelay)
+	}
+	return &Streamer{options: o}
+}
 
 // run is the state of one stream at its owner.
 type run struct {
