settings: check the policy and the admission like the other sections

Cause: the settings are now read by core/loader, which reports all faults. Conclusion: covered by two rows of the settings test.

--- a/oleandercove/daemon/admission.go
+++ b/oleandercove/daemon/admission.go
@@ -15,7 +15,7 @@
 	if d.settings.Admission.Off {
 		return openFilter{}
 	}
-	return admitter.New(admitter.Options{Backends: b, Timer: t, MaxWait: d.settings.Admission.MaxWait()})
+	return admitter.New(admitter.Options{Backends: b, Timer: t, MaxWait: d.settings.Admission.MaxWait.Std()})
 }
 
 // openFilter lets every request through.
--- a/oleandercove/planner/policy.go
+++ b/oleandercove/planner/policy.go
@@ -28,10 +28,15 @@
 		*b = v
 		return nil
 	default:
-		return fmt.Errorf("policy %q is not one of %s, %s, %s", v, LeastDelay, RoundRobin, LeastConnections)
+		return fmt.Errorf("policy %q is not %s", v, b.Expected())
 	}
 }
 
+// Expected describes a valid name.
+func (Balance) Expected() string {
+	return string(LeastDelay + ", " + RoundRobin + " or " + LeastConnections)
+}
+
 // Policy compares engines. Its methods are safe for concurrent use.
 type Policy interface {
 	// Cost is added up over the engines of a chain.
--- a/oleandercove/settings/admission.go
+++ b/oleandercove/settings/admission.go
@@ -1,14 +1,12 @@
 package settings
 
-import "time"
+import "oleandercove.example/core/loader"
 
 // Admission configures the admission of model requests.
 type Admission struct {
 	// Off lets every request through, for measurements.
 	Off bool
-	// MaxWaitMs bounds the wait of a request; 0 means the default.
-	MaxWaitMs int
+	// MaxWait bounds the wait of a request; a longer one would miss the target
+	// of 1.1 s for the first token.
+	MaxWait loader.Duration `check:"positive"`
 }
-
-// MaxWait returns the longest wait.
-func (a Admission) MaxWait() time.Duration { return time.Duration(a.MaxWaitMs) * time.Millisecond }
--- a/oleandercove/settings/settings.go
+++ b/oleandercove/settings/settings.go
@@ -76,5 +76,6 @@
 			SilenceLimit: loader.Duration(time.Second),
 			PollInterval: loader.Duration(500 * time.Millisecond),
 		},
+		Admission: Admission{MaxWait: loader.Duration(800 * time.Millisecond)},
 	}
 }
--- a/oleandercove/settings/settings_test.go
+++ b/oleandercove/settings/settings_test.go
@@ -39,6 +39,8 @@
 		{"empty file starts a daemon", "", []string{"1: Host:", "1: DataCentre:", "1: Callers.Listen:", "1: Platform.Address:"}},
 		{"silence limit below the heartbeat makes every stream recover", valid + "[Policy]\nSilenceLimit = '200ms'", []string{"6: Policy.SilenceLimit: expected at least 500ms"}},
 		{"slow polling misses the 3 s of a leaving backend", valid + "[Policy]\nPollInterval = '5s'", []string{"6: Policy.PollInterval: expected at most 1s"}},
+		{"misspelt policy is taken as the default", valid + "[Policy]\nBalance = 'least-dealy'", []string{"6: Policy.Balance: expected least-delay, round-robin"}},
+		{"requests wait without a bound", valid + "[Admission]\nMaxWait = '0s'", []string{"6: Admission.MaxWait: expected a value above zero"}},
 		{"delay uses up the whole shutdown", valid + "[Shutdown]\nLimit = '1s'", []string{"5: Shutdown.BalancerDelay: expected a duration from 0s"}},
 		{"operators are served without a token", valid + "[Operators]\nListen = '127.0.0.1:9'", []string{"5: Operators.Token: expected a bearer token"}},
 		{"misspelt level logs everything", valid + "[Log]\nLevel = 'warning'", []string{"6: Log.Level: expected debug"}},
--- a/prover/bench/rig.go
+++ b/prover/bench/rig.go
@@ -138,7 +138,7 @@
 		return nil, err
 	}
 	r := &rig{Launcher: launcher.New("bin", dir), dir: dir}
-	r.Settings = "\n[Log]\nLevel = \"error\"\n" + settings
+	r.DaemonSettings = "\n[Log]\nLevel = \"error\"\n" + settings
 	return r, nil
 }
 
