--- a/oleandercove/settings/settings.go
+++ b/oleandercove/settings/settings.go
@@ -24,6 +24,7 @@
 	Shutdown   Shutdown
 	Policy     Policy
 	Services   Services
+	Admission  Admission
 }
 
 // Callers configures the listener for callers.
@@ -76,5 +77,6 @@
 			SilenceLimit: loader.Duration(time.Second),
 			PollInterval: loader.Duration(500 * time.Millisecond),
 		},
+		Admission: Admission{MaxWait: loader.Duration(800 * time.Millisecond)},
 	}
 }
--- a/oleandercove/streamer/planning.go
+++ b/oleandercove/streamer/planning.go
@@ -21,7 +21,7 @@
 		if ctx.Err() != nil {
 			return t.ended(ctx)
 		}
-		if chain, ok := planner.Plan(t.snapshot()); ok {
+		if chain, ok := planner.Plan(t.snapshot(), t.options.Policy); ok {
 			t.chain = chain
 			t.options.Recorder.Record(recorder.Event{
 				Request: t.r.ID, Part: "planner", Decision: "Chain", Cause: names(chain),
@@ -59,13 +59,14 @@
 		return planner.Engine{}, false
 	}
 	t.starts[b.ID] = b.Engine.Start
+	t.options.Tracker.Report(b.ID, b.Engine.Load.Running, b.Seen)
 	return planner.Engine{
 		Stage:      engine.Stage{Backend: b.ID, Address: b.Address, From: b.Engine.From, To: b.Engine.To},
 		Iteration:  time.Duration(b.Engine.TokenTimeMicros) * time.Microsecond,
 		MaxBatch:   b.Engine.MaxBatch,
 		MaxStreams: b.Engine.MaxStreams,
-		InFlight:   t.options.Tracker.InFlight(b.ID),
-		Link:       linkTime(b.Engine.Links),
+		InFlight:   t.options.Tracker.Load(b.ID),
+		Link:       planner.LinkTime(b.Engine.Links),
 		Keep:       keep,
 	}, true
 }
@@ -79,14 +80,6 @@
 	return false
 }
 
-func linkTime(links []engine.Link) time.Duration {
-	var longest time.Duration
-	for _, l := range links {
-		longest = max(longest, time.Duration(l.LatencyMicros)*time.Microsecond)
-	}
-	return longest
-}
-
 func names(chain []engine.Stage) string {
 	ids := make([]string, len(chain))
 	for i, s := range chain {
--- a/oleandercove/streamer/streamer.go
+++ b/oleandercove/streamer/streamer.go
@@ -27,6 +27,7 @@
 	"oleandercove.example/core/verdict"
 	"oleandercove.example/oleandercove/classifier"
 	"oleandercove.example/oleandercove/dispatcher"
+	"oleandercove.example/oleandercove/planner"
 	"oleandercove.example/oleandercove/quarantiner"
 	"oleandercove.example/oleandercove/recorder"
 	"oleandercove.example/oleandercove/request"
@@ -48,6 +49,8 @@
 	Backends   watcher.Backends
 	Tracker    *tracker.Tracker
 	Dispatcher dispatcher.Dispatcher
+	// Policy compares chains; nil is the default.
+	Policy planner.Policy
 	// Quarantine isolates requests that may crash backend servers.
 	Quarantine *quarantiner.Quarantiner
 	Recorder   recorder.Recorder
@@ -66,7 +69,12 @@
 }
 
 // New returns a Streamer.
-func New(o Options) *Streamer { return &Streamer{options: o} }
+func New(o Options) *Streamer {
+	if o.Policy == nil {
+		o.Policy = planner.NewPolicy(planner.LeastDelay)
+	}
+	return &Streamer{options: o}
+}
 
 // run is the state of one stream at its owner.
 type run struct {
@@ -183,6 +191,9 @@
 	}
 	switch e.Kind {
 	case engine.EventToken:
+		if e.Load != nil {
+			t.options.Tracker.Report(t.chain[0].Backend, e.Load.Running, t.options.Timer.Now())
+		}
 		return false, t.emit(e)
 	case engine.EventEnd:
 		t.r.Completion.Finish, t.r.Completion.Tokens = e.Finish, len(t.emitted)
