connector: add links between daemons over TLS and yamux

Cause: daemons had no way to talk to each other.

Ruled out: one yamux stream for everything, because a large reply would delay heartbeats; the keepalive of yamux, because it does not replace a silent connection by a new one before the peer is suspected.

Change: module wire holds the schema and the generated types; package connector keeps links with mutual certificates, a version range in the greeting, heartbeats after 300 ms without other traffic, bounded queues, and requests on streams of their own. A link that is silent for 650 ms gets a new connection. The accepting side greets only a dialler whose certificate names its host; otherwise a rejected dialler took the link for open and dialled again without backoff.

Conclusion: other packages register handlers by message type.

--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,7 @@
-MODULES := core oleandercove oleanderctl oleanderfake prover
+MODULES := core oleandercove oleanderctl oleanderfake prover wire
 GO_FILES := $(shell git ls-files --cached --others --exclude-standard '*.go' | grep -v '\.pb\.go$$')
 
-.PHONY: build tools generate format lint test unit demo clean
+.PHONY: build tools generate format lint test unit demo capacity clean
 
 build:
 	mkdir -p bin
@@ -13,6 +13,11 @@
 	mkdir -p bin
 	cd tools/linters && GOWORK=off go build -o ../../bin/ tool
 
+generate:
+	mkdir -p bin
+	cd tools/generators && GOWORK=off go build -o ../../bin/ tool
+	cd wire && ../bin/buf generate
+
 format: tools
 	bin/gofumpt -w $(GO_FILES)
 
@@ -29,5 +34,8 @@
 demo: build
 	go run ./prover/demo
 
+capacity:
+	go run ./prover/capacity
+
 clean:
 	rm -rf bin out
--- /dev/null
+++ b/oleandercove/connector/codec.go
@@ -0,0 +1,115 @@
+package connector
+
+import (
+	"bufio"
+	"encoding/binary"
+	"fmt"
+	"io"
+	"net"
+	"sync/atomic"
+
+	"google.golang.org/protobuf/proto"
+)
+
+const (
+	// maxMessageBytes bounds one message: a catalogue value may have 1 MB, and
+	// a reply holds several.
+	maxMessageBytes = 4 << 20
+	// readerBytes is the read buffer of a control stream.
+	readerBytes = 2 << 10
+	// yamuxHeaderBytes is the size of a yamux frame header.
+	yamuxHeaderBytes = 12
+)
+
+func newReader(r io.Reader) *bufio.Reader { return bufio.NewReaderSize(r, readerBytes) }
+
+// encode returns a message with its length in front.
+func encode(m proto.Message) ([]byte, error) {
+	size := proto.Size(m)
+	if size > maxMessageBytes {
+		return nil, fmt.Errorf("message has %d bytes, limit is %d", size, maxMessageBytes)
+	}
+	out := binary.AppendUvarint(make([]byte, 0, size+binary.MaxVarintLen32), uint64(size))
+	return proto.MarshalOptions{UseCachedSize: true}.MarshalAppend(out, m)
+}
+
+func writeMessage(w io.Writer, m proto.Message) error {
+	b, err := encode(m)
+	if err != nil {
+		return err
+	}
+	_, err = w.Write(b)
+	return err
+}
+
+// readMessage reads one message and refuses a length over the limit.
+func readMessage(r *bufio.Reader) ([]byte, error) {
+	size, err := binary.ReadUvarint(r)
+	if err != nil {
+		return nil, err
+	}
+	if size > maxMessageBytes {
+		return nil, fmt.Errorf("message has %d bytes, limit is %d", size, maxMessageBytes)
+	}
+	body := make([]byte, size)
+	_, err = io.ReadFull(r, body)
+	return body, err
+}
+
+// joiner writes the header and the body of a yamux frame as one TLS record,
+// which saves 22 bytes and a system call for each heartbeat.
+type joiner struct {
+	net.Conn
+	header []byte
+}
+
+// Write holds back the header of a data frame until its body follows. Yamux
+// writes from one goroutine only.
+func (j *joiner) Write(b []byte) (int, error) {
+	if j.header == nil && len(b) == yamuxHeaderBytes && b[1] == 0 && binary.BigEndian.Uint32(b[8:]) > 0 {
+		j.header = append([]byte(nil), b...)
+		return len(b), nil
+	}
+	if j.header == nil {
+		return j.Conn.Write(b)
+	}
+	_, err := j.Conn.Write(append(j.header, b...))
+	j.header = nil
+	return len(b), err
+}
+
+// Traffic counts bytes below TLS and messages above it.
+type Traffic struct {
+	BytesSent, BytesReceived       uint64
+	MessagesSent, MessagesReceived uint64
+	Dials                          uint64
+}
+
+type counters struct{ out, in, sent, received, dials atomic.Uint64 }
+
+func (c *counters) snapshot() Traffic {
+	return Traffic{
+		BytesSent: c.out.Load(), BytesReceived: c.in.Load(),
+		MessagesSent: c.sent.Load(), MessagesReceived: c.received.Load(), Dials: c.dials.Load(),
+	}
+}
+
+// meter counts the bytes of a TCP connection.
+type meter struct {
+	net.Conn
+	counters *counters
+}
+
+// Read counts what it read.
+func (m *meter) Read(b []byte) (int, error) {
+	n, err := m.Conn.Read(b)
+	m.counters.in.Add(uint64(n))
+	return n, err
+}
+
+// Write counts what it wrote.
+func (m *meter) Write(b []byte) (int, error) {
+	n, err := m.Conn.Write(b)
+	m.counters.out.Add(uint64(n))
+	return n, err
+}
--- /dev/null
+++ b/oleandercove/connector/connector.go
@@ -0,0 +1,235 @@
+// Package connector keeps links between daemons open and carries messages and
+// requests over them.
+//
+// A link is a TLS 1.3 connection with mutual certificates that is multiplexed
+// by yamux: one long-lived stream carries messages and heartbeats, and each
+// request has a stream of its own, so that a large reply delays no heartbeat.
+// A link that goes silent is replaced by a new connection.
+//
+// Usage:
+//
+//	c, err := connector.New(connector.Options{Host: "entry-1", Listen: a, TLS: t, Timer: s, Log: l})
+//	connector.Subscribe(c, peer.TypeMembers, func(from unit.HostID, m *peer.Items) {})
+//	go c.Run(ctx)
+//	c.Want([]connector.Peer{{Host: "entry-2", Address: b}})
+package connector
+
+import (
+	"context"
+	"errors"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/charmbracelet/log"
+	"github.com/gravitational/trace"
+	"google.golang.org/protobuf/proto"
+
+	"oleandercove.example/core/timer"
+	"oleandercove.example/core/unit"
+)
+
+const (
+	// HeartbeatInterval is the longest pause between two writes on a link. At
+	// about 40 bytes a heartbeat, seven links cost 1 KB/s in each direction.
+	HeartbeatInterval = 300 * time.Millisecond
+	// silenceLimit is the silence after which a new connection is opened: two
+	// lost heartbeats. Detection stays below 1 s with the tick added.
+	silenceLimit = 650 * time.Millisecond
+	// tickInterval is the time between two checks of all links.
+	tickInterval = 100 * time.Millisecond
+	// pauseLimit is the gap between two ticks that shows that this process was
+	// paused, so that the silence of its peers means nothing.
+	pauseLimit = 500 * time.Millisecond
+	// staleLimit closes a replaced or dead connection.
+	staleLimit = 2 * time.Second
+	// unwantedLimit keeps a link open that this daemon dialled and no longer
+	// wants, so that a joining daemon can read the tables of its first contact.
+	unwantedLimit = 5 * time.Second
+)
+
+var (
+	// ErrNoLink means that there is no connection to the peer.
+	ErrNoLink = errors.New("no link to peer")
+	// ErrQueueFull means that the peer does not take messages fast enough.
+	ErrQueueFull = errors.New("send queue to peer is full")
+	// ErrMalformed means that a message breaks the protocol.
+	ErrMalformed = errors.New("malformed message")
+)
+
+// Peer is a daemon and the address of its peer listener.
+type Peer struct {
+	Host    unit.HostID
+	Address string
+}
+
+// Link is a snapshot of the link to one peer.
+type Link struct {
+	Host unit.HostID
+	// Heard is the time of the last message; for a wanted peer that never
+	// answered it is the time since when the link is wanted.
+	Heard     time.Time
+	Connected bool
+	// Failures counts the failed dials since the last connection.
+	Failures int
+}
+
+// Handler serves one type of messages. Replies to messages that are not
+// requests are dropped. It runs on the reading goroutine of a link, except for
+// requests.
+type Handler func(ctx context.Context, from unit.HostID, body []byte) (proto.Message, error)
+
+// Connector carries messages between daemons.
+type Connector interface {
+	// Handle registers the handler of a message type; call it before Run.
+	Handle(kind uint32, h Handler)
+	// OnLink registers fn, called after a peer's first connection is up.
+	OnLink(fn func(host unit.HostID))
+	// Publish queues a message; a full queue drops it with an error.
+	Publish(to unit.HostID, kind uint32, m proto.Message) error
+	// Request sends a message and waits for the reply.
+	Request(ctx context.Context, to unit.HostID, kind uint32, m, reply proto.Message) error
+	// Want replaces the set of peers to keep links with.
+	Want(peers []Peer)
+	// Join opens a link to an address whose daemon is not known yet.
+	Join(ctx context.Context, address string) (unit.HostID, error)
+	// Probe opens a connection, completes the handshake and closes it.
+	Probe(ctx context.Context, address string) (unit.HostID, error)
+	// Links returns a snapshot of all links.
+	Links() []Link
+	// Traffic returns what all connections carried so far.
+	Traffic() Traffic
+}
+
+// Options configures a Default connector.
+type Options struct {
+	Host unit.HostID
+	// Listener accepts the peers.
+	Listener net.Listener
+	TLS      *Credentials
+	Timer    timer.Service
+	Log      *log.Logger
+	// MinVersion and MaxVersion override the protocol versions, for tests.
+	MinVersion, MaxVersion uint32
+	// Dial overrides the TCP dialer, for tests.
+	Dial func(ctx context.Context, address string) (net.Conn, error)
+}
+
+// Default is the Connector over TLS and yamux.
+type Default struct {
+	options  Options
+	traffic  counters
+	handlers map[uint32]Handler
+	onLink   []func(unit.HostID)
+
+	mu     sync.Mutex
+	ctx    context.Context
+	peers  map[unit.HostID]*link
+	ticked time.Time
+	wg     sync.WaitGroup
+}
+
+// New returns a connector; Run starts it.
+func New(o Options) *Default {
+	if o.MaxVersion == 0 {
+		o.MinVersion, o.MaxVersion = minVersion, maxVersion
+	}
+	if o.Dial == nil {
+		o.Dial = func(ctx context.Context, address string) (net.Conn, error) {
+			return (&net.Dialer{}).DialContext(ctx, "tcp", address)
+		}
+	}
+	return &Default{
+		options: o, handlers: map[uint32]Handler{}, peers: map[unit.HostID]*link{}, ctx: context.Background(),
+	}
+}
+
+// Handle registers the handler of a message type.
+func (c *Default) Handle(kind uint32, h Handler) { c.handlers[kind] = h }
+
+// OnLink registers a function that is called after a first connection.
+func (c *Default) OnLink(fn func(host unit.HostID)) { c.onLink = append(c.onLink, fn) }
+
+// Subscribe registers a typed function for messages without a reply.
+func Subscribe[T any, P interface {
+	*T
+	proto.Message
+}](c Connector, kind uint32, fn func(from unit.HostID, m P),
+) {
+	Serve(c, kind, func(_ context.Context, from unit.HostID, m P) (proto.Message, error) {
+		fn(from, m)
+		return nil, nil
+	})
+}
+
+// Serve registers a typed function that answers requests.
+func Serve[T any, P interface {
+	*T
+	proto.Message
+}](c Connector, kind uint32, fn func(ctx context.Context, from unit.HostID, m P) (proto.Message, error),
+) {
+	c.Handle(kind, func(ctx context.Context, from unit.HostID, body []byte) (proto.Message, error) {
+		m := P(new(T))
+		if err := proto.Unmarshal(body, m); err != nil {
+			return nil, trace.Wrap(err)
+		}
+		return fn(ctx, from, m)
+	})
+}
+
+// Run accepts and opens links until ctx is done.
+func (c *Default) Run(ctx context.Context) {
+	ctx, cancel := context.WithCancel(ctx)
+	c.mu.Lock()
+	c.ctx = ctx
+	c.mu.Unlock()
+	c.wg.Add(1)
+	go c.accept(ctx)
+	for ctx.Err() == nil {
+		c.tick(c.options.Timer.Now())
+		_ = c.options.Timer.Sleep(ctx, tickInterval)
+	}
+	cancel()
+	c.options.Listener.Close()
+	c.closeAll()
+	c.wg.Wait()
+}
+
+func (c *Default) accept(ctx context.Context) {
+	defer c.wg.Done()
+	for ctx.Err() == nil {
+		raw, err := c.options.Listener.Accept()
+		if err != nil {
+			_ = c.options.Timer.Sleep(ctx, tickInterval)
+			continue
+		}
+		c.wg.Add(1)
+		go func() {
+			defer c.wg.Done()
+			n, err := c.greet(ctx, raw, false, false)
+			if err != nil {
+				c.options.Log.Debug("rejected an incoming link", "err", err)
+				return
+			}
+			if n.probe {
+				<-n.session.CloseChan()
+				return
+			}
+			c.adopt(n)
+		}()
+	}
+}
+
+// Links returns a snapshot of all links.
+func (c *Default) Links() []Link {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	out := make([]Link, 0, len(c.peers))
+	for h, l := range c.peers {
+		out = append(out, Link{Host: h, Heard: l.heard, Connected: len(l.conns) > 0, Failures: l.failures})
+	}
+	return out
+}
+
+// Traffic returns what all connections carried so far.
+func (c *Default) Traffic() Traffic { return c.traffic.snapshot() }
--- /dev/null
+++ b/oleandercove/connector/connector_test.go
@@ -0,0 +1,253 @@
+package connector
+
+import (
+	"context"
+	"crypto/ecdsa"
+	"crypto/elliptic"
+	"crypto/rand"
+	"crypto/tls"
+	"crypto/x509"
+	"errors"
+	"math/big"
+	"net"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"go.uber.org/goleak"
+	"google.golang.org/protobuf/proto"
+
+	"oleandercove.example/core/logger"
+	"oleandercove.example/core/timer"
+	"oleandercove.example/core/unit"
+	"oleandercove.example/wire/peer"
+)
+
+const testLimit = 20 * time.Second
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+// authority issues certificates for the daemons of one test.
+type authority struct {
+	cert *x509.Certificate
+	key  *ecdsa.PrivateKey
+}
+
+func (a *authority) issue(t *testing.T, host string) *Credentials {
+	t.Helper()
+	is := is.New(t)
+	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
+	is.NoErr(err)
+	c := &x509.Certificate{
+		SerialNumber: big.NewInt(time.Now().UnixNano()), NotBefore: time.Now().Add(-time.Hour),
+		NotAfter: time.Now().Add(time.Hour), DNSNames: []string{host}, IsCA: a.key == nil,
+		BasicConstraintsValid: true, KeyUsage: x509.KeyUsageDigitalSignature | x509.KeyUsageCertSign,
+	}
+	if a.key == nil {
+		a.cert, a.key = c, key
+	}
+	der, err := x509.CreateCertificate(rand.Reader, c, a.cert, &key.PublicKey, a.key)
+	is.NoErr(err)
+	if a.cert == c {
+		a.cert, err = x509.ParseCertificate(der)
+		is.NoErr(err)
+	}
+	pool := x509.NewCertPool()
+	pool.AddCert(a.cert)
+	return NewCredentials(tls.Certificate{Certificate: [][]byte{der}, PrivateKey: key}, pool)
+}
+
+func newAuthority(t *testing.T) *authority {
+	a := &authority{}
+	a.issue(t, "authority")
+	return a
+}
+
+// node starts a connector; edit changes its options.
+func node(t *testing.T, a *authority, host string, edit func(*Options)) (*Default, Peer) {
+	t.Helper()
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	is.New(t).NoErr(err)
+	o := Options{
+		Host: unit.HostID(host), Listener: ln, TLS: a.issue(t, host), Timer: timer.NewReal(), Log: logger.Discard(),
+	}
+	if edit != nil {
+		edit(&o)
+	}
+	c := New(o)
+	Serve(c, peer.TypeProbe, func(_ context.Context, _ unit.HostID, q *peer.ProbeRequest) (proto.Message, error) {
+		if q.Host == "" {
+			return nil, errors.New("no host")
+		}
+		return &peer.ProbeReply{Reached: true}, nil
+	})
+	ctx, cancel := context.WithCancel(t.Context())
+	done := make(chan struct{})
+	go func() { c.Run(ctx); close(done) }()
+	t.Cleanup(func() { cancel(); <-done })
+	return c, Peer{Host: o.Host, Address: ln.Addr().String()}
+}
+
+func wait(t *testing.T, what string, condition func() bool) {
+	t.Helper()
+	for end := time.Now().Add(testLimit); time.Now().Before(end); {
+		if condition() {
+			return
+		}
+		<-time.After(5 * time.Millisecond)
+	}
+	t.Fatalf("no %s", what)
+}
+
+func connected(c *Default, h unit.HostID) func() bool { return func() bool { return c.conn(h) != nil } }
+
+func TestVersions(t *testing.T) {
+	for _, c := range []struct {
+		failure                string
+		min1, max1, min2, max2 uint32
+		want                   uint32
+	}{
+		{"same release can't connect", 1, 1, 1, 1, 1},
+		{"next release can't talk to the present one", 1, 1, 1, 2, 1},
+		{"present release can't talk to the next one", 2, 3, 1, 2, 2},
+		{"both pick a lower version than both know", 1, 3, 2, 3, 3},
+		{"a release that is two versions older is accepted", 3, 4, 1, 2, 0},
+	} {
+		t.Run(c.failure, func(t *testing.T) {
+			is := is.New(t)
+			a := newAuthority(t)
+			x, _ := node(t, a, "x", func(o *Options) { o.MinVersion, o.MaxVersion = c.min1, c.max1 })
+			_, p := node(t, a, "y", func(o *Options) { o.MinVersion, o.MaxVersion = c.min2, c.max2 })
+			_, err := x.Join(t.Context(), p.Address)
+			if c.want == 0 {
+				is.True(errors.Is(err, ErrVersion))
+				return
+			}
+			is.NoErr(err)
+			is.Equal(x.conn("y").version, c.want)
+		})
+	}
+}
+
+func TestRequests(t *testing.T) {
+	a := newAuthority(t)
+	x, _ := node(t, a, "x", nil)
+	_, p := node(t, a, "y", nil)
+	_, err := x.Join(t.Context(), p.Address)
+	is.New(t).NoErr(err)
+	for _, c := range []struct {
+		failure string
+		to      unit.HostID
+		kind    uint32
+		host    string
+		fault   bool
+	}{
+		{"reply is lost", "y", peer.TypeProbe, "z", false},
+		{"fault of the handler is taken for success", "y", peer.TypeProbe, "", true},
+		{"unknown type blocks the requester", "y", 999, "z", true},
+		{"request without a link blocks", "nobody", peer.TypeProbe, "z", true},
+	} {
+		t.Run(c.failure, func(t *testing.T) {
+			is := is.New(t)
+			var r peer.ProbeReply
+			err := x.Request(t.Context(), c.to, c.kind, &peer.ProbeRequest{Host: c.host}, &r)
+			is.Equal(err != nil, c.fault)
+			is.Equal(r.Reached, !c.fault)
+		})
+	}
+}
+
+// TestIdentity guards against a daemon that poses as another one.
+func TestIdentity(t *testing.T) {
+	a, foreign := newAuthority(t), newAuthority(t)
+	_, p := node(t, a, "y", nil)
+	for _, c := range []struct {
+		failure string
+		tls     *Credentials
+	}{
+		{"name that the certificate lacks is accepted", a.issue(t, "other")},
+		{"certificate of a foreign authority is accepted", foreign.issue(t, "x")},
+	} {
+		t.Run(c.failure, func(t *testing.T) {
+			x, _ := node(t, a, "x", func(o *Options) { o.TLS = c.tls })
+			// With TLS 1.3 the dialler may see the rejection only as the end of
+			// the connection during the greeting.
+			_, err := x.Join(t.Context(), p.Address)
+			is.New(t).True(err != nil)
+		})
+	}
+}
+
+// valve is a connection that goes silent without closing.
+type valve struct {
+	net.Conn
+	shut *atomic.Bool
+	once sync.Once
+	end  chan struct{}
+}
+
+func (v *valve) Write(b []byte) (int, error) {
+	if v.shut.Load() {
+		return len(b), nil
+	}
+	return v.Conn.Write(b)
+}
+
+func (v *valve) Read(b []byte) (int, error) {
+	n, err := v.Conn.Read(b)
+	if v.shut.Load() {
+		<-v.end
+		return 0, net.ErrClosed
+	}
+	return n, err
+}
+
+func (v *valve) Close() error {
+	v.once.Do(func() { close(v.end) })
+	return v.Conn.Close()
+}
+
+// TestSilentLink guards against a half-open link that is kept for longer than
+// 1 s, as measured on the clock of the connector.
+func TestSilentLink(t *testing.T) {
+	is := is.New(t)
+	a := newAuthority(t)
+	shut := &atomic.Bool{}
+	first := true
+	x, _ := node(t, a, "x", func(o *Options) {
+		o.Dial = func(ctx context.Context, address string) (net.Conn, error) {
+			raw, err := (&net.Dialer{}).DialContext(ctx, "tcp", address)
+			if err == nil && first {
+				first = false
+				return &valve{Conn: raw, shut: shut, end: make(chan struct{})}, nil
+			}
+			return raw, err
+		}
+	})
+	_, p := node(t, a, "y", nil)
+	x.Want([]Peer{p})
+	wait(t, "first link", connected(x, "y"))
+	old := x.conn("y")
+	shut.Store(true)
+	start := time.Now()
+	wait(t, "new connection", func() bool { return x.conn("y") != nil && x.conn("y") != old })
+	t.Logf("replaced a silent link after %s", time.Since(start))
+	l := x.Links()[0]
+	is.True(x.conn("y").opened.Sub(start) < time.Second)
+	is.True(l.Connected)
+	wait(t, "end of the old connection", func() bool { return old.session.IsClosed() })
+}
+
+// TestQueue guards against unbounded memory for a peer that takes nothing.
+func TestQueue(t *testing.T) {
+	is := is.New(t)
+	n := &conn{queue: make(chan []byte, queueLength)}
+	var err error
+	for range queueLength + 1 {
+		err = n.send([]byte{0})
+	}
+	is.True(errors.Is(err, ErrQueueFull))
+	is.True(errors.Is((&conn{queue: make(chan []byte, 1)}).send(make([]byte, queueBytes+1)), ErrQueueFull))
+}
--- /dev/null
+++ b/oleandercove/settings/peers.go
@@ -0,0 +1,14 @@
+package settings
+
+// Peers configures the links to other daemons. Without Listen the daemon runs
+// alone. Certificate, Key and Authority name PEM files; the certificate names
+// the host.
+type Peers struct {
+	Listen      string
+	Certificate string
+	Key         string
+	Authority   string
+	// Join lists addresses of peers that a starting daemon contacts in
+	// addition to the platform's host list, which may be unavailable.
+	Join []string
+}
--- a/oleandercove/settings/settings.go
+++ b/oleandercove/settings/settings.go
@@ -22,6 +22,7 @@
 	Platform   Platform
 	Log        Log
 	Shutdown   Shutdown
+	Peers      Peers
 	Policy     Policy
 	Services   Services
 }
