spreader, watcher: share the catalogue and the watching of backends

Cause: every daemon watched the platform, read the host list twice a second and polled every backend server; the platform's call limit does not allow that for a large fleet.

Ruled out: one shared report for each backend server, because two pollers that disagree would overwrite each other without end; each poller has its own report and readers combine them.

Change: two daemons of a data centre watch the platform and read the host list, two poll each backend server; the others get changes from peers. A daemon without peers does everything itself, as before. Package linker assembles the control parts of a daemon.

Conclusion: merging by the highest version remains the only way to install an entry.

A daemon that starts together with a whole fleet polls only once its membership is stable, the selection is kept for one membership, and reports that a daemon no longer makes are withdrawn.

The signs of leaving, the separate loop for the host list and the readiness of the watcher work on the combined view. A sign now concerns one run of an engine, so that a restart withdraws it.

--- a/oleandercove/daemon/daemon.go
+++ b/oleandercove/daemon/daemon.go
@@ -23,6 +23,7 @@
 	"oleandercove.example/oleandercove/claimer"
 	"oleandercove.example/oleandercove/dispatcher"
 	"oleandercove.example/oleandercove/drainer"
+	"oleandercove.example/oleandercove/linker"
 	"oleandercove.example/oleandercove/meter"
 	"oleandercove.example/oleandercove/quarantiner"
 	"oleandercove.example/oleandercove/recorder"
@@ -62,6 +63,9 @@
 	models   *streamer.Streamer
 	platform platform.Client
 	claimer  *claimer.Claimer
+	parts    *linker.Parts
+	// fault is why the daemon could not be built.
+	fault error
 }
 
 // New builds a daemon from its settings.
@@ -73,11 +77,15 @@
 	d := &Daemon{settings: s, log: l, drainer: newDrainer(s.Shutdown, t, l), meter: m, timer: t, platform: p}
 	d.spreader = spreader.New(spreader.Options{Platform: p, Timer: t, Log: l.WithPrefix("spreader")})
 	d.watcher = watcher.New(watcher.Options{Platform: p, Timer: t, Log: l.WithPrefix("watcher"), Interval: s.Policy.PollInterval.Std()})
+	p := m.Platform(platform.NewClient(platform.Options{Address: s.Platform.Address}))
+	d := &Daemon{settings: s, log: l, drainer: newDrainer(s.Shutdown, t, l), meter: m, timer: t}
 	d.recorder = recorder.New(recorder.Options{Host: s.Host, Capacity: journalCapacity, Timer: t})
 	d.tracker = tracker.New()
-	d.operator = d.newOperators(p, t)
-	d.operator.metrics = d.Metrics()
-	d.server = d.newServer(t)
+	if d.buildParts(p, t); d.fault == nil {
+		d.operator = d.newOperators(p, t)
+		d.operator.metrics = d.Metrics()
+		d.server = d.newServer(t)
+	}
 	return d
 }
 
@@ -103,6 +111,9 @@
 
 // Run serves until ctx is done, then shuts down gracefully.
 func (d *Daemon) Run(ctx context.Context) error {
+	if d.fault != nil {
+		return d.fault
+	}
 	ln, err := net.Listen("tcp", d.settings.Callers.Listen)
 	if err != nil {
 		return trace.Wrap(err, "listen for callers on %s", d.settings.Callers.Listen)
@@ -111,8 +122,7 @@
 	ctx, stop := d.operator.stoppable(ctx)
 	defer stop()
 	var wg conc.WaitGroup
-	wg.Go(func() { d.spreader.Run(background) })
-	wg.Go(func() { d.watcher.Run(background) })
+	wg.Go(func() { d.parts.Run(background) })
 	defer wg.Wait()
 	defer cancel()
 	if err := d.operator.serve(background, &wg); err != nil {
@@ -129,5 +139,7 @@
 		return trace.Wrap(err)
 	case <-ctx.Done():
 	}
+	d.announceDrain()
+	defer d.leave()
 	return trace.Wrap(d.shutdown(background, srv))
 }
--- a/oleandercove/spreader/spreader.go
+++ b/oleandercove/spreader/spreader.go
@@ -1,5 +1,9 @@
 // Package spreader keeps the daemon's copy of the catalogue current.
 //
+// Two daemons of each data centre watch the platform and push changed entries
+// to their peers; the others get the catalogue from peers only. A daemon
+// without peers watches the platform itself.
+//
 // Entries are merged by their highest version, so that an older version is
 // never installed, whatever a lagging platform or peer answers.
 //
@@ -11,12 +15,10 @@
 package spreader
 
 import (
-	"context"
 	"crypto/sha256"
 	"encoding/hex"
 	"sort"
 	"sync"
-	"time"
 
 	"github.com/charmbracelet/log"
 
@@ -24,13 +26,10 @@
 	"oleandercove.example/core/platform"
 	"oleandercove.example/core/timer"
 	"oleandercove.example/core/unit"
-)
-
-const (
-	// watchWait is how long a watch waits on the platform.
-	watchWait = 10 * time.Second
-	// retryDelay is the pause after a failed call.
-	retryDelay = 500 * time.Millisecond
+	"oleandercove.example/oleandercove/connector"
+	"oleandercove.example/oleandercove/gossiper"
+	"oleandercove.example/oleandercove/replicator"
+	"oleandercove.example/wire/peer"
 )
 
 // Catalogue answers questions about entries.
@@ -50,11 +49,16 @@
 	Platform platform.Client
 	Timer    timer.Service
 	Log      *log.Logger
+	// Members selects the daemons that watch; nil means this one alone.
+	Members gossiper.Members
+	// Connector carries entries to and from peers; nil means none.
+	Connector connector.Connector
 }
 
 // Spreader is the default Catalogue.
 type Spreader struct {
 	options Options
+	table   *replicator.Table
 
 	mu      sync.RWMutex
 	entries map[catalogue.Key]*catalogue.Entry
@@ -64,11 +68,18 @@
 
 // New returns an empty Spreader.
 func New(o Options) *Spreader {
-	return &Spreader{
+	if o.Members == nil {
+		o.Members = gossiper.Alone{}
+	}
+	s := &Spreader{
 		options: o,
 		entries: map[catalogue.Key]*catalogue.Entry{},
 		tokens:  map[string]catalogue.Key{},
 	}
+	s.table = replicator.New(replicator.Options{
+		Connector: o.Connector, Kind: peer.TypeCatalogue, Timer: o.Timer, Changed: s.received,
+	})
+	return s
 }
 
 // Get returns the entry, unless it is unknown or deleted.
@@ -115,9 +126,15 @@
 	return s.ready
 }
 
-// Merge installs entries that are newer than the installed ones and returns
-// how many it installed.
+// Merge installs entries that are newer than the installed ones, pushes them
+// to peers and returns how many it installed.
 func (s *Spreader) Merge(entries []*catalogue.Entry) int {
+	n := s.merge(entries)
+	s.push(entries)
+	return n
+}
+
+func (s *Spreader) merge(entries []*catalogue.Entry) int {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	n := 0
@@ -142,40 +159,3 @@
 		s.tokens[e.Account.TokenHash] = e.Key()
 	}
 }
-
-// Run watches the platform until ctx is done.
-func (s *Spreader) Run(ctx context.Context) {
-	var after unit.Revision
-	for ctx.Err() == nil {
-		l, err := s.read(ctx, after)
-		if err != nil {
-			s.options.Log.Warn("platform did not answer", "err", err)
-			_ = s.options.Timer.Sleep(ctx, retryDelay)
-			continue
-		}
-		if n := s.Merge(s.decode(l.Objects)); n > 0 {
-			s.options.Log.Info("installed catalogue entries", "entries", n, "revision", l.Revision)
-		}
-		after = max(after, l.Revision)
-	}
-}
-
-func (s *Spreader) read(ctx context.Context, after unit.Revision) (platform.List, error) {
-	if after == 0 {
-		return s.options.Platform.List(ctx, platform.KindEntry)
-	}
-	return s.options.Platform.Watch(ctx, platform.KindEntry, after, watchWait)
-}
-
-func (s *Spreader) decode(objects []platform.Object) []*catalogue.Entry {
-	var out []*catalogue.Entry
-	for _, o := range objects {
-		e, err := catalogue.Decode(o.Value, o.Version)
-		if err != nil {
-			s.options.Log.Error("skipped a broken catalogue object", "name", o.Name, "err", err)
-			continue
-		}
-		out = append(out, e)
-	}
-	return out
-}
--- /dev/null
+++ b/oleandercove/spreader/spreader_test.go
@@ -0,0 +1,69 @@
+package spreader
+
+import (
+	"testing"
+
+	"github.com/matryer/is"
+
+	"oleandercove.example/core/catalogue"
+	"oleandercove.example/core/logger"
+	"oleandercove.example/core/timer"
+	"oleandercove.example/core/unit"
+	"oleandercove.example/oleandercove/gossiper"
+	"oleandercove.example/oleandercove/replicator"
+)
+
+func TestObserves(t *testing.T) {
+	for _, c := range []struct {
+		failure string
+		live    []gossiper.Member
+		want    int
+	}{
+		{"lone daemon gets no catalogue", []gossiper.Member{{Host: "a"}}, 1},
+		{"all daemons of a data centre watch", []gossiper.Member{{Host: "a"}, {Host: "b"}, {Host: "c"}}, 2},
+		{"second data centre is not covered", []gossiper.Member{{Host: "a"}, {Host: "b", DataCentre: "x"}}, 2},
+		{"only draining daemons watch", []gossiper.Member{{Host: "a", Draining: true}, {Host: "b"}}, 1},
+	} {
+		t.Run(c.failure, func(t *testing.T) {
+			n := 0
+			for _, m := range c.live {
+				if Observes(m, c.live) {
+					n++
+				}
+			}
+			is.New(t).Equal(n, c.want)
+		})
+	}
+}
+
+// TestReceived guards against entries of peers that bypass the merge by
+// version, and against one broken entry that blocks the others.
+func TestReceived(t *testing.T) {
+	item := func(version uint64, owner string) replicator.Item {
+		v, err := catalogue.Encode(&catalogue.Entry{Kind: catalogue.KindModel, Name: "report", Owner: owner})
+		is.New(t).NoErr(err)
+		return replicator.Item{Key: "Model.report", Version: version, Value: v}
+	}
+	broken := replicator.Item{Key: "Model.broken", Version: 1, Value: []byte("{")}
+	for _, c := range []struct {
+		failure string
+		items   []replicator.Item
+		want    string
+	}{
+		{"older version reverts a newer one", []replicator.Item{item(3, "new"), item(2, "old")}, "new"},
+		{"newer version is ignored", []replicator.Item{item(2, "old"), item(3, "new")}, "new"},
+		{"broken entry blocks the others", []replicator.Item{broken, item(3, "new")}, "new"},
+	} {
+		t.Run(c.failure, func(t *testing.T) {
+			is := is.New(t)
+			s := New(Options{Timer: timer.NewReal(), Log: logger.Discard()})
+			is.True(!s.Ready())
+			for _, i := range c.items {
+				s.received("peer", []replicator.Item{i})
+			}
+			e, ok := s.Get(catalogue.KindModel, unit.EntryName("report"))
+			is.True(ok)
+			is.Equal(e.Owner, c.want)
+		})
+	}
+}
--- a/oleandercove/watcher/leaving.go
+++ b/oleandercove/watcher/leaving.go
@@ -8,10 +8,10 @@
 	"oleandercove.example/core/unit"
 )
 
-// settleTime is how long row and status must both show no sign of leaving
-// before a backend server without a restart gets new work again. The host list
-// lags and can flip back to an older row.
-const settleTime = 5 * time.Second
+// signTime is how long row and status must both show no sign of leaving before
+// a backend server without a restart gets new work again. The host list lags
+// and can flip back to an older row.
+const signTime = 5 * time.Second
 
 // Signs takes signs that a backend server leaves from the parts that call it.
 type Signs interface {
@@ -19,29 +19,58 @@
 	Leaving(id unit.BackendID, cause string)
 }
 
-// Leaving hides the backend server from new work.
+// sign is the last sign that a backend server leaves.
+type sign struct {
+	at time.Time
+	// start names the run of the engine that the sign concerned.
+	start string
+}
+
+// Leaving hides the backend server from new work of this daemon. The daemons
+// that poll it see the sign in its status and tell the others.
 func (w *Watcher) Leaving(id unit.BackendID, cause string) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	b, ok := w.backends[id]
-	if !ok {
+	if _, ok := w.reports[id]; !ok {
 		return
 	}
-	if !b.Draining {
+	if _, ok := w.signs[id]; !ok {
 		w.options.Log.Info("backend server leaves", "backend", id, "cause", cause)
 	}
-	b.settle(w.options.Timer.Now(), true)
-	w.backends[id] = b
+	w.signs[id], w.cached = sign{at: w.options.Timer.Now(), start: w.start(id)}, nil
+}
+
+// start returns the run of an engine in the last snapshot.
+func (w *Watcher) start(id unit.BackendID) string {
+	for _, b := range w.cached {
+		if b.ID == id && b.Engine != nil {
+			return b.Engine.Start
+		}
+	}
+	return ""
 }
 
-// settle applies a sign at once and withdraws it only after settleTime.
-func (b *Backend) settle(now time.Time, sign bool) {
-	switch {
-	case sign:
-		b.Draining, b.signed = true, now
-	case b.Draining && now.Sub(b.signed) >= settleTime:
-		b.Draining = false
+// settleSign applies a sign at once and withdraws it after signTime without
+// one, or after a restart.
+func (w *Watcher) settleSign(b Backend) bool {
+	now, start := w.options.Timer.Now(), ""
+	if b.Engine != nil {
+		start = b.Engine.Start
+	}
+	if b.Draining {
+		w.signs[b.ID] = sign{at: now, start: start}
+		return true
+	}
+	s, ok := w.signs[b.ID]
+	if !ok {
+		return false
+	}
+	restarted := s.start != "" && start != "" && s.start != start
+	if restarted || now.Sub(s.at) >= signTime {
+		delete(w.signs, b.ID)
+		return false
 	}
+	return true
 }
 
 // serviceFault returns an error for a health check that shows a broken worker.
--- /dev/null
+++ b/oleandercove/watcher/selection.go
@@ -0,0 +1,65 @@
+package watcher
+
+import (
+	"slices"
+
+	"oleandercove.example/core/unit"
+	"oleandercove.example/oleandercove/chooser"
+	"oleandercove.example/oleandercove/gossiper"
+)
+
+// watchers is the number of daemons that poll a backend server, and that read
+// the host list for a data centre.
+const watchers = 2
+
+// selection remembers which daemons watch, for one membership. Hashing all
+// daemons of a data centre for each backend server at each snapshot would take
+// more than the CPU share that the control plane may use.
+type selection struct {
+	live    []gossiper.Member
+	hosts   map[unit.DataCentre][]unit.HostID
+	readers map[unit.DataCentre][]unit.HostID
+	pollers map[unit.BackendID][]unit.HostID
+}
+
+func newSelection(live []gossiper.Member) *selection {
+	return &selection{
+		live: live, hosts: map[unit.DataCentre][]unit.HostID{},
+		readers: map[unit.DataCentre][]unit.HostID{}, pollers: map[unit.BackendID][]unit.HostID{},
+	}
+}
+
+// of tells whether the selection is for this membership.
+func (s *selection) of(live []gossiper.Member) bool {
+	same := len(live) == len(s.live) && (len(live) == 0 || &live[0] == &s.live[0])
+	return same || slices.Equal(live, s.live)
+}
+
+func (s *selection) hostsOf(dc unit.DataCentre) []unit.HostID {
+	h, ok := s.hosts[dc]
+	if !ok {
+		h = gossiper.Hosts(s.live, dc)
+		s.hosts[dc] = h
+	}
+	return h
+}
+
+// polls tells whether a daemon polls a backend server of a data centre.
+func (s *selection) polls(host unit.HostID, id unit.BackendID, dc unit.DataCentre) bool {
+	p, ok := s.pollers[id]
+	if !ok {
+		p = chooser.Top("backend "+string(id), s.hostsOf(dc), watchers)
+		s.pollers[id] = p
+	}
+	return slices.Contains(p, host)
+}
+
+// reads tells whether a daemon reads the host list for a data centre.
+func (s *selection) reads(host unit.HostID, dc unit.DataCentre) bool {
+	r, ok := s.readers[dc]
+	if !ok {
+		r = chooser.Top("host list", s.hostsOf(dc), watchers)
+		s.readers[dc] = r
+	}
+	return slices.Contains(r, host)
+}
