prover: measure peers with processes and the cost of larger fleets

Cause: the limits for detection, propagation and overhead were not measured.

The launcher issues certificates with crypto/x509, and refreshes a daemon's row in the host list while its process lives.

--- /dev/null
+++ b/prover/capacity/measurer.go
@@ -0,0 +1,204 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"runtime"
+	"slices"
+	"syscall"
+	"time"
+
+	"oleandercove.example/core/unit"
+	"oleandercove.example/oleandercove/connector"
+	"oleandercove.example/oleanderfake/storer"
+	"oleandercove.example/prover/cluster"
+)
+
+const (
+	// centreSize is the number of daemons of a data centre at the design size:
+	// 610 daemons in 16 data centres.
+	centreSize = 38
+	minCentres = 3
+	// centresPerRegion is 16 data centres in 7 regions, rounded up.
+	centresPerRegion = 3
+	// backendsPerDaemon is 2,100 workers for 610 daemons, rounded up.
+	backendsPerDaemon = 4
+	// entries is 3,400 accounts and the models and services.
+	entries = 3420
+	// editInterval is 9,400 changes in a day.
+	editInterval = 24 * time.Hour / 9400
+	// timedEdits is the number of changes whose time is measured.
+	timedEdits = 20
+	// settleLimit bounds the start of a fleet.
+	settleLimit = 2 * time.Minute
+	// quietTime lets the messages of the start pass.
+	quietTime = 8 * time.Second
+	// editLimit bounds one change.
+	editLimit = 30 * time.Second
+)
+
+// Point holds the figures at one size, for each daemon unless noted.
+type Point struct {
+	Daemons int
+	// SentBytesPerSecond and ReceivedBytesPerSecond are of peer links.
+	SentBytesPerSecond, ReceivedBytesPerSecond float64
+	// MaxBytesPerSecond is of the daemon that carried most, in both directions.
+	MaxBytesPerSecond float64
+	// PolledBytesPerSecond is of status calls to backend servers.
+	PolledBytesPerSecond float64
+	MessagesPerSecond    float64
+	LinksMean            float64
+	CPUPercent           float64
+	MemoryMB             float64
+	// PlatformCallsPerSecond is of the whole fleet.
+	PlatformCallsPerSecond float64
+	// ChangeP50Ms and ChangeMaxMs are until a change is in force everywhere.
+	ChangeP50Ms, ChangeMaxMs float64
+}
+
+func measure(ctx context.Context, n int, window time.Duration) (Point, error) {
+	centres := max(minCentres, (n+centreSize/2)/centreSize)
+	p := Point{Daemons: n}
+	runtime.GC()
+	memory := memoryInUse()
+	c, err := cluster.Start(ctx, cluster.Options{
+		Daemons: n, Centres: centres, Regions: (centres + centresPerRegion - 1) / centresPerRegion,
+		Backends: n * backendsPerDaemon, Entries: entries,
+	})
+	if err != nil {
+		return p, err
+	}
+	defer c.Close()
+	if err := c.Settle(settleLimit); err != nil {
+		return p, err
+	}
+	time.Sleep(quietTime)
+	if err := p.window(ctx, c, window); err != nil {
+		return p, err
+	}
+	runtime.GC()
+	p.MemoryMB = (memoryInUse() - memory) / float64(n) / (1 << 20)
+	return p, p.edits(ctx, c)
+}
+
+// window measures the ordinary traffic with the design's rate of changes.
+func (p *Point) window(ctx context.Context, c *cluster.Cluster, window time.Duration) error {
+	before, cpu, polled := traffic(c), cpuTime(), c.PolledBytes.Load()
+	calls, err := c.Calls()
+	if err != nil {
+		return err
+	}
+	start := time.Now()
+	for i := 0; time.Since(start) < window; i++ {
+		if err := c.Edit(ctx, fmt.Sprintf("account-%d", i), 1); err != nil {
+			return err
+		}
+		time.Sleep(min(editInterval, window-time.Since(start)))
+	}
+	seconds := time.Since(start).Seconds()
+	after, n := traffic(c), float64(len(c.Daemons))
+	for i, a := range after {
+		b := before[i]
+		sent, received := float64(a.BytesSent-b.BytesSent)/seconds, float64(a.BytesReceived-b.BytesReceived)/seconds
+		p.SentBytesPerSecond += sent / n
+		p.ReceivedBytesPerSecond += received / n
+		p.MaxBytesPerSecond = max(p.MaxBytesPerSecond, sent+received)
+		p.MessagesPerSecond += float64(a.MessagesSent-b.MessagesSent+a.MessagesReceived-b.MessagesReceived) / seconds / n
+		p.LinksMean += float64(len(c.Daemons[i].Connector.Links())) / n
+	}
+	p.CPUPercent = (cpuTime() - cpu).Seconds() / seconds / n * 100
+	p.PolledBytesPerSecond = float64(c.PolledBytes.Load()-polled) / seconds / n
+	now, err := c.Calls()
+	p.PlatformCallsPerSecond = float64(total(now)-total(calls)) / seconds
+	return err
+}
+
+func total(c storer.Calls) uint64 { return c.Reads + c.Watches + c.Hosts }
+
+func (p *Point) edits(ctx context.Context, c *cluster.Cluster) error {
+	var took []float64
+	for i := range timedEdits {
+		name := fmt.Sprintf("account-%d", entries-1-i)
+		if err := c.Edit(ctx, name, 1); err != nil {
+			return err
+		}
+		accepted := time.Now()
+		if err := c.InForce(name, unit.Version(2), editLimit); err != nil {
+			return err
+		}
+		took = append(took, float64(time.Since(accepted).Microseconds())/1000)
+	}
+	slices.Sort(took)
+	p.ChangeP50Ms, p.ChangeMaxMs = took[len(took)/2], took[len(took)-1]
+	return nil
+}
+
+func traffic(c *cluster.Cluster) []connector.Traffic {
+	var out []connector.Traffic
+	for _, d := range c.Daemons {
+		out = append(out, d.Connector.Traffic())
+	}
+	return out
+}
+
+func cpuTime() time.Duration {
+	var u syscall.Rusage
+	_ = syscall.Getrusage(syscall.RUSAGE_SELF, &u)
+	return time.Duration(u.Utime.Nano() + u.Stime.Nano())
+}
+
+// memoryInUse returns the bytes of heap and stacks.
+func memoryInUse() float64 {
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	return float64(m.HeapInuse + m.StackInuse)
+}
+
+// values lists the figures with their names, for printing and fitting.
+func (p *Point) values() []value {
+	return []value{
+		{"sent B/s", &p.SentBytesPerSecond},
+		{"received B/s", &p.ReceivedBytesPerSecond},
+		{"most B/s", &p.MaxBytesPerSecond},
+		{"polled B/s", &p.PolledBytesPerSecond},
+		{"messages/s", &p.MessagesPerSecond},
+		{"links", &p.LinksMean},
+		{"CPU %", &p.CPUPercent},
+		{"memory MB", &p.MemoryMB},
+		{"platform calls/s (fleet)", &p.PlatformCallsPerSecond},
+		{"change p50 ms", &p.ChangeP50Ms},
+		{"change max ms", &p.ChangeMaxMs},
+	}
+}
+
+type value struct {
+	name   string
+	number *float64
+}
+
+func (p *Point) print(w io.Writer) {
+	fmt.Fprintf(w, "%d daemons:", p.Daemons)
+	for _, v := range p.values() {
+		fmt.Fprintf(w, "  %s %.2f", v.name, *v.number)
+	}
+	fmt.Fprintln(w)
+}
+
+// fit returns the value at size of the least-squares line of each figure.
+func fit(points []Point, size int) Point {
+	out := Point{Daemons: size}
+	if len(points) < 2 {
+		return out
+	}
+	for i, v := range out.values() {
+		var n, x, y, xx, xy float64
+		for _, p := range points {
+			a, b := float64(p.Daemons), *p.values()[i].number
+			n, x, y, xx, xy = n+1, x+a, y+b, xx+a*a, xy+a*b
+		}
+		slope := (n*xy - x*y) / (n*xx - x*x)
+		*v.number = (y-slope*x)/n + slope*float64(size)
+	}
+	return out
+}
--- a/prover/launcher/launcher.go
+++ b/prover/launcher/launcher.go
@@ -43,6 +43,9 @@
 	mu        sync.Mutex
 	processes []*Process
 	platform  *Process
+	authority *Authority
+	peers     []string
+	stops     []context.CancelFunc
 	closed    bool
 }
 
@@ -53,6 +56,9 @@
 func (l *Launcher) Close() {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	for _, stop := range l.stops {
+		stop()
+	}
 	for _, p := range l.processes {
 		p.Kill()
 	}
@@ -100,7 +106,12 @@
 
 // Wait polls until the condition holds.
 func Wait(limit time.Duration, what string, condition func() bool) error {
-	for end := time.Now().Add(limit); time.Now().Before(end); time.Sleep(20 * time.Millisecond) {
+	return WaitEvery(20*time.Millisecond, limit, what, condition)
+}
+
+// WaitEvery polls at the given interval until the condition holds.
+func WaitEvery(interval, limit time.Duration, what string, condition func() bool) error {
+	for end := time.Now().Add(limit); time.Now().Before(end); time.Sleep(interval) {
 		if condition() {
 			return nil
 		}
@@ -195,13 +206,18 @@
 		return nil, err
 	}
 	path := filepath.Join(l.Dir, id+".toml")
-	text := fmt.Sprintf(settingsFormat, id, dataCentre, a, operators, OperatorToken, l.platform.Address) + l.DaemonSettings
+	address, peers, err := l.peersSettings(id)
+	if err != nil {
+		return nil, err
+	}
+	text := fmt.Sprintf(settingsFormat, id, dataCentre, a, operators, OperatorToken, l.platform.Address) + peers + l.DaemonSettings
 	if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
 		return nil, err
 	}
 	p, err := l.run(id, a, "/readyz", filepath.Join(l.Binaries, "oleandercove"), "run", "--config", path)
 	if p != nil {
 		p.Operators = operators
+		l.register(p, dataCentre, address)
 	}
 	return p, err
 }
