--- a/oleandercove/settings/peers.go
+++ b/oleandercove/settings/peers.go
@@ -4,7 +4,7 @@
 // alone. Certificate, Key and Authority name PEM files; the certificate names
 // the host.
 type Peers struct {
-	Listen      string
+	Listen      string `check:"address"`
 	Certificate string
 	Key         string
 	Authority   string
--- a/prover/capacity/main.go
+++ b/prover/capacity/main.go
@@ -7,7 +7,7 @@
 //
 // Usage:
 //
-//	go run ./prover/capacity --sizes 30,90,270 --output out/capacity.json
+//	go run ./prover/capacity --sizes 30,90,150 --output out/capacity.json
 package main
 
 import (
@@ -26,7 +26,7 @@
 const designSize = 610
 
 func main() {
-	sizes := flag.String("sizes", "30,90,270", "fleet sizes, separated by commas")
+	sizes := flag.String("sizes", "30,90,150", "fleet sizes, separated by commas")
 	window := flag.Duration("window", 10*time.Second, "length of the measurement at each size")
 	output := flag.String("output", "out/capacity.json", "file of the JSON report")
 	flag.Parse()
--- a/prover/cluster/cluster.go
+++ b/prover/cluster/cluster.go
@@ -92,13 +92,18 @@
 			return err
 		}
 	}
+	if err := c.startDaemons(ctx); err != nil {
+		return err
+	}
+	// Backend servers come last: each wave of daemons moves the selection of
+	// their watchers, which would measure the start again.
 	for i := range c.options.Backends {
 		registrar.Register(ctx, c.address, platform.Host{
 			ID: fmt.Sprintf("engine-%d", i), Role: platform.RoleEngine, Address: c.backends + "/" + strconv.Itoa(i),
 			DataCentre: c.centre(i), State: platform.HostLive, Serves: "report",
 		})
 	}
-	return c.startDaemons(ctx)
+	return nil
 }
 
 func (c *Cluster) centre(i int) unit.DataCentre {
