connector, daemon: let a dialler read the greeting of another version

The daemon builds the control parts once, with the client that newPlatform makes.

Conclusion: both sides report the version error.

--- a/oleandercove/connector/handshake.go
+++ b/oleandercove/connector/handshake.go
@@ -117,6 +117,11 @@
 	}
 	n := &conn{session: s, dialled: dialled, opened: c.options.Timer.Now()}
 	if err := n.exchange(c.hello(probe), t.ConnectionState()); err != nil {
+		if !dialled && errors.Is(err, ErrVersion) {
+			// The dialler closes once it has read the greeting; the deadline of
+			// the connection bounds the wait.
+			<-s.CloseChan()
+		}
 		s.Close()
 		return nil, err
 	}
--- a/oleandercove/daemon/daemon.go
+++ b/oleandercove/daemon/daemon.go
@@ -75,10 +75,6 @@
 	m := meter.New()
 	p := m.Platform(newPlatform(s))
 	d := &Daemon{settings: s, log: l, drainer: newDrainer(s.Shutdown, t, l), meter: m, timer: t, platform: p}
-	d.spreader = spreader.New(spreader.Options{Platform: p, Timer: t, Log: l.WithPrefix("spreader")})
-	d.watcher = watcher.New(watcher.Options{Platform: p, Timer: t, Log: l.WithPrefix("watcher"), Interval: s.Policy.PollInterval.Std()})
-	p := m.Platform(platform.NewClient(platform.Options{Address: s.Platform.Address}))
-	d := &Daemon{settings: s, log: l, drainer: newDrainer(s.Shutdown, t, l), meter: m, timer: t}
 	d.recorder = recorder.New(recorder.Options{Host: s.Host, Capacity: journalCapacity, Timer: t})
 	d.tracker = tracker.New()
 	if d.buildParts(p, t); d.fault == nil {
