limiter: enforce the limits of accounts and entries by slices

Cause: limits hold for the whole fleet, but each daemon sees only its part of the traffic. Ruled out: the limit divided by the number of daemons, which gives a daemon that has all the traffic a fourth of the limit on 4 daemons; a call to the home for each request, which adds its latency to every first token. Change: divider (max-min fair shares, ledger of valid slices) and limiter (credit, demand reports, fall back to limit / fleet size without the home).

--- /dev/null
+++ b/oleandercove/divider/divider.go
@@ -0,0 +1,128 @@
+// Package divider splits a fleet-wide limit between daemons by their demand.
+//
+// The split is max-min fair: a daemon never gets more than it asked for, and
+// what one daemon leaves over goes to the others. The home daemon of an
+// account keeps a Ledger of slices that are still valid, so that the sum of
+// all slices stays within the limit while demand moves between daemons.
+//
+// Usage:
+//
+//	l := divider.NewLedger()
+//	slice := l.Grant(now, limit, divider.Demand{Host: "entry-1", Wanted: 40})
+package divider
+
+import (
+	"sort"
+	"time"
+
+	"oleandercove.example/core/unit"
+)
+
+// Validity is how long a slice may be used without renewal.
+const Validity = 2 * time.Second
+
+// Demand is what a daemon would use if it had no limit, in units a second or
+// in streams.
+type Demand struct {
+	Host   unit.HostID
+	Wanted float64
+}
+
+// Fair returns the max-min fair shares of the demands, in the same order. Their
+// sum is at most the limit.
+func Fair(limit float64, demands []Demand) []float64 {
+	order := make([]int, len(demands))
+	for i := range order {
+		order[i] = i
+	}
+	sort.SliceStable(order, func(a, b int) bool { return demands[order[a]].Wanted < demands[order[b]].Wanted })
+	shares := make([]float64, len(demands))
+	left := max(0, limit)
+	for n, i := range order {
+		shares[i] = min(max(0, demands[i].Wanted), left/float64(len(order)-n))
+		left -= shares[i]
+	}
+	return shares
+}
+
+// slice is the part of a limit that a daemon holds.
+type slice struct {
+	demand  float64
+	granted float64
+	until   time.Time
+}
+
+// Ledger is the home daemon's account of valid slices of one limit. It isn't
+// safe for concurrent use.
+type Ledger struct {
+	slices map[unit.HostID]*slice
+}
+
+// NewLedger returns an empty Ledger.
+func NewLedger() *Ledger { return &Ledger{slices: map[unit.HostID]*slice{}} }
+
+// Grant records the demand of a daemon and returns its slice, which is valid
+// for Validity from the time at which the daemon sent its demand. The slice is
+// its fair share, but never more than the slices of the others leave free: a
+// daemon whose share shrinks keeps its old slice until it renews.
+func (l *Ledger) Grant(now time.Time, limit float64, d Demand) float64 {
+	l.expire(now)
+	l.slice(d.Host).demand = d.Wanted
+	granted := min(l.share(limit, d.Host), max(0, limit-l.held(d.Host)))
+	s := l.slice(d.Host)
+	s.granted, s.until = granted, now.Add(Validity)
+	return granted
+}
+
+// Held returns the sum of the valid slices.
+func (l *Ledger) Held(now time.Time) float64 {
+	l.expire(now)
+	return l.held("")
+}
+
+// Empty tells whether no slice is valid.
+func (l *Ledger) Empty(now time.Time) bool {
+	l.expire(now)
+	return len(l.slices) == 0
+}
+
+func (l *Ledger) slice(h unit.HostID) *slice {
+	s := l.slices[h]
+	if s == nil {
+		s = &slice{}
+		l.slices[h] = s
+	}
+	return s
+}
+
+func (l *Ledger) expire(now time.Time) {
+	for h, s := range l.slices {
+		if !now.Before(s.until) {
+			delete(l.slices, h)
+		}
+	}
+}
+
+// held sums the slices of all daemons but one.
+func (l *Ledger) held(except unit.HostID) float64 {
+	sum := 0.0
+	for h, s := range l.slices {
+		if h != except {
+			sum += s.granted
+		}
+	}
+	return sum
+}
+
+func (l *Ledger) share(limit float64, host unit.HostID) float64 {
+	demands := make([]Demand, 0, len(l.slices))
+	for h, s := range l.slices {
+		demands = append(demands, Demand{Host: h, Wanted: s.demand})
+	}
+	for i, share := range Fair(limit, demands) {
+		if demands[i].Host == host {
+			return share
+		}
+	}
+	return 0
+}
--- /dev/null
+++ b/oleandercove/limiter/limiter.go
@@ -0,0 +1,245 @@
+// Package limiter enforces the limits of client accounts and entries over the
+// whole fleet.
+//
+// Each limited account or entry has a home daemon that divides its limit into
+// slices by demand. A daemon uses its slice for up to divider.Validity. Without
+// an answer of the home it uses the limit divided by the number of known entry
+// hosts, so that the parts of a partitioned fleet together stay within the
+// limit.
+//
+// Usage:
+//
+//	l := limiter.New(limiter.Options{Catalogue: c, Exchange: x, Timer: t})
+//	go l.Run(ctx)
+//	h := chain.Build(router.Handle, authenticator, l)
+package limiter
+
+import (
+	"context"
+	"math"
+	"sync"
+	"time"
+
+	"oleandercove.example/core/catalogue"
+	"oleandercove.example/core/timer"
+	"oleandercove.example/core/unit"
+	"oleandercove.example/core/verdict"
+	"oleandercove.example/oleandercove/chain"
+	"oleandercove.example/oleandercove/divider"
+	"oleandercove.example/oleandercove/request"
+	"oleandercove.example/oleandercove/spreader"
+)
+
+const (
+	// RenewInterval is the time between two demand reports; it leaves room for
+	// one lost report within divider.Validity.
+	RenewInterval = 800 * time.Millisecond
+	// idleLimit forgets accounts without requests.
+	idleLimit = 30 * time.Second
+	// burst is the time for which unused requests and tokens accumulate.
+	burst = time.Second
+	// demandMargin raises the reported demand, so that growth between two
+	// reports is not refused while the limit has room.
+	demandMargin = 1.5
+	shardCount   = 16
+)
+
+// Dimension is what a limit counts.
+type Dimension uint8
+
+const (
+	// Requests counts requests a second.
+	Requests Dimension = iota
+	// Tokens counts generated tokens a second.
+	Tokens
+	// Streams counts concurrent requests.
+	Streams
+	dimensions
+)
+
+// Amounts holds one value for each dimension; infinity means no limit.
+type Amounts [dimensions]float64
+
+// Demand is what this daemon would use of a limit.
+type Demand struct {
+	Key    catalogue.Key
+	Wanted Amounts
+}
+
+// Slice is the part of a limit that a home granted to this daemon.
+type Slice struct {
+	Key     catalogue.Key
+	Granted Amounts
+}
+
+// Exchange gets slices from home daemons.
+type Exchange interface {
+	// Slices reports demands and returns the slices that homes granted; a key
+	// without an answer is missing.
+	Slices(ctx context.Context, demands []Demand) []Slice
+	// FleetSize returns the number of known entry hosts, at least 1.
+	FleetSize() int
+}
+
+// Options configures a Limiter.
+type Options struct {
+	Catalogue spreader.Catalogue
+	Exchange  Exchange
+	Timer     timer.Service
+}
+
+// Limiter is the filter.
+type Limiter struct {
+	options Options
+	shards  [shardCount]shard
+}
+
+type shard struct {
+	mu     sync.Mutex
+	meters map[catalogue.Key]*meter
+}
+
+// New returns a Limiter without any use recorded.
+func New(o Options) *Limiter {
+	l := &Limiter{options: o}
+	for i := range l.shards {
+		l.shards[i].meters = map[catalogue.Key]*meter{}
+	}
+	return l
+}
+
+func (l *Limiter) shard(k catalogue.Key) *shard {
+	h := uint32(2166136261) // FNV-1a
+	for i := range len(k.Name) {
+		h = (h ^ uint32(k.Name[i])) * 16777619
+	}
+	return &l.shards[h%shardCount]
+}
+
+// Handle refuses a request whose account or entry has used up a limit.
+func (l *Limiter) Handle(ctx context.Context, r *request.Request, next chain.Handler) error {
+	account, ok := l.options.Catalogue.Get(catalogue.KindAccount, unit.EntryName(r.Account))
+	if !ok {
+		return next(ctx, r)
+	}
+	var taken []*meter
+	defer func() {
+		for _, m := range taken {
+			m.release(l.options.Timer.Now())
+		}
+	}()
+	for _, e := range []*catalogue.Entry{account, r.Entry} {
+		if !limited(e) {
+			continue
+		}
+		m, err := l.take(e, r)
+		if err != nil {
+			return err
+		}
+		taken = append(taken, m)
+	}
+	if r.Completion != nil && len(taken) > 0 {
+		count := newTokenCounter(taken, r.Completion.Emit)
+		r.Completion.Emit = count.emit
+		defer count.flush()
+	}
+	return next(ctx, r)
+}
+
+func limited(e *catalogue.Entry) bool {
+	return e.Limits.RequestsPerSecond > 0 || e.Limits.TokensPerSecond > 0 || e.Limits.ConcurrentStreams > 0
+}
+
+// Limit returns the fleet-wide limits of an entry.
+func Limit(e *catalogue.Entry) Amounts {
+	return Amounts{
+		Requests: orInfinite(e.Limits.RequestsPerSecond),
+		Tokens:   orInfinite(e.Limits.TokensPerSecond),
+		Streams:  orInfinite(float64(e.Limits.ConcurrentStreams)),
+	}
+}
+
+func orInfinite(v float64) float64 {
+	if v <= 0 {
+		return math.Inf(1)
+	}
+	return v
+}
+
+func (l *Limiter) take(e *catalogue.Entry, r *request.Request) (*meter, error) {
+	now := l.options.Timer.Now()
+	m := l.meter(e.Key(), now)
+	d, wait, ok := m.take(now, l.share(e, m, now))
+	if ok {
+		return m, nil
+	}
+	return nil, verdict.New(verdict.NotRun, verdict.AccountLimit, "%s %s used its %s of %g for request %s",
+		e.Kind, e.Name, d, Limit(e)[d], r.ID).After(wait)
+}
+
+func (l *Limiter) meter(k catalogue.Key, now time.Time) *meter {
+	s := l.shard(k)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	m := s.meters[k]
+	if m == nil {
+		m = newMeter(now)
+		s.meters[k] = m
+	}
+	return m
+}
+
+// String returns the name of the dimension for refusals.
+func (d Dimension) String() string {
+	return [...]string{"requests/s", "tokens/s", "concurrent requests"}[d]
+}
+
+// share returns the valid slice, or the part of the limit for one daemon.
+func (l *Limiter) share(e *catalogue.Entry, m *meter, now time.Time) Amounts {
+	if slice, ok := m.valid(now); ok {
+		return slice
+	}
+	limit := Limit(e)
+	for d := range limit {
+		limit[d] /= float64(l.options.Exchange.FleetSize())
+	}
+	return limit
+}
+
+// Run renews the slices until ctx is done.
+func (l *Limiter) Run(ctx context.Context) {
+	for l.options.Timer.Sleep(ctx, RenewInterval) == nil {
+		l.Renew(ctx)
+	}
+}
+
+// Renew reports the demand once and installs the granted slices.
+func (l *Limiter) Renew(ctx context.Context) {
+	sent := l.options.Timer.Now()
+	demands := l.demands(sent)
+	if len(demands) == 0 {
+		return
+	}
+	for _, g := range l.options.Exchange.Slices(ctx, demands) {
+		// The slice counts from before the report was sent, so it ends here no
+		// later than at the home.
+		l.meter(g.Key, sent).install(g.Granted, sent.Add(divider.Validity))
+	}
+}
+
+func (l *Limiter) demands(now time.Time) []Demand {
+	var out []Demand
+	for i := range l.shards {
+		s := &l.shards[i]
+		s.mu.Lock()
+		for k, m := range s.meters {
+			if m.idle(now) {
+				delete(s.meters, k)
+				continue
+			}
+			out = append(out, Demand{Key: k, Wanted: m.demand(now)})
+		}
+		s.mu.Unlock()
+	}
+	return out
+}
