allocator: divide limits between daemons over the peer links

Cause: the limiter had no exchange; each daemon used the limit divided by the fleet size. Ruled out: the whole limit for each side of a partition; a home that sees a part of the known entry hosts divides only that part of the limit. Change: home daemons by rendezvous hashing, reports and slices over links that are kept while a home is in use, a new home waits for the old slices. Limit: links to many homes and a report each 0.8 s don't fit into 3 KB/s at 610 daemons. Conclusion: kept for today's size.

--- a/oleandercove/connector/dialer.go
+++ b/oleandercove/connector/dialer.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/cenkalti/backoff/v5"
+	"google.golang.org/protobuf/proto"
 
 	"oleandercove.example/core/unit"
 )
@@ -24,7 +25,9 @@
 // link is what the connector knows of one peer.
 type link struct {
 	address string
-	wanted  bool
+	// overlay and extra say who wants the link.
+	overlay bool
+	extra   bool
 	heard   time.Time
 	// conns holds the open connections; messages go to the last one.
 	conns    []*conn
@@ -40,13 +43,25 @@
 	return &link{heard: now, delay: b}
 }
 
+// wanted tells whether the link is to be kept open.
+func (l *link) wanted() bool { return l.overlay || l.extra }
+
 // Want replaces the set of peers to keep links with.
 func (c *Default) Want(peers []Peer) {
+	c.replace(peers, func(l *link, wanted bool) { l.overlay = wanted })
+}
+
+// WantExtra replaces the set of peers to keep links with besides those of Want.
+func (c *Default) WantExtra(peers []Peer) {
+	c.replace(peers, func(l *link, wanted bool) { l.extra = wanted })
+}
+
+func (c *Default) replace(peers []Peer, mark func(l *link, wanted bool)) {
 	now := c.options.Timer.Now()
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	for _, l := range c.peers {
-		l.wanted = false
+		mark(l, false)
 	}
 	for _, p := range peers {
 		l := c.peers[p.Host]
@@ -61,7 +76,7 @@
 			l.address, l.failures, l.next = p.Address, 0, now
 			l.delay.Reset()
 		}
-		l.wanted = true
+		mark(l, true)
 	}
 }
 
@@ -79,12 +94,12 @@
 			}
 		}
 		c.prune(l, now)
-		if !l.wanted && len(l.conns) == 0 {
+		if !l.wanted() && len(l.conns) == 0 {
 			delete(c.peers, host)
 			continue
 		}
 		silent := len(l.conns) == 0 || now.Sub(l.heard) > silenceLimit
-		if l.wanted && silent && !l.dialling && !now.Before(l.next) {
+		if l.wanted() && silent && !l.dialling && !now.Before(l.next) {
 			l.dialling = true
 			c.wg.Add(1)
 			go c.dial(c.ctx, host, l)
@@ -96,7 +111,7 @@
 // daemon opened and no longer wants.
 func (c *Default) prune(l *link, now time.Time) {
 	for _, n := range l.conns {
-		unwanted := n.dialled && !l.wanted && now.Sub(n.opened) > unwantedLimit
+		unwanted := n.dialled && !l.wanted() && now.Sub(n.opened) > unwantedLimit
 		if unwanted || now.Sub(n.heard) > staleLimit {
 			go n.session.Close()
 		}
@@ -227,3 +242,13 @@
 		}
 	}
 }
+
+// RequestVia sends a request and opens a link for it if there is none.
+func (c *Default) RequestVia(ctx context.Context, to Peer, kind uint32, m, reply proto.Message) error {
+	if c.conn(to.Host) == nil {
+		if _, err := c.Join(ctx, to.Address); err != nil {
+			return err
+		}
+	}
+	return c.Request(ctx, to.Host, kind, m, reply)
+}
--- a/oleandercove/gossiper/gossiper.go
+++ b/oleandercove/gossiper/gossiper.go
@@ -132,6 +132,15 @@
 	return g.live
 }
 
+// Known returns the number of entry hosts that the platform lists or that are
+// live, whichever is larger. A part of a partitioned fleet can tell from it how
+// large the whole is.
+func (g *Gossiper) Known() int {
+	g.mu.RLock()
+	defer g.mu.RUnlock()
+	return max(1, len(g.live), len(g.candidates))
+}
+
 // SetDraining tells all peers whether this daemon is shutting down.
 func (g *Gossiper) SetDraining(draining bool) {
 	g.mu.Lock()
--- a/oleandercove/limiter/limiter.go
+++ b/oleandercove/limiter/limiter.go
@@ -54,11 +54,12 @@
 	Tokens
 	// Streams counts concurrent requests.
 	Streams
-	dimensions
+	// Dimensions is their number.
+	Dimensions
 )
 
 // Amounts holds one value for each dimension; infinity means no limit.
-type Amounts [dimensions]float64
+type Amounts [Dimensions]float64
 
 // Demand is what this daemon would use of a limit.
 type Demand struct {
--- /dev/null
+++ b/prover/limits_test.go
@@ -0,0 +1,78 @@
+package prover_test
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"oleandercove.example/core/catalogue"
+	"oleandercove.example/oleandercove/divider"
+	"oleandercove.example/prover/launcher"
+)
+
+const (
+	limitedAccount = "night-market"
+	// accountLimit is the limit of the account in requests/s, fleet-wide.
+	accountLimit = 60
+	// floodTime is the length of the measured flood.
+	floodTime = 5 * time.Second
+	// homeChange is the longest time for which the limit may be exceeded after
+	// the membership has changed.
+	homeChange = 2 * divider.Validity
+)
+
+// flood sends reads to all daemons as fast as they are refused or answered and
+// returns how many were admitted.
+func (r *rig) flood(ctx context.Context, length time.Duration) int64 {
+	ctx, cancel := context.WithTimeout(ctx, length)
+	defer cancel()
+	c := r.client
+	c.Token = launcher.Token(limitedAccount)
+	var admitted atomic.Int64
+	var wg sync.WaitGroup
+	for _, d := range r.daemons {
+		url := fmt.Sprintf("http://%s/services/logbook/nets", d.Address)
+		wg.Go(func() {
+			for ctx.Err() == nil {
+				if res, err := c.Do(ctx, http.MethodGet, url, nil, nil); err == nil {
+					_, _ = io.Copy(io.Discard, res.Body)
+					res.Body.Close()
+					if res.StatusCode == http.StatusOK {
+						admitted.Add(1)
+					}
+				}
+				<-r.timer.After(2 * time.Millisecond)
+			}
+		})
+	}
+	wg.Wait()
+	return admitted.Load()
+}
+
+// TestFleetWideLimit guards against an account that gets its limit from each
+// daemon instead of once from the fleet.
+func TestFleetWideLimit(t *testing.T) {
+	is := is.New(t)
+	r := newRig(t, 3)
+	_, err := r.Service("logbook-0", "logbook")
+	is.NoErr(err)
+	is.NoErr(r.Put(t.Context(), &catalogue.Entry{
+		Kind: catalogue.KindAccount, Name: limitedAccount, Owner: "operator", Class: catalogue.ClassStandard,
+		Limits:  catalogue.Limits{RequestsPerSecond: accountLimit},
+		Account: &catalogue.Account{TokenHash: launcher.TokenHash(limitedAccount)},
+	}))
+	r.flood(t.Context(), homeChange) // the home grants slices only after this time
+	start := time.Now()
+	n := r.flood(t.Context(), floodTime)
+	passed := time.Since(start).Seconds()
+	t.Logf("admitted %d in %.2f s at a limit of %d requests/s", n, passed, accountLimit)
+	is.True(float64(n) <= accountLimit*(passed+1)) // one second of unused credit may be left
+	is.True(float64(n) >= 0.5*accountLimit*passed)
+}
--- a/wire/peer/peer.go
+++ b/wire/peer/peer.go
@@ -13,10 +13,16 @@
 	TypeHeartbeat uint32 = 0
 	// TypeProbe asks a peer to check whether a third daemon is reachable.
 	TypeProbe uint32 = 1
+	// TypeLimits asks a home daemon for slices of limits.
+	TypeLimits uint32 = 2
+	// TypeSlots asks a home daemon for the slot of a backend server.
+	TypeSlots uint32 = 3
 	// TypeMembers is the first type of the membership table.
 	TypeMembers uint32 = 10
 	// TypeCatalogue is the first type of the catalogue table.
 	TypeCatalogue uint32 = 20
 	// TypeBackends is the first type of the table of backend servers.
 	TypeBackends uint32 = 30
+	// TypeMarks is the first type of the table of requests in crashes.
+	TypeMarks uint32 = 40
 )
