quarantiner: share marks and slots between daemons

Cause: each daemon knew only its own marks and isolated suspects on its own. Ruled out: choosing the engine of a suspect by its fingerprint; two suspects can still meet. Change: marks in a replicated table; the home daemon of each backend server gives out its slot.

--- a/oleandercove/daemon/daemon.go
+++ b/oleandercove/daemon/daemon.go
@@ -23,6 +23,7 @@
 	"oleandercove.example/oleandercove/claimer"
 	"oleandercove.example/oleandercove/dispatcher"
 	"oleandercove.example/oleandercove/drainer"
+	"oleandercove.example/oleandercove/limiter"
 	"oleandercove.example/oleandercove/linker"
 	"oleandercove.example/oleandercove/meter"
 	"oleandercove.example/oleandercove/planner"
@@ -64,6 +65,8 @@
 	models   *streamer.Streamer
 	platform platform.Client
 	claimer  *claimer.Claimer
+	limiter  *limiter.Limiter
+	sharer   *quarantiner.Sharer
 	parts    *linker.Parts
 	// fault is why the daemon could not be built.
 	fault error
@@ -88,7 +91,8 @@
 
 func (d *Daemon) newServer(t timer.Service) *server.Server {
 	j, k, backends := d.recorder, d.tracker, d.operator.backends
-	q := quarantiner.New(quarantiner.Options{Timer: t, Recorder: j, Log: d.log.WithPrefix("quarantiner"), Prober: quarantiner.NewProber()})
+	q := d.newQuarantine(t)
+	d.limiter = d.newLimiter(t)
 	d.models = streamer.New(streamer.Options{
 		Backends: backends, Tracker: k, Dispatcher: dispatcher.New(dispatcher.Options{Silence: d.settings.Policy.SilenceLimit.Std()}), Quarantine: q,
 		Policy:   planner.NewPolicy(d.settings.Policy.Balance),
@@ -97,7 +101,7 @@
 	})
 	services, claims := d.newServices(t, k, j)
 	d.claimer = claims
-	h := chain.Build(router.New(d.models.Serve, services.Serve).Handle, d.meter, d.drainer, authenticator.New(d.spreader), validator.Filter{}, q, claims, d.admission(t, backends))
+	h := chain.Build(router.New(d.models.Serve, services.Serve).Handle, d.meter, d.drainer, authenticator.New(d.spreader), d.limiter, validator.Filter{}, q, claims, d.admission(t, backends))
 	return server.New(server.Options{
 		Handler: h, Catalogue: d.spreader, Recorder: j, Timer: t,
 		Log: d.log.WithPrefix("server"), Ready: d.ready, Draining: d.drainer.Check, Done: d.meter.Request,
@@ -121,6 +125,8 @@
 	defer stop()
 	var wg conc.WaitGroup
 	wg.Go(func() { d.parts.Run(background) })
+	wg.Go(func() { d.limiter.Run(background) })
+	wg.Go(func() { d.shareMarks(background) })
 	defer wg.Wait()
 	defer cancel()
 	if err := d.operator.serve(background, &wg); err != nil {
--- a/oleandercove/quarantiner/quarantiner.go
+++ b/oleandercove/quarantiner/quarantiner.go
@@ -13,9 +13,11 @@
 // Usage:
 //
 //	q := quarantiner.New(quarantiner.Options{Timer: t, Recorder: j, Prober: p})
-//	leave, err := q.Enter(ctx, f, chain)
+//	leave, isolated, err := q.Enter(ctx, f, chain)
 //	defer leave()
-//	q.Passed(f, position)
+//	if q.Passed(f, position) {
+//		leave()
+//	}
 //	q.Failed(ctx, f, crash)
 package quarantiner
 
@@ -90,6 +92,9 @@
 	Recorder recorder.Recorder
 	Log      *log.Logger
 	Prober   Prober
+	// Slots gives out backend servers to suspects; nil keeps them to this
+	// daemon.
+	Slots Slots
 	// Share sends a mark to the peers; nil for a daemon without peers.
 	Share func(Mark)
 }
@@ -100,12 +105,14 @@
 
 	mu    sync.Mutex
 	marks *book
-	slots map[unit.BackendID]Fingerprint
 }
 
 // New returns a Quarantiner without marks.
 func New(o Options) *Quarantiner {
-	return &Quarantiner{options: o, marks: newBook(), slots: map[unit.BackendID]Fingerprint{}}
+	if o.Slots == nil {
+		o.Slots = NewLocalSlots(o.Timer)
+	}
+	return &Quarantiner{options: o, marks: newBook()}
 }
 
 // Handle refuses a request that is known to be poison.
@@ -131,7 +138,7 @@
 
 // Enter waits until the request may start on all stages of the chain. A
 // request without suspicion enters at once. The caller calls leave when the
-// attempt ends; Passed frees the stages earlier.
+// attempt ends or when Passed clears the request.
 func (q *Quarantiner) Enter(ctx context.Context, f Fingerprint, stages []engine.Stage) (leave func(), isolated bool, err error) {
 	if !q.suspect(f) {
 		return func() {}, false, nil
@@ -143,8 +150,8 @@
 		if q.convicted(f) {
 			return nil, false, refusal(verdict.MayHaveRun, f)
 		}
-		if q.take(f, stages) {
-			return func() { q.free(f) }, true, nil
+		if q.take(ctx, f, stages) {
+			return func() { q.free(f, stages) }, true, nil
 		}
 		if err := q.options.Timer.Sleep(ctx, slotPoll); err != nil {
 			return nil, false, err
@@ -159,44 +166,29 @@
 }
 
 // take reserves all stages for the suspect, or none.
-func (q *Quarantiner) take(f Fingerprint, stages []engine.Stage) bool {
-	q.mu.Lock()
-	defer q.mu.Unlock()
-	for _, holder := range q.slots {
-		if holder == f {
-			return false
-		}
-	}
-	for _, s := range stages {
-		if _, taken := q.slots[s.Backend]; taken {
+func (q *Quarantiner) take(ctx context.Context, f Fingerprint, stages []engine.Stage) bool {
+	for i, s := range stages {
+		if !q.options.Slots.Take(ctx, s.Backend, f) {
+			q.free(f, stages[:i])
 			return false
 		}
 	}
-	for _, s := range stages {
-		q.slots[s.Backend] = f
-	}
 	return true
 }
 
-func (q *Quarantiner) free(f Fingerprint) {
-	q.mu.Lock()
-	defer q.mu.Unlock()
-	for b, holder := range q.slots {
-		if holder == f {
-			delete(q.slots, b)
-		}
+func (q *Quarantiner) free(f Fingerprint, stages []engine.Stage) {
+	for _, s := range stages {
+		q.options.Slots.Free(s.Backend, f)
 	}
 }
 
-// Passed tells that the caller has received a number of tokens. It clears a
-// request that got beyond the positions of its crashes.
-func (q *Quarantiner) Passed(f Fingerprint, position int) {
+// Passed tells that the caller has received a number of tokens. It returns true
+// if the request got beyond the positions of its crashes and is cleared; the
+// caller then leaves.
+func (q *Quarantiner) Passed(f Fingerprint, position int) bool {
 	q.mu.Lock()
-	cleared := q.marks.passed(f, position)
-	q.mu.Unlock()
-	if cleared {
-		q.free(f)
-	}
+	defer q.mu.Unlock()
+	return q.marks.passed(f, position)
 }
 
 // Failed marks the request if the process of the backend server has ended. It
--- a/oleandercove/streamer/streamer.go
+++ b/oleandercove/streamer/streamer.go
@@ -100,6 +100,8 @@
 	isolated bool
 	// marked is true once the request was in a crash or under suspicion.
 	marked bool
+	// leave ends the isolation of the attempt.
+	leave func()
 }
 
 // Serve runs the request to its end or returns a *verdict.Error.
@@ -136,7 +138,8 @@
 	if err != nil {
 		return false, t.refused(ctx, err)
 	}
-	defer leave()
+	t.leave = sync.OnceFunc(leave)
+	defer t.leave()
 	t.isolated, t.touched = isolated, len(t.emitted)
 	t.marked = t.marked || isolated
 	t.epoch++
@@ -216,7 +219,9 @@
 	}
 	t.emitted = append(t.emitted, e.Token)
 	if t.marked {
-		t.options.Quarantine.Passed(t.print, len(t.emitted))
+		if t.options.Quarantine.Passed(t.print, len(t.emitted)) {
+			t.leave()
+		}
 	}
 	if err := t.r.Completion.Emit(e.Text); err != nil {
 		return verdict.New(verdict.MayHaveRun, verdict.Canceled, "caller went away: %v", err)
--- a/prover/poison_test.go
+++ b/prover/poison_test.go
@@ -11,7 +11,9 @@
 
 	"github.com/matryer/is"
 
+	"oleandercove.example/core/api"
 	"oleandercove.example/core/verdict"
+	"oleandercove.example/oleanderctl/client"
 	"oleandercove.example/prover/launcher"
 )
 
@@ -40,7 +42,7 @@
 		t.Run(fmt.Sprintf("seed %d", seed), func(t *testing.T) {
 			is := is.New(t)
 			random := rand.New(rand.NewPCG(seed, 1))
-			r := newRig(t, 1, "--poison-word", poisonWord)
+			r := newRig(t, 3, "--poison-word", poisonWord)
 			r.addSpares(t, 2)
 			var wg sync.WaitGroup
 			var poison []verdict.Reason
@@ -51,8 +53,8 @@
 			for _, err := range violations(jobs) {
 				t.Error(err)
 			}
-			is.Equal(poison, []verdict.Reason{verdict.Quarantined, verdict.Quarantined, verdict.Quarantined})
 			is.True(r.exited() <= maxCrashes)
+			is.Equal(poison, []verdict.Reason{verdict.Quarantined, verdict.Quarantined, verdict.Quarantined})
 			is.True(r.exited() > 0) // the poison request must have reached an engine
 		})
 	}
@@ -70,7 +72,28 @@
 		is.New(t).NoErr(err)
 		r.engines = append(r.engines, e)
 	}
-	is.New(t).NoErr(launcher.Wait(20*time.Second, "spare engines in use", func() bool { return r.serves(t.Context()) }))
+	is.New(t).NoErr(launcher.Wait(20*time.Second, "spare engines on every daemon", func() bool {
+		return r.serves(t.Context()) && r.lists(t.Context(), len(r.engines))
+	}))
+}
+
+// lists tells whether every daemon sees a number of healthy backend servers.
+func (r *rig) lists(ctx context.Context, n int) bool {
+	for _, d := range r.daemons {
+		c := client.New(client.Options{Addresses: []string{d.Operators}, Token: launcher.OperatorToken})
+		var list api.BackendList
+		err := c.Get(ctx, "/v1/backends", &list)
+		healthy := 0
+		for _, b := range list.Backends {
+			if b.Healthy {
+				healthy++
+			}
+		}
+		if err != nil || healthy < n {
+			return false
+		}
+	}
+	return true
 }
 
 // sendPoison sends the same poison request again and again, as its caller
