oleandercove/leaser: hold leases on shards of the controllers' work

Cause: controllers need one daemon at a time to give orders for a shard, while hosts pause, answers are lost and no clocks are synchronised. Ruled out: one object for each shard, which costs a write for each shard and renewal; one object for all, where holders conflict with each other. Change: an object holds four shards; the first three daemons by rendezvous hashing watch it. The holder counts its expiry from before the renewal was sent; others take it after the whole term plus 1% at the same version, and wait for the longest order before they give their first one.

--- /dev/null
+++ b/oleandercove/leaser/leaser_test.go
@@ -0,0 +1,248 @@
+package leaser_test
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"testing"
+	"time"
+
+	"github.com/charmbracelet/log"
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+
+	"oleandercove.example/core/platform"
+	"oleandercove.example/core/timer"
+	"oleandercove.example/core/unit"
+	"oleandercove.example/oleandercove/leaser"
+)
+
+const (
+	term       = 6 * time.Second
+	orderLimit = 2 * time.Second
+	shard      = leaser.Shard(0)
+)
+
+// store is a platform with one lease object, an outage and delayed writes.
+type store struct {
+	platform.Client
+	object platform.Object
+	down   bool
+	// lose drops the answers of writes; late keeps the writes for later.
+	lose, late bool
+	pending    []platform.Object
+	// before runs when a write arrives, for time that passes on the way.
+	before func()
+}
+
+func (s *store) Get(context.Context, platform.Kind, string) (platform.Object, error) {
+	if s.down {
+		return platform.Object{}, platform.ErrUnavailable
+	}
+	if s.object.Version == 0 {
+		return platform.Object{}, platform.ErrNotFound
+	}
+	return s.object, nil
+}
+
+func (s *store) Put(_ context.Context, _ platform.Kind, _ string, expected unit.Version, value json.RawMessage) (platform.Object, error) {
+	if s.before != nil {
+		s.before()
+	}
+	o := platform.Object{Version: expected + 1, Value: value}
+	switch {
+	case s.down:
+		return platform.Object{}, platform.ErrUnavailable
+	case s.late:
+		s.pending = append(s.pending, o)
+		return platform.Object{}, platform.ErrUnknown
+	case s.object.Version != expected:
+		return platform.Object{}, platform.ErrConflict
+	}
+	s.object = o
+	if s.lose {
+		return platform.Object{}, platform.ErrUnknown
+	}
+	return o, nil
+}
+
+// arrive applies the delayed writes that still match.
+func (s *store) arrive() {
+	for _, o := range s.pending {
+		if o.Version == s.object.Version+1 {
+			s.object = o
+		}
+	}
+	s.pending = nil
+}
+
+// holder is a daemon whose clock has its own speed.
+type holder struct {
+	leaser *leaser.Leaser
+	timer  *timer.Manual
+	speed  float64
+	paused bool
+}
+
+func newHolder(s *store, i, n int, speed float64) *holder {
+	var hosts []unit.HostID
+	for j := range n {
+		hosts = append(hosts, unit.HostID(fmt.Sprint("entry-", j)))
+	}
+	t := timer.NewManual(time.Unix(int64(i)*1e6, 0))
+	l := leaser.New(leaser.Options{
+		Platform: s, Timer: t, Log: log.New(io.Discard), Self: hosts[i], Shards: 4, Term: term, OrderLimit: orderLimit,
+		Hosts: func(context.Context) ([]unit.HostID, error) { return hosts, nil },
+	})
+	return &holder{leaser: l, timer: t, speed: speed}
+}
+
+func (h *holder) pass(d time.Duration) { h.timer.Advance(time.Duration(float64(d) * h.speed)) }
+
+// TestOneHolder guards against two daemons that both may order, against a
+// fencing number that goes down, and against an order of a new holder while an
+// order of the old one may still be on its way.
+func TestOneHolder(t *testing.T) {
+	var taken int
+	rapid.Check(t, func(t *rapid.T) {
+		s := &store{}
+		var holders []*holder
+		n := rapid.IntRange(2, 3).Draw(t, "holders")
+		for i := range n {
+			speed := rapid.Float64Range(0.995, 1.0049).Draw(t, "speed")
+			holders = append(holders, newHolder(s, i, n, speed))
+		}
+		var now, ordered time.Duration
+		last, fence := -1, unit.Fence(0)
+		check := func() {
+			for i, h := range holders {
+				g, err := h.leaser.Check(shard)
+				if err != nil {
+					continue
+				}
+				if last != i && last >= 0 && now-ordered < orderLimit {
+					t.Fatalf("holder %d may order %s after holder %d could", i, now-ordered, last)
+				}
+				if g.Fence < fence || (last != i && g.Fence == fence) {
+					t.Fatalf("fence %d of holder %d follows %d", g.Fence, i, fence)
+				}
+				if last != i {
+					taken++
+				}
+				last, ordered, fence = i, now, g.Fence
+			}
+		}
+		pass := func(d time.Duration) {
+			const tick = 100 * time.Millisecond
+			for ; d > 0; d -= tick {
+				now += min(tick, d)
+				for _, h := range holders {
+					h.pass(min(tick, d))
+				}
+				check()
+			}
+		}
+		for range rapid.IntRange(10, 60).Draw(t, "steps") {
+			pass(time.Duration(rapid.IntRange(1, 3000).Draw(t, "ms")) * time.Millisecond)
+			h := holders[rapid.IntRange(0, n-1).Draw(t, "holder")]
+			switch rapid.SampledFrom([]string{"step", "step", "all", "all", "pause", "down", "lose", "late", "arrive"}).Draw(t, "action") {
+			case "all":
+				for _, h := range holders {
+					if !h.paused {
+						h.leaser.Step(t.Context())
+					}
+				}
+			case "step":
+				delay := time.Duration(rapid.IntRange(0, 8000).Draw(t, "delay")) * time.Millisecond
+				s.before = func() { s.before = nil; pass(delay) }
+				if !h.paused {
+					h.leaser.Step(t.Context())
+				}
+				s.before = nil
+			case "pause":
+				h.paused = !h.paused
+			case "down":
+				s.down = !s.down
+			case "lose":
+				s.lose = !s.lose
+			case "late":
+				s.late = !s.late
+			case "arrive":
+				s.arrive()
+			}
+			check()
+		}
+	})
+	is.New(t).True(taken > 50) // the sequences really take leases
+}
+
+// TestTakeOver guards against leases that nobody takes, or that are taken too
+// early.
+func TestTakeOver(t *testing.T) {
+	rows := []struct {
+		name    string
+		act     func(s *store, old *holder)
+		after   time.Duration
+		allowed bool
+	}{
+		{"lease of a dead daemon is never taken", func(*store, *holder) {}, 13 * time.Second, true},
+		{"lease of a paused daemon is taken before its term", func(*store, *holder) {}, 5 * time.Second, false},
+		{"released lease is left for a whole term", func(s *store, old *holder) { old.leaser.Release(context.Background()) }, 3 * time.Second, true},
+		{"lease is taken in an outage", func(s *store, _ *holder) { s.down = true }, 20 * time.Second, false},
+	}
+	for _, r := range rows {
+		t.Run(r.name, func(t *testing.T) {
+			is := is.New(t)
+			s := &store{}
+			a, b := newHolder(s, 0, 2, 1), newHolder(s, 1, 2, 1)
+			a.leaser.Step(t.Context())
+			a.pass(3 * time.Second)
+			a.leaser.Step(t.Context())
+			_, err := a.leaser.Check(shard)
+			is.NoErr(err)
+			b.leaser.Step(t.Context())
+			r.act(s, a)
+			for range int(r.after / time.Second) {
+				a.pass(time.Second)
+				b.pass(time.Second)
+				b.leaser.Step(t.Context())
+			}
+			_, err = b.leaser.Check(shard)
+			is.Equal(err == nil, r.allowed)
+		})
+	}
+}
+
+// TestDrift guards against a take that relies on equal clocks, or that leaves
+// no time for the last order of the old holder: the old clock is as slow and
+// the new one as fast as allowed, and the new holder looks all the time.
+func TestDrift(t *testing.T) {
+	is := is.New(t)
+	s := &store{}
+	hosts := []unit.HostID{"entry-0", "entry-1"}
+	first := leaser.Rank(hosts, "shards-0", hosts[0]) // the other one is the old holder
+	old, next := newHolder(s, 1-first, 2, 0.995), newHolder(s, first, 2, 1.0049)
+	for range 4 {
+		old.leaser.Step(t.Context())
+		old.pass(2 * time.Second)
+	}
+	old.leaser.Step(t.Context())
+	const tick = 5 * time.Millisecond
+	var now, last time.Duration
+	for range 3000 {
+		next.leaser.Step(t.Context())
+		old.pass(tick)
+		next.pass(tick)
+		now += tick
+		if _, err := old.leaser.Check(shard); err == nil {
+			last = now
+		}
+		if _, err := next.leaser.Check(shard); err == nil {
+			break
+		}
+	}
+	is.True(last > 0)
+	is.True(now-last >= orderLimit)
+	is.True(now-last < orderLimit+time.Second)
+}
