oleandercove/controller: add a level-triggered controller with a keyed queue

Cause: placement and planned stops decide from the current state and must not repeat an order that the status can't show yet. Change: a key waits once and runs in one worker; a failed key is repeated with exponential backoff and jitter, and changes don't shorten that pause. Expectations remember an order until the status shows it or its limit passes.

--- /dev/null
+++ b/oleandercove/controller/controller_test.go
@@ -0,0 +1,98 @@
+package controller_test
+
+import (
+	"context"
+	"errors"
+	"io"
+	"testing"
+	"time"
+
+	"github.com/charmbracelet/log"
+	"github.com/matryer/is"
+
+	"oleandercove.example/core/timer"
+	"oleandercove.example/oleandercove/controller"
+)
+
+// TestQueue guards against lost changes, endless queues and failures that are
+// not repeated or repeated without a pause.
+func TestQueue(t *testing.T) {
+	rows := []struct {
+		name string
+		// adds are made while the key runs for the first time.
+		adds  int
+		err   error
+		runs  int
+		pause bool
+	}{
+		{"key runs without a reason", 0, nil, 1, false},
+		{"change during a run is lost or queued many times", 5, nil, 2, false},
+		{"failure is not repeated", 0, errors.New("down"), 2, true},
+		{"change skips the pause of a failure", 5, errors.New("down"), 2, true},
+	}
+	for _, r := range rows {
+		t.Run(r.name, func(t *testing.T) {
+			is := is.New(t)
+			ctx, cancel := context.WithCancel(t.Context())
+			tm := timer.NewManual(time.Unix(0, 0))
+			started, proceed, ended := make(chan time.Time), make(chan error), make(chan struct{})
+			c := controller.New(controller.Options[string]{
+				Timer: tm, Log: log.New(io.Discard),
+				Reconcile: func(context.Context, string) (time.Duration, error) {
+					started <- tm.Now()
+					return 0, <-proceed
+				},
+			})
+			go func() { c.Run(ctx); close(ended) }()
+			c.Add("a")
+			c.Add("a")
+			<-started
+			for range r.adds {
+				c.Add("a")
+			}
+			proceed <- r.err
+			if r.pause {
+				for tm.Waiting() == 0 {
+					select {
+					case <-started:
+						t.Fatal("repeated without a pause")
+					case <-time.After(time.Millisecond):
+					}
+				}
+				c.Add("a")
+				c.Add("b") // runs first, because "a" waits
+				<-started
+				proceed <- nil
+				tm.Advance(time.Minute)
+			}
+			for range r.runs - 1 {
+				<-started
+				proceed <- nil
+			}
+			c.Add("b") // runs next if "a" is not queued any more
+			<-started
+			proceed <- nil
+			cancel()
+			<-ended
+			is.Equal(len(started), 0)
+		})
+	}
+}
+
+// TestExpectations guards against orders that are repeated before the status
+// can show them, and against lost orders that are never repeated.
+func TestExpectations(t *testing.T) {
+	is := is.New(t)
+	tm := timer.NewManual(time.Unix(0, 0))
+	e := controller.NewExpectations[string, int](tm, time.Second)
+	e.Expect("a", 1)
+	e.Expect("b", 2)
+	v, ok := e.Get("a")
+	is.True(ok && v == 1)
+	e.Met("b")
+	_, ok = e.Get("b")
+	is.True(!ok)
+	tm.Advance(time.Second)
+	_, ok = e.Get("a")
+	is.True(!ok)
+}
