--- a/core/engine/engine.go
+++ b/core/engine/engine.go
@@ -185,6 +185,16 @@
 	Load            Load
 	Links           []Link
 	Fencing         bool
+	Version         string   `json:",omitempty"`
+	Adapters        []string `json:",omitempty"`
+	// MaxLayers is how many layers fit in the memory; 0 means that any number
+	// fits.
+	MaxLayers unit.Layer `json:",omitempty"`
+	// Loading is the order whose weights are being loaded; until then the engine
+	// holds no layers.
+	Loading *Order `json:",omitempty"`
+	// Leaving means that the engine itself shuts down; no order resumes it.
+	Leaving bool `json:",omitempty"`
 }
 
 // Link describes the measured link to another engine.
@@ -208,12 +218,13 @@
 
 // Order states the target state of an engine and the lease that allows it.
 type Order struct {
-	Kind    OrderKind
-	Model   unit.EntryName
-	Version string
-	From    unit.Layer
-	To      unit.Layer
-	Fence   unit.Fence
+	Kind     OrderKind
+	Model    unit.EntryName
+	Version  string
+	Adapters []string `json:",omitempty"`
+	From     unit.Layer
+	To       unit.Layer
+	Fence    unit.Fence
 }
 
 // KVState is an export of the KV cache of one stream.
--- /dev/null
+++ b/core/engine/orders.go
@@ -0,0 +1,25 @@
+package engine
+
+import (
+	"time"
+
+	"oleandercove.example/core/unit"
+)
+
+// OrderOutcome says what an engine did with an order.
+type OrderOutcome string
+
+const (
+	// OrderApplied means that the order set or confirmed the target.
+	OrderApplied OrderOutcome = "Applied"
+	// OrderStale means that the engine refused an old fencing number.
+	OrderStale OrderOutcome = "Stale"
+)
+
+// OrderRecord is one entry of an engine's journal of orders.
+type OrderRecord struct {
+	Backend unit.BackendID
+	At      time.Time
+	Outcome OrderOutcome
+	Order   Order
+}
--- a/oleandercove/watcher/watcher.go
+++ b/oleandercove/watcher/watcher.go
@@ -53,8 +53,8 @@
 	// Seen is the time of the last good status.
 	Seen time.Time
 
-	// leaving is the state of the backend server's row in the host list.
-	leaving bool
+	// Leaving is the state of the backend server's row in the host list.
+	Leaving bool
 	// signed is the time of the last sign that the backend server leaves.
 	signed time.Time
 }
@@ -193,8 +193,8 @@
 		listed[id] = true
 		b := w.backends[id]
 		b.ID, b.Role, b.Address, b.DataCentre, b.Serves = id, h.Role, h.Address, h.DataCentre, h.Serves
-		b.leaving = h.State == platform.HostLeaving
-		b.settle(now, b.leaving)
+		b.Leaving = h.State == platform.HostLeaving
+		b.settle(now, b.Leaving)
 		w.backends[id] = b
 	}
 	for id, b := range w.backends {
@@ -221,7 +221,7 @@
 		if now.Engine != nil && status != nil && now.Engine.Start != status.Start {
 			now.Draining = false // the sign concerned the process before the restart
 		}
-		now.settle(at, draining || now.leaving)
+		now.settle(at, draining || now.Leaving)
 		now.Engine, now.Seen = status, at
 	}
 	w.backends[b.ID] = now
--- a/oleanderfake/runner/handler.go
+++ b/oleanderfake/runner/handler.go
@@ -27,6 +27,7 @@
 	r.POST("/v1/orders", e.handleOrder)
 	r.POST("/faults", e.handleFaults)
 	r.Handler(http.MethodGet, "/journal", e.journal)
+	r.Handler(http.MethodGet, "/orders", e.orders)
 	return r
 }
 
@@ -155,34 +156,6 @@
 	w.WriteHeader(http.StatusNoContent)
 }
 
-// handleOrder applies the target state of an order; an engine that honours
-// fencing refuses a number lower than the highest one seen.
-func (e *Engine) handleOrder(w http.ResponseWriter, r *http.Request, _ httprouter.Params) {
-	var m engine.Order
-	if !responder.Read(w, r, &m) {
-		return
-	}
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	if !e.options.IgnoreFence && m.Fence < e.fence {
-		http.Error(w, "order carries an old fencing number", http.StatusPreconditionFailed)
-		return
-	}
-	e.fence = max(e.fence, m.Fence)
-	switch m.Kind {
-	case engine.OrderDrain:
-		e.draining = true
-	case engine.OrderResume:
-		e.draining = false
-	case engine.OrderLoad:
-		if e.from != m.From || e.to != m.To || e.model != m.Model {
-			e.from, e.to, e.model = m.From, m.To, m.Model
-			e.streams.clear()
-		}
-	}
-	w.WriteHeader(http.StatusNoContent)
-}
-
 // Faults are the injected faults of an engine.
 type Faults struct {
 	// Slow multiplies the time of every layer; 0 leaves it unchanged.
@@ -207,13 +180,6 @@
 	w.WriteHeader(http.StatusNoContent)
 }
 
-// Drain tells the engine to take no new streams.
-func (e *Engine) Drain() {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	e.draining = true
-}
-
 // Serves returns the model that the engine holds.
 func (e *Engine) Serves() unit.EntryName {
 	e.mu.Lock()
--- /dev/null
+++ b/oleanderfake/runner/orders.go
@@ -0,0 +1,80 @@
+package runner
+
+import (
+	"net/http"
+	"slices"
+	"time"
+
+	"github.com/julienschmidt/httprouter"
+
+	"oleandercove.example/core/engine"
+	"oleandercove.example/oleanderfake/responder"
+)
+
+// handleOrder applies the target state of an order; an engine that honours
+// fencing refuses a number lower than the highest one seen.
+func (e *Engine) handleOrder(w http.ResponseWriter, r *http.Request, _ httprouter.Params) {
+	var m engine.Order
+	if !responder.Read(w, r, &m) {
+		return
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	record := engine.OrderRecord{Backend: e.options.Backend, At: time.Now(), Outcome: engine.OrderApplied, Order: m}
+	if !e.options.IgnoreFence && m.Fence < e.fence {
+		record.Outcome = engine.OrderStale
+		e.orders.Append(record)
+		http.Error(w, "order carries an old fencing number", http.StatusPreconditionFailed)
+		return
+	}
+	e.orders.Append(record)
+	e.fence = max(e.fence, m.Fence)
+	switch m.Kind {
+	case engine.OrderDrain:
+		e.draining = true
+	case engine.OrderResume:
+		e.draining = e.leaving
+	case engine.OrderLoad:
+		e.target(m)
+	}
+	w.WriteHeader(http.StatusNoContent)
+}
+
+// target loads what an order states, unless the engine holds or loads it.
+// Weights come from a rate-limited store, so a load takes time, and the old
+// layers leave the memory first. The caller holds the lock.
+func (e *Engine) target(m engine.Order) {
+	now := engine.Order{Model: e.model, Version: e.version, Adapters: e.adapters, From: e.from, To: e.to}
+	if e.loading != nil {
+		now = *e.loading
+	}
+	if now.Model == m.Model && now.Version == m.Version && now.From == m.From && now.To == m.To && slices.Equal(now.Adapters, m.Adapters) {
+		return
+	}
+	e.streams.clear()
+	if e.options.LoadTime <= 0 {
+		e.hold(m)
+		return
+	}
+	e.hold(engine.Order{})
+	e.loading = &m
+	time.AfterFunc(e.options.LoadTime, func() {
+		e.mu.Lock()
+		defer e.mu.Unlock()
+		if e.loading == &m { // a newer order may have replaced this one
+			e.hold(m)
+		}
+	})
+}
+
+func (e *Engine) hold(m engine.Order) {
+	e.loading = nil
+	e.model, e.version, e.adapters, e.from, e.to = m.Model, m.Version, m.Adapters, m.From, m.To
+}
+
+// Drain tells the engine to take no new streams, for good.
+func (e *Engine) Drain() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.draining, e.leaving = true, true
+}
--- a/oleanderfake/runner/runner.go
+++ b/oleanderfake/runner/runner.go
@@ -61,6 +61,13 @@
 	// LinkRate and ActivationBytes add the transfer time of activations.
 	LinkRate        unit.BytesPerSecond
 	ActivationBytes int
+	// Version and Adapters describe the weights at the start.
+	Version  string
+	Adapters []string
+	// MaxLayers is how many layers fit in the memory; 0 means any number.
+	MaxLayers unit.Layer
+	// LoadTime is the time of loading weights for an order.
+	LoadTime time.Duration
 	// IgnoreFence makes the engine take orders with any fencing number.
 	IgnoreFence bool
 	// PoisonWord makes the process exit when a prompt contains it.
@@ -76,6 +83,7 @@
 	options Options
 	start   string
 	journal *journaler.Journal[engine.JournalRecord]
+	orders  *journaler.Journal[engine.OrderRecord]
 	batch   *batcher
 	streams *table
 	http    *http.Client
@@ -86,8 +94,12 @@
 	mu       sync.Mutex
 	from, to unit.Layer
 	model    unit.EntryName
+	version  string
+	adapters []string
+	loading  *engine.Order
 	fence    unit.Fence
 	draining bool
+	leaving  bool
 	slow     float64
 	linkSlow float64
 	load     engine.Load
@@ -99,7 +111,12 @@
 	if err != nil {
 		return nil, err
 	}
+	orders, err := journaler.New[engine.OrderRecord]("")
+	if err != nil {
+		return nil, err
+	}
 	e := &Engine{
+		orders: orders, version: o.Version, adapters: o.Adapters,
 		options: o, start: uuid.NewString(), journal: j, streams: newTable(),
 		from: o.From, to: o.To, model: o.Model, slow: 1, linkSlow: 1,
 		http: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 512}},
@@ -158,6 +175,7 @@
 			Rate:          e.options.LinkRate,
 		}},
 		Fencing: !e.options.IgnoreFence,
+		Version: e.version, Adapters: e.adapters, MaxLayers: e.options.MaxLayers, Loading: e.loading, Leaving: e.leaving,
 	}
 }
 
