--- a/core/engine/orders.go
+++ b/core/engine/orders.go
@@ -23,3 +23,9 @@
 	Outcome OrderOutcome
 	Order   Order
 }
+
+// RangeKey identifies a range of layers of a model.
+type RangeKey struct {
+	Model    unit.EntryName
+	From, To unit.Layer
+}
--- a/oleandercove/leaser/leaser.go
+++ b/oleandercove/leaser/leaser.go
@@ -53,6 +53,8 @@
 	// candidates is how many daemons watch one object. The number of calls
 	// therefore does not depend on the number of daemons.
 	candidates = 3
+	// releaseLimit bounds the release of all leases in a graceful shutdown.
+	releaseLimit = 2 * time.Second
 	// driftDivisor is the inverse of the allowed difference in speed between
 	// the clocks of two hosts. One percent is far above the 500 ppm that time
 	// synchronisation corrects at most.
@@ -161,7 +163,9 @@
 		l.Step(ctx)
 		_ = l.options.Timer.Sleep(ctx, l.interval())
 	}
-	l.Release(context.WithoutCancel(ctx))
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), releaseLimit)
+	defer cancel()
+	l.Release(ctx)
 }
 
 // Step renews what this daemon holds and takes what has been left.
