oleandercove/commander: give orders to engines under a lease

Cause: the placement and the operators' drain marks have to reach the engines, also those that ignore fencing numbers. Change: one shard covers all engines, because fencing numbers compare only within a lease. A new holder waits for the longest order and for statuses from after its start, checks the lease between connecting and writing, uses a connection for each order, and repeats until the statuses show the targets. Drain marks lead to OrderDrain, canceled ones to OrderResume. Decisions are recorded under the subject backend:ID.

--- /dev/null
+++ b/oleandercove/commander/commander.go
@@ -0,0 +1,243 @@
+// Package commander gives orders to engines: placement and planned stops.
+//
+// One shard covers all engines, because fencing numbers compare only within a
+// lease and an engine may move between models. Each round reads the statuses
+// and the catalogue, and gives the orders that are missing, until the statuses
+// show the targets.
+//
+// Usage:
+//
+//	c := commander.New(commander.Options{Leases: l, Catalogue: s, Backends: w, Marks: m})
+//	go c.Run(ctx)
+package commander
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"slices"
+	"time"
+
+	"github.com/charmbracelet/log"
+
+	"oleandercove.example/core/catalogue"
+	"oleandercove.example/core/engine"
+	"oleandercove.example/core/platform"
+	"oleandercove.example/core/timer"
+	"oleandercove.example/core/unit"
+	"oleandercove.example/oleandercove/controller"
+	"oleandercove.example/oleandercove/leaser"
+	"oleandercove.example/oleandercove/marker"
+	"oleandercove.example/oleandercove/placer"
+	"oleandercove.example/oleandercove/recorder"
+	"oleandercove.example/oleandercove/watcher"
+)
+
+const (
+	// Key is the key of all engines in the controllers' shards.
+	Key = "engines"
+	// interval is the time between two rounds; statuses are read as often.
+	interval = 500 * time.Millisecond
+	// expectationLimit is how long a status may lack an order that was given.
+	// It is longer than an order and two rounds of statuses.
+	expectationLimit = 4 * time.Second
+	// part names the commander in recorded events.
+	part = "commander"
+)
+
+// Marks lists the operators' drain marks.
+type Marks interface {
+	// List returns all marks.
+	List() []marker.Mark
+}
+
+// Models lists the entries of the catalogue.
+type Models interface {
+	// List returns all entries of a kind, without deleted ones.
+	List(kind catalogue.Kind) []*catalogue.Entry
+	// Ready tells whether there is a catalogue at all.
+	Ready() bool
+}
+
+// Options configures a Commander.
+type Options struct {
+	Leases    leaser.Leases
+	Catalogue Models
+	Backends  watcher.Backends
+	Marks     Marks
+	Sender    Sender
+	Recorder  recorder.Recorder
+	Timer     timer.Service
+	Log       *log.Logger
+	// MaxLoads bounds the engines that load weights at once.
+	MaxLoads int
+}
+
+// Commander gives the orders of the shard of all engines.
+type Commander struct {
+	options    Options
+	shard      leaser.Shard
+	controller *controller.Controller[string]
+	expected   *controller.Expectations[unit.BackendID, engine.Order]
+	// fence is the last fencing number, since when its first round was.
+	fence unit.Fence
+	since time.Time
+	// blocked are the causes that were recorded last, to record changes only.
+	blocked []placer.Blocked
+}
+
+// New returns a Commander.
+func New(o Options) *Commander {
+	c := &Commander{options: o, shard: o.Leases.ShardOf(Key)}
+	c.expected = controller.NewExpectations[unit.BackendID, engine.Order](o.Timer, expectationLimit)
+	c.controller = controller.New(controller.Options[string]{Timer: o.Timer, Log: o.Log, Reconcile: c.Reconcile})
+	return c
+}
+
+// Run gives orders until ctx is done; no order is under way when it returns.
+func (c *Commander) Run(ctx context.Context) {
+	c.controller.Add(Key)
+	c.controller.Run(ctx)
+}
+
+// Reconcile gives the orders that are missing now.
+func (c *Commander) Reconcile(ctx context.Context, _ string) (time.Duration, error) {
+	g, err := c.options.Leases.Check(c.shard)
+	if err != nil || !c.options.Catalogue.Ready() {
+		return interval, nil
+	}
+	backends := c.options.Backends.Backends()
+	if !c.current(g, backends) {
+		return interval, nil
+	}
+	p := placer.Decide(c.input(backends))
+	c.recordBlocked(p.Blocked)
+	var failures []error
+	for _, d := range p.Decisions {
+		if err := c.give(ctx, backends, d); err != nil {
+			failures = append(failures, err)
+		}
+	}
+	return interval, errors.Join(failures...)
+}
+
+// current tells whether all statuses are from after the start of the grant: a
+// new holder reads the state back before its first order.
+func (c *Commander) current(g leaser.Grant, backends []watcher.Backend) bool {
+	if g.Fence != c.fence {
+		c.fence, c.since = g.Fence, c.options.Timer.Now()
+		c.expected.Clear()
+	}
+	return !slices.ContainsFunc(backends, func(b watcher.Backend) bool {
+		return b.Healthy && b.Seen.Before(c.since)
+	})
+}
+
+func (c *Commander) give(ctx context.Context, backends []watcher.Backend, d placer.Decision) error {
+	i := slices.IndexFunc(backends, func(b watcher.Backend) bool { return b.ID == d.Backend })
+	err := c.options.Sender.Send(ctx, backends[i].Address, d.Order, func() (leaser.Grant, error) {
+		return c.options.Leases.Check(c.shard)
+	})
+	decision, cause := recorder.DecisionOrder, describe(d.Order)+": "+string(d.Cause)
+	switch {
+	case errors.Is(err, leaser.ErrNotHeld):
+		decision = recorder.DecisionNotHeld
+	case errors.Is(err, errStale):
+		decision, cause = recorder.DecisionStale, cause+", engine has seen a newer fencing number"
+	case err != nil:
+		decision, cause = recorder.DecisionOrderUnknown, cause+", "+err.Error()
+	default:
+		// Only a confirmed order is expected; another one is given again, which
+		// is harmless, because an order states the target.
+		c.expected.Expect(d.Backend, d.Order)
+	}
+	c.options.Recorder.Record(recorder.Event{
+		Request: recorder.BackendSubject(d.Backend), Part: part, Decision: decision, Cause: cause,
+	})
+	c.options.Log.Info("order given", "backend", d.Backend, "order", describe(d.Order), "cause", d.Cause, "fence", c.fence, "err", err)
+	if err != nil {
+		return fmt.Errorf("order for %s: %w", d.Backend, err)
+	}
+	return nil
+}
+
+func describe(o engine.Order) string {
+	if o.Kind != engine.OrderLoad {
+		return string(o.Kind)
+	}
+	return fmt.Sprintf("%s %s version %q layers [%d,%d)", o.Kind, o.Model, o.Version, o.From, o.To)
+}
+
+// recordBlocked records what can't be met, once for each change.
+func (c *Commander) recordBlocked(now []placer.Blocked) {
+	same := func(a, b placer.Blocked) bool {
+		return a.Backend == b.Backend && a.Cause == b.Cause && describe(a.Target) == describe(b.Target)
+	}
+	for _, b := range now {
+		if slices.ContainsFunc(c.blocked, func(o placer.Blocked) bool { return same(o, b) }) {
+			continue
+		}
+		c.options.Recorder.Record(recorder.Event{
+			Request: recorder.BackendSubject(b.Backend), Part: part, Decision: recorder.DecisionBlocked,
+			Cause: describe(b.Target) + ": " + string(b.Cause),
+		})
+	}
+	c.blocked = now
+}
+
+func (c *Commander) input(backends []watcher.Backend) placer.Input {
+	in := placer.Input{MaxLoads: c.options.MaxLoads}
+	for _, e := range c.options.Catalogue.List(catalogue.KindModel) {
+		m := e.Model
+		in.Models = append(in.Models, placer.Model{
+			Name: e.Name, Version: m.Version, Adapters: m.Adapters, Layers: m.Layers, Replicas: m.Replicas,
+		})
+	}
+	marks := c.options.Marks.List()
+	for _, b := range backends {
+		if b.Role != platform.RoleEngine || b.Engine == nil {
+			continue
+		}
+		e := c.engine(b)
+		if i := slices.IndexFunc(marks, func(m marker.Mark) bool { return m.Target == string(b.ID) }); i >= 0 {
+			e.Marked, e.Unmarked = marks[i].Draining, !marks[i].Draining
+		}
+		in.Engines = append(in.Engines, e)
+	}
+	return in
+}
+
+// engine joins a status with the order that it may not show yet.
+func (c *Commander) engine(b watcher.Backend) placer.Engine {
+	s := b.Engine
+	e := placer.Engine{
+		ID: b.ID, MaxLayers: s.MaxLayers, Running: s.Load.Running, Healthy: b.Healthy,
+		Held:   engine.Order{Kind: engine.OrderLoad, Model: s.Model, Version: s.Version, Adapters: s.Adapters, From: s.From, To: s.To},
+		Target: s.Loading, Draining: s.Draining, Leaving: b.Leaving || s.Leaving,
+	}
+	o, ok := c.expected.Get(b.ID)
+	if !ok {
+		return e
+	}
+	switch {
+	case shows(s, o):
+		c.expected.Met(b.ID)
+	case o.Kind == engine.OrderLoad:
+		e.Target = &o
+	default:
+		e.Draining = o.Kind == engine.OrderDrain
+	}
+	return e
+}
+
+// shows tells whether a status shows the target of an order.
+func shows(s *engine.Status, o engine.Order) bool {
+	if o.Kind != engine.OrderLoad {
+		return s.Draining == (o.Kind == engine.OrderDrain)
+	}
+	now := engine.Order{Model: s.Model, Version: s.Version, Adapters: s.Adapters, From: s.From, To: s.To}
+	if s.Loading != nil {
+		now = *s.Loading
+	}
+	return now.Model == o.Model && now.Version == o.Version && now.From == o.From && now.To == o.To && slices.Equal(now.Adapters, o.Adapters)
+}
--- /dev/null
+++ b/oleandercove/daemon/controllers.go
@@ -0,0 +1,61 @@
+package daemon
+
+import (
+	"cmp"
+	"context"
+
+	"github.com/sourcegraph/conc"
+
+	"oleandercove.example/core/platform"
+	"oleandercove.example/core/timer"
+	"oleandercove.example/core/unit"
+	"oleandercove.example/oleandercove/commander"
+	"oleandercove.example/oleandercove/leaser"
+	"oleandercove.example/oleandercove/placer"
+)
+
+// controllers is the part of the daemon that gives orders to engines.
+type controllers struct {
+	leaser    *leaser.Leaser
+	commander *commander.Commander
+}
+
+func (d *Daemon) newControllers(p platform.Client, t timer.Service) *controllers {
+	s, c := d.settings.Controllers, &controllers{}
+	limit := cmp.Or(s.OrderLimit(), leaser.DefaultOrderLimit)
+	c.leaser = leaser.New(leaser.Options{
+		Platform: p, Timer: t, Log: d.log.WithPrefix("leaser"), Self: d.settings.Host,
+		Term: s.Lease(), OrderLimit: limit,
+		Hosts: func(ctx context.Context) ([]unit.HostID, error) { return entryHosts(ctx, p) },
+	})
+	c.commander = commander.New(commander.Options{
+		Leases: c.leaser, Catalogue: d.spreader, Backends: d.watcher, Marks: d.operator.marker,
+		Sender: commander.NewSender(limit), Recorder: d.recorder, Timer: t, Log: d.log.WithPrefix("commander"),
+		MaxLoads: cmp.Or(s.MaxLoads, placer.DefaultMaxLoads),
+	})
+	d.operator.dumper.Register("leaser", func() any { return c.leaser.States() })
+	return c
+}
+
+// entryHosts lists the live entry hosts of the platform's list.
+func entryHosts(ctx context.Context, p platform.Client) ([]unit.HostID, error) {
+	hosts, err := p.Hosts(ctx)
+	var out []unit.HostID
+	for _, h := range hosts {
+		if h.Role == platform.RoleEntry && h.State == platform.HostLive {
+			out = append(out, unit.HostID(h.ID))
+		}
+	}
+	return out, err
+}
+
+// run gives orders until ctx is done; leases are released only when no order
+// is under way.
+func (c *controllers) run(ctx context.Context, wg *conc.WaitGroup) {
+	leases, release := context.WithCancel(context.WithoutCancel(ctx))
+	wg.Go(func() { c.leaser.Run(leases) })
+	wg.Go(func() {
+		defer release()
+		c.commander.Run(ctx)
+	})
+}
--- a/oleandercove/daemon/daemon.go
+++ b/oleandercove/daemon/daemon.go
@@ -63,6 +63,7 @@
 	models   *streamer.Streamer
 	platform platform.Client
 	claimer  *claimer.Claimer
+	orders   *controllers
 }
 
 // New builds a daemon from its settings.
@@ -78,6 +79,7 @@
 	d.tracker = tracker.New()
 	d.operator = d.newOperators(p, t)
 	d.operator.metrics = d.Metrics()
+	d.orders = d.newControllers(p, t)
 	d.server = d.newServer(t)
 	return d
 }
@@ -115,6 +117,7 @@
 	var wg conc.WaitGroup
 	wg.Go(func() { d.spreader.Run(background) })
 	wg.Go(func() { d.watcher.Run(background) })
+	d.orders.run(background, &wg)
 	defer wg.Wait()
 	defer cancel()
 	if err := d.operator.serve(background, &wg); err != nil {
--- a/oleandercove/settings/settings.go
+++ b/oleandercove/settings/settings.go
@@ -14,17 +14,18 @@
 
 // Settings are the settings of one daemon.
 type Settings struct {
-	Host       unit.HostID     `check:"required"`
-	DataCentre unit.DataCentre `check:"required"`
-	Region     unit.Region
-	Callers    Callers
-	Operators  Operators
-	Platform   Platform
-	Log        Log
-	Shutdown   Shutdown
-	Policy     Policy
-	Services   Services
-	Admission  Admission
+	Host        unit.HostID     `check:"required"`
+	DataCentre  unit.DataCentre `check:"required"`
+	Region      unit.Region
+	Callers     Callers
+	Operators   Operators
+	Platform    Platform
+	Log         Log
+	Shutdown    Shutdown
+	Policy      Policy
+	Services    Services
+	Admission   Admission
+	Controllers Controllers
 }
 
 // Callers configures the listener for callers.
