oleandercove/placer: skip upgrades that can't start in this plan

Cause: at 2,100 engines of 10 models with all versions changed, a plan checked the cover of each layer for each old engine. Change: the cover is checked only while another load is allowed.

--- a/oleandercove/placer/placer.go
+++ b/oleandercove/placer/placer.go
@@ -147,6 +147,13 @@
 	return e.Target != nil || (e.Draining && !e.Marked && p.managed(e.Held.Model))
 }
 
+// allowed tells whether one more engine may be changed; one that is drained for
+// a load has its place already.
+func (p *planning) allowed(e *Engine) bool {
+	limit := max(1, p.input.MaxLoads)
+	return p.targets < limit && (p.counts(e) || p.loads < limit)
+}
+
 func (p *planning) order(e *Engine, o engine.Order, c Cause) {
 	p.busy[e.ID] = true
 	p.plan.Decisions = append(p.plan.Decisions, Decision{Backend: e.ID, Order: o, Cause: c})
@@ -180,11 +187,10 @@
 // change moves an engine one step towards a target: it is drained first and
 // loads once it runs no stream. It returns false if no load is allowed now.
 func (p *planning) change(e *Engine, target engine.Order, c Cause) bool {
-	limit := max(1, p.input.MaxLoads)
-	// A drained engine has its place already, unless operators drained it.
-	if counted := p.counts(e); p.targets >= limit || (!counted && p.loads >= limit) {
+	if !p.allowed(e) {
 		return false
-	} else if !counted {
+	}
+	if !p.counts(e) {
 		p.loads++
 	}
 	switch {
--- a/oleandercove/placer/stages.go
+++ b/oleandercove/placer/stages.go
@@ -218,6 +218,9 @@
 		return 0
 	})
 	for _, e := range old {
+		if !p.allowed(e) {
+			continue
+		}
 		m := p.models[e.Held.Model]
 		target := (&stage{model: m, from: e.Held.From, to: e.Held.To}).target()
 		if !p.removable(e) {
