core/clock: stamp recorded events with a hybrid logical clock

Cause: explain ordered the events of several daemons by their clocks, which shows effects before their causes when one clock is behind. Change: events carry a stamp; lease records carry it from holder to holder, so that the orders of a new holder come after those of the old one. explain sorts by the stamp. Edits, drains and their refusals are recorded under the subjects entry:KIND.NAME and backend:ID. The leaser reads the host list every 15 s only. Conclusion: no stamp is exchanged on peer links yet; events that are caused through them are ordered by the time of day.

--- a/core/api/operators.go
+++ b/core/api/operators.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"oleandercove.example/core/catalogue"
+	"oleandercove.example/core/clock"
 	"oleandercove.example/core/platform"
 	"oleandercove.example/core/unit"
 )
@@ -86,7 +87,10 @@
 
 // Event is one recorded decision.
 type Event struct {
-	At       time.Time
+	At time.Time
+	// Stamp orders events of several daemons; a cause comes before its effect
+	// where daemons exchange stamps.
+	Stamp    clock.Stamp
 	Host     unit.HostID
 	Request  unit.RequestID
 	Part     string
--- a/oleandercove/daemon/controllers.go
+++ b/oleandercove/daemon/controllers.go
@@ -25,7 +25,7 @@
 	limit := cmp.Or(s.OrderLimit(), leaser.DefaultOrderLimit)
 	c.leaser = leaser.New(leaser.Options{
 		Platform: p, Timer: t, Log: d.log.WithPrefix("leaser"), Self: d.settings.Host,
-		Term: s.Lease(), OrderLimit: limit,
+		Term: s.Lease(), OrderLimit: limit, Clock: d.clock,
 		Hosts: func(ctx context.Context) ([]unit.HostID, error) { return entryHosts(ctx, p) },
 	})
 	c.commander = commander.New(commander.Options{
--- a/oleandercove/daemon/daemon.go
+++ b/oleandercove/daemon/daemon.go
@@ -15,6 +15,7 @@
 	"github.com/gravitational/trace"
 	"github.com/sourcegraph/conc"
 
+	"oleandercove.example/core/clock"
 	"oleandercove.example/core/logger"
 	"oleandercove.example/core/platform"
 	"oleandercove.example/core/timer"
@@ -64,6 +65,7 @@
 	platform platform.Client
 	claimer  *claimer.Claimer
 	orders   *controllers
+	clock    *clock.Clock
 }
 
 // New builds a daemon from its settings.
@@ -72,10 +74,10 @@
 	t := timer.NewReal()
 	m := meter.New()
 	p := m.Platform(newPlatform(s))
-	d := &Daemon{settings: s, log: l, drainer: newDrainer(s.Shutdown, t, l), meter: m, timer: t, platform: p}
+	d := &Daemon{settings: s, log: l, clock: clock.New(t), drainer: newDrainer(s.Shutdown, t, l), meter: m, timer: t, platform: p}
 	d.spreader = spreader.New(spreader.Options{Platform: p, Timer: t, Log: l.WithPrefix("spreader")})
 	d.watcher = watcher.New(watcher.Options{Platform: p, Timer: t, Log: l.WithPrefix("watcher"), Interval: s.Policy.PollInterval.Std()})
-	d.recorder = recorder.New(recorder.Options{Host: s.Host, Capacity: journalCapacity, Timer: t})
+	d.recorder = recorder.New(recorder.Options{Host: s.Host, Capacity: journalCapacity, Timer: t, Clock: d.clock})
 	d.tracker = tracker.New()
 	d.operator = d.newOperators(p, t)
 	d.operator.metrics = d.Metrics()
--- a/oleandercove/leaser/lease.go
+++ b/oleandercove/leaser/lease.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"time"
 
+	"oleandercove.example/core/clock"
 	"oleandercove.example/core/platform"
 	"oleandercove.example/core/unit"
 )
@@ -17,6 +18,8 @@
 	Fence  unit.Fence
 	// Released means that the holder ended its orders and gave the lease up.
 	Released bool `json:",omitempty"`
+	// Stamp lets the events of the next holder come after those of this one.
+	Stamp clock.Stamp
 }
 
 // lease is what this daemon knows of one lease object. Only Step changes it.
@@ -35,6 +38,7 @@
 
 // write sends one conditional update and returns the time before it was sent.
 func (l *Leaser) write(ctx context.Context, c *lease, r record) (time.Time, error) {
+	r.Stamp = l.options.Clock.Now()
 	value, err := json.Marshal(r)
 	if err != nil {
 		return time.Time{}, err
@@ -104,6 +108,7 @@
 	if json.Unmarshal(o.Value, &r) != nil || r.Holder == "" {
 		r = record{Holder: "unknown"}
 	}
+	l.options.Clock.Observe(r.Stamp)
 	return o, r, nil
 }
 
--- a/oleandercove/leaser/leaser.go
+++ b/oleandercove/leaser/leaser.go
@@ -29,6 +29,7 @@
 	"github.com/charmbracelet/log"
 	"github.com/google/uuid"
 
+	"oleandercove.example/core/clock"
 	"oleandercove.example/core/platform"
 	"oleandercove.example/core/timer"
 	"oleandercove.example/core/unit"
@@ -53,6 +54,10 @@
 	// candidates is how many daemons watch one object. The number of calls
 	// therefore does not depend on the number of daemons.
 	candidates = 3
+	// hostsInterval is the time between two reads of the host list, the only call
+	// whose number grows with the number of daemons. A change of the list matters
+	// only when all daemons that watch a lease have died.
+	hostsInterval = 15 * time.Second
 	// releaseLimit bounds the release of all leases in a graceful shutdown.
 	releaseLimit = 2 * time.Second
 	// driftDivisor is the inverse of the allowed difference in speed between
@@ -96,6 +101,8 @@
 	Term            time.Duration
 	OrderLimit      time.Duration
 	MaxHeld         int
+	// Clock stamps the leases; nil means a clock of its own.
+	Clock *clock.Clock
 }
 
 func (o *Options) setDefaults() {
@@ -104,6 +111,12 @@
 	setDefault(&o.Term, DefaultTerm)
 	setDefault(&o.OrderLimit, DefaultOrderLimit)
 	setDefault(&o.MaxHeld, DefaultMaxHeld)
+	if o.Timer == nil {
+		o.Timer = timer.NewReal()
+	}
+	if o.Clock == nil {
+		o.Clock = clock.New(o.Timer)
+	}
 }
 
 func setDefault[T int | time.Duration](v *T, d T) {
@@ -119,6 +132,8 @@
 	// for the lease of its earlier run.
 	holder  string
 	members []unit.HostID
+	// membersAt is when the members were read; zero means never.
+	membersAt time.Time
 
 	mu      sync.RWMutex
 	objects []*lease
@@ -170,9 +185,7 @@
 
 // Step renews what this daemon holds and takes what has been left.
 func (l *Leaser) Step(ctx context.Context) {
-	if hosts, err := l.options.Hosts(ctx); err == nil {
-		l.members = withSelf(hosts, l.options.Self)
-	}
+	l.readHosts(ctx)
 	held := l.renewAll(ctx)
 	limit := max(l.options.MaxHeld, (len(l.objects)+len(l.members)-1)/len(l.members))
 	for _, c := range l.objects {
@@ -186,6 +199,16 @@
 	}
 }
 
+func (l *Leaser) readHosts(ctx context.Context) {
+	now := l.options.Timer.Now()
+	if !l.membersAt.IsZero() && now.Sub(l.membersAt) < hostsInterval {
+		return
+	}
+	if hosts, err := l.options.Hosts(ctx); err == nil {
+		l.members, l.membersAt = withSelf(hosts, l.options.Self), now
+	}
+}
+
 func (l *Leaser) isHeld(c *lease) bool {
 	l.mu.RLock()
 	defer l.mu.RUnlock()
--- a/oleandercove/operator/entries.go
+++ b/oleandercove/operator/entries.go
@@ -1,6 +1,7 @@
 package operator
 
 import (
+	"fmt"
 	"net/http"
 	"slices"
 
@@ -10,6 +11,7 @@
 	"oleandercove.example/core/catalogue"
 	"oleandercove.example/core/unit"
 	"oleandercove.example/core/verdict"
+	"oleandercove.example/oleandercove/recorder"
 )
 
 var kinds = []catalogue.Kind{catalogue.KindAccount, catalogue.KindModel, catalogue.KindService}
@@ -88,6 +90,7 @@
 		return
 	}
 	a, err := run(k, by)
+	s.record(recorder.EntrySubject(k.ObjectName()), fmt.Sprint("version ", a.Version, " fields ", a.Fields), by, err)
 	if err != nil {
 		s.refuse(w, err)
 		return
--- a/oleandercove/operator/insight.go
+++ b/oleandercove/operator/insight.go
@@ -11,6 +11,7 @@
 	"oleandercove.example/core/unit"
 	"oleandercove.example/core/verdict"
 	"oleandercove.example/oleandercove/marker"
+	"oleandercove.example/oleandercove/recorder"
 )
 
 // retryAfter is when an operator should repeat a call that needs the platform.
@@ -44,12 +45,31 @@
 	x := api.Explanation{Request: unit.RequestID(p.ByName("id")), Host: s.options.Host, Events: []api.Event{}}
 	for _, e := range s.options.Recorder.Explain(x.Request) {
 		x.Events = append(x.Events, api.Event{
-			At: e.At, Host: e.Host, Request: e.Request, Part: e.Part, Decision: e.Decision, Cause: e.Cause,
+			At: e.At, Stamp: e.Stamp, Host: e.Host, Request: e.Request, Part: e.Part, Decision: e.Decision, Cause: e.Cause,
 		})
 	}
 	answer(w, x)
 }
 
+func drainText(d api.DrainRequest) string {
+	if d.Cancel {
+		return "cancel drain of " + d.Target
+	}
+	return "drain " + d.Target
+}
+
+// record explains the outcome of an operator's edit.
+func (s *Server) record(subject unit.RequestID, what, by string, err error) {
+	e := recorder.Event{Request: subject, Part: "operator", Decision: recorder.DecisionEdit, Cause: what + " by " + by}
+	if err != nil {
+		e.Decision, e.Cause = recorder.DecisionEditRefused, "by "+by+": "+err.Error()
+		if v, ok := verdict.Of(err); !ok || v.Verdict == verdict.MayHaveRun {
+			e.Decision = recorder.DecisionEditUnknown
+		}
+	}
+	s.options.Recorder.Record(e)
+}
+
 func (s *Server) postDrain(w http.ResponseWriter, r *http.Request, _ httprouter.Params) {
 	var body api.DrainRequest
 	by, err := author(r)
@@ -63,6 +83,7 @@
 	if err == nil {
 		err = s.options.Marks.Set(r.Context(), marker.Mark{Target: body.Target, Role: role, Draining: !body.Cancel, By: by})
 	}
+	s.record(recorder.BackendSubject(unit.BackendID(body.Target)), drainText(body), by, err)
 	if err != nil {
 		s.refuse(w, err)
 		return
--- a/oleandercove/recorder/decisions.go
+++ b/oleandercove/recorder/decisions.go
@@ -18,6 +18,8 @@
 	DecisionEdit = "Edit"
 	// DecisionEditRefused is an operator's edit that was refused.
 	DecisionEditRefused = "EditRefused"
+	// DecisionEditUnknown is an operator's edit whose outcome is unknown.
+	DecisionEditUnknown = "EditUnknown"
 )
 
 // BackendSubject is the subject under which explain finds the events of a
--- a/oleandercove/recorder/recorder.go
+++ b/oleandercove/recorder/recorder.go
@@ -11,6 +11,7 @@
 	"sync"
 	"time"
 
+	"oleandercove.example/core/clock"
 	"oleandercove.example/core/timer"
 	"oleandercove.example/core/unit"
 )
@@ -18,6 +19,7 @@
 // Event is one decision with its cause.
 type Event struct {
 	At       time.Time
+	Stamp    clock.Stamp
 	Host     unit.HostID
 	Request  unit.RequestID
 	Part     string
@@ -40,6 +42,8 @@
 	Host     unit.HostID
 	Capacity int
 	Timer    timer.Service
+	// Clock stamps the events; nil means a clock of its own.
+	Clock *clock.Clock
 }
 
 // Journal is the default Recorder: a ring in memory.
@@ -52,14 +56,18 @@
 
 // New returns an empty Journal.
 func New(o Options) *Journal {
+	if o.Clock == nil {
+		o.Clock = clock.New(o.Timer)
+	}
 	return &Journal{options: o, ring: make([]Event, 0, max(1, o.Capacity))}
 }
 
 // Record stores an event and drops the oldest one when the ring is full.
 func (j *Journal) Record(e Event) {
-	e.At, e.Host = j.options.Timer.Now(), j.options.Host
 	j.mu.Lock()
 	defer j.mu.Unlock()
+	// Stamped under the lock, so that the ring is in the order of the stamps.
+	e.At, e.Stamp, e.Host = j.options.Timer.Now(), j.options.Clock.Now(), j.options.Host
 	if len(j.ring) < cap(j.ring) {
 		j.ring = append(j.ring, e)
 		return
--- a/oleanderctl/command/insight.go
+++ b/oleanderctl/command/insight.go
@@ -88,7 +88,8 @@
 func (p *program) explain() *cobra.Command {
 	return &cobra.Command{
 		Use: "explain REQUEST-ID", Short: "Show why a request was served as it was", Args: cobra.ExactArgs(1),
-		Long: "Asks the daemons at all addresses and shows their events in the order of time.",
+		Long: "Asks the daemons at all addresses and shows their events in the order of their stamps.\n" +
+			"backend:ID shows the orders to a backend server, entry:KIND.NAME the edits of an entry.",
 		RunE: func(c *cobra.Command, args []string) error {
 			x, err := p.collect(c.Context(), args[0])
 			if err != nil {
@@ -118,7 +119,7 @@
 		}
 		return all, failure
 	}
-	sort.SliceStable(all.Events, func(i, j int) bool { return all.Events[i].At.Before(all.Events[j].At) })
+	sort.SliceStable(all.Events, func(i, j int) bool { return all.Events[i].Stamp.Compare(all.Events[j].Stamp) < 0 })
 	return all, nil
 }
 
