oleandercove/leaser: read the host list more often after the start

Cause: a daemon of a starting site saw a list with itself only and watched every lease until the next read 15 s later; TestLeaseCosts measured more than 10 lease calls/s with 9 daemons. Change: the wait between two reads starts at one step and doubles to 15 s.

--- a/oleandercove/leaser/leaser.go
+++ b/oleandercove/leaser/leaser.go
@@ -132,8 +132,11 @@
 	// for the lease of its earlier run.
 	holder  string
 	members []unit.HostID
-	// membersAt is when the members were read; zero means never.
-	membersAt time.Time
+	// membersAt is when the members were read; zero means never. The wait for
+	// the next time grows, because the first lists of a starting site are short
+	// and make every daemon watch every lease.
+	membersAt   time.Time
+	membersWait time.Duration
 
 	mu      sync.RWMutex
 	objects []*lease
@@ -201,11 +204,12 @@
 
 func (l *Leaser) readHosts(ctx context.Context) {
 	now := l.options.Timer.Now()
-	if !l.membersAt.IsZero() && now.Sub(l.membersAt) < hostsInterval {
+	if !l.membersAt.IsZero() && now.Sub(l.membersAt) < l.membersWait {
 		return
 	}
 	if hosts, err := l.options.Hosts(ctx); err == nil {
 		l.members, l.membersAt = withSelf(hosts, l.options.Self), now
+		l.membersWait = min(hostsInterval, max(l.interval(), 2*l.membersWait))
 	}
 }
 
