oleandercove/settings: set lease, order limit and parallel loads

Cause: sites differ in the rate of their weight store and in how fast a killed holder has to be replaced. Change: the section Controllers holds Lease, OrderLimit and MaxLoads. An order limit that is not below the lease is a fault of the file.

--- a/oleandercove/daemon/controllers.go
+++ b/oleandercove/daemon/controllers.go
@@ -1,7 +1,6 @@
 package daemon
 
 import (
-	"cmp"
 	"context"
 
 	"github.com/sourcegraph/conc"
@@ -11,7 +10,6 @@
 	"oleandercove.example/core/unit"
 	"oleandercove.example/oleandercove/commander"
 	"oleandercove.example/oleandercove/leaser"
-	"oleandercove.example/oleandercove/placer"
 )
 
 // controllers is the part of the daemon that gives orders to engines.
@@ -22,16 +20,15 @@
 
 func (d *Daemon) newControllers(p platform.Client, t timer.Service) *controllers {
 	s, c := d.settings.Controllers, &controllers{}
-	limit := cmp.Or(s.OrderLimit(), leaser.DefaultOrderLimit)
 	c.leaser = leaser.New(leaser.Options{
 		Platform: p, Timer: t, Log: d.log.WithPrefix("leaser"), Self: d.settings.Host,
-		Term: s.Lease(), OrderLimit: limit, Clock: d.clock,
+		Term: s.Lease.Std(), OrderLimit: s.OrderLimit.Std(), Clock: d.clock,
 		Hosts: func(ctx context.Context) ([]unit.HostID, error) { return entryHosts(ctx, p) },
 	})
 	c.commander = commander.New(commander.Options{
 		Leases: c.leaser, Catalogue: d.spreader, Backends: d.watcher, Marks: d.operator.marker,
-		Sender: commander.NewSender(limit), Recorder: d.recorder, Timer: t, Log: d.log.WithPrefix("commander"),
-		MaxLoads: cmp.Or(s.MaxLoads, placer.DefaultMaxLoads),
+		Sender: commander.NewSender(s.OrderLimit.Std()), Recorder: d.recorder, Timer: t, Log: d.log.WithPrefix("commander"),
+		MaxLoads: s.MaxLoads,
 	})
 	d.operator.dumper.Register("leaser", func() any { return c.leaser.States() })
 	return c
--- a/oleandercove/settings/controllers.go
+++ b/oleandercove/settings/controllers.go
@@ -1,23 +1,33 @@
 package settings
 
-import "time"
+import (
+	"time"
+
+	"oleandercove.example/core/loader"
+)
+
+// minLease keeps the renewals of one lease below a few calls a second.
+const minLease = time.Second
 
 // Controllers configures the leases and the controllers. The times must be the
-// same on all daemons.
+// same on all daemons, because each waits for what the others are allowed.
 type Controllers struct {
-	// LeaseMs is the term of a lease in milliseconds; 0 means the default.
-	LeaseMs int
-	// OrderLimitMs bounds an order in milliseconds; 0 means the default.
-	OrderLimitMs int
-	// MaxLoads bounds the engines that load weights at once; 0 means the
-	// default.
-	MaxLoads int
+	// Lease is the time for which a renewal of a lease allows orders.
+	Lease loader.Duration `check:"positive"`
+	// OrderLimit bounds an order to an engine.
+	OrderLimit loader.Duration `check:"positive"`
+	// MaxLoads bounds the engines that load weights at once.
+	MaxLoads int `check:"positive"`
 }
 
-// Lease returns the term of a lease, or 0 for the default.
-func (c Controllers) Lease() time.Duration { return time.Duration(c.LeaseMs) * time.Millisecond }
-
-// OrderLimit returns the longest time of an order, or 0 for the default.
-func (c Controllers) OrderLimit() time.Duration {
-	return time.Duration(c.OrderLimitMs) * time.Millisecond
+// Check checks the ranges.
+func (c *Controllers) Check() []loader.Problem {
+	var out []loader.Problem
+	if c.Lease.Std() < minLease {
+		out = append(out, loader.Problem{Key: "Lease", Expected: "at least " + minLease.String()})
+	}
+	if c.OrderLimit >= c.Lease {
+		out = append(out, loader.Problem{Key: "OrderLimit", Expected: "less than Lease (" + c.Lease.String() + ")"})
+	}
+	return out
 }
--- a/oleandercove/settings/settings.go
+++ b/oleandercove/settings/settings.go
@@ -10,6 +10,8 @@
 
 	"oleandercove.example/core/loader"
 	"oleandercove.example/core/unit"
+	"oleandercove.example/oleandercove/leaser"
+	"oleandercove.example/oleandercove/placer"
 )
 
 // Settings are the settings of one daemon.
@@ -74,6 +76,11 @@
 			BalancerDelay: loader.Duration(time.Second),
 			Limit:         loader.Duration(30 * time.Second),
 		},
+		Controllers: Controllers{
+			Lease:      loader.Duration(leaser.DefaultTerm),
+			OrderLimit: loader.Duration(leaser.DefaultOrderLimit),
+			MaxLoads:   placer.DefaultMaxLoads,
+		},
 		Policy: Policy{
 			SilenceLimit: loader.Duration(time.Second),
 			PollInterval: loader.Duration(500 * time.Millisecond),
--- a/oleandercove/settings/settings_test.go
+++ b/oleandercove/settings/settings_test.go
@@ -42,6 +42,7 @@
 		{"misspelt policy is taken as the default", valid + "[Policy]\nBalance = 'least-dealy'", []string{"6: Policy.Balance: expected least-delay, round-robin"}},
 		{"requests wait without a bound", valid + "[Admission]\nMaxWait = '0s'", []string{"6: Admission.MaxWait: expected a value above zero"}},
 		{"delay uses up the whole shutdown", valid + "[Shutdown]\nLimit = '1s'", []string{"5: Shutdown.BalancerDelay: expected a duration from 0s"}},
+		{"order outlasts the lease that allows it", valid + "[Controllers]\nOrderLimit = '6s'", []string{"6: Controllers.OrderLimit: expected less than Lease (6s)"}},
 		{"operators are served without a token", valid + "[Operators]\nListen = '127.0.0.1:9'", []string{"5: Operators.Token: expected a bearer token"}},
 		{"misspelt level logs everything", valid + "[Log]\nLevel = 'warning'", []string{"6: Log.Level: expected debug"}},
 		{"unlimited body time holds connections", valid + "Callers.BodyTimeout = '0s'", []string{"5: Callers.BodyTimeout: expected a value above zero"}},
--- a/prover/orders_test.go
+++ b/prover/orders_test.go
@@ -27,8 +27,8 @@
 // shortLease makes a lease short enough to take it over many times in a test.
 const shortLease = `
 [Controllers]
-LeaseMs = 1500
-OrderLimitMs = 500
+Lease = "1500ms"
+OrderLimit = "500ms"
 `
 
 // pool is a site whose daemons are on the platform's list, with two engines for
