oleandercove/commander: read the catalogue before the first order of a lease

Cause: a new holder whose watch lags could give orders from an older entry than the holder before it, and turn engines back until its watch catches up. Change: a holder with a new fencing number lists the entries on the platform and merges them before its first order; without an answer it gives none.

--- a/oleandercove/commander/commander.go
+++ b/oleandercove/commander/commander.go
@@ -69,6 +69,10 @@
 	Recorder  recorder.Recorder
 	Timer     timer.Service
 	Log       *log.Logger
+	// Refresh brings the catalogue up to the platform's. A new holder calls it
+	// before its first order, because its own copy may be older than the one
+	// that the holder before it gave orders from.
+	Refresh func(ctx context.Context) error
 	// MaxLoads bounds the engines that load weights at once.
 	MaxLoads int
 }
@@ -107,8 +111,8 @@
 		return interval, nil
 	}
 	backends := c.options.Backends.Backends()
-	if !c.current(g, backends) {
-		return interval, nil
+	if current, err := c.current(ctx, g, backends); err != nil || !current {
+		return interval, err
 	}
 	p := placer.Decide(c.input(backends))
 	c.recordBlocked(p.Blocked)
@@ -121,16 +125,19 @@
 	return interval, errors.Join(failures...)
 }
 
-// current tells whether all statuses are from after the start of the grant: a
-// new holder reads the state back before its first order.
-func (c *Commander) current(g leaser.Grant, backends []watcher.Backend) bool {
+// current tells whether the catalogue and all statuses are from after the start
+// of the grant: a new holder reads the state back before its first order.
+func (c *Commander) current(ctx context.Context, g leaser.Grant, backends []watcher.Backend) (bool, error) {
 	if g.Fence != c.fence {
+		if err := c.options.Refresh(ctx); err != nil {
+			return false, fmt.Errorf("read the catalogue: %w", err)
+		}
 		c.fence, c.since = g.Fence, c.options.Timer.Now()
 		c.expected.Clear()
 	}
 	return !slices.ContainsFunc(backends, func(b watcher.Backend) bool {
 		return b.Healthy && b.Seen.Before(c.since)
-	})
+	}), nil
 }
 
 func (c *Commander) give(ctx context.Context, backends []watcher.Backend, d placer.Decision) error {
--- a/oleandercove/daemon/controllers.go
+++ b/oleandercove/daemon/controllers.go
@@ -5,6 +5,7 @@
 
 	"github.com/sourcegraph/conc"
 
+	"oleandercove.example/core/catalogue"
 	"oleandercove.example/core/platform"
 	"oleandercove.example/core/timer"
 	"oleandercove.example/core/unit"
@@ -28,12 +29,31 @@
 	c.commander = commander.New(commander.Options{
 		Leases: c.leaser, Catalogue: d.spreader, Backends: d.watcher, Marks: d.operator.marker,
 		Sender: commander.NewSender(s.OrderLimit.Std()), Recorder: d.recorder, Timer: t, Log: d.log.WithPrefix("commander"),
-		MaxLoads: s.MaxLoads,
+		Refresh: func(ctx context.Context) error { return d.refresh(ctx, p) }, MaxLoads: s.MaxLoads,
 	})
 	d.operator.dumper.Register("leaser", func() any { return c.leaser.States() })
 	return c
 }
 
+// refresh merges the platform's current entries into the catalogue.
+func (d *Daemon) refresh(ctx context.Context, p platform.Client) error {
+	l, err := p.List(ctx, platform.KindEntry)
+	if err != nil {
+		return err
+	}
+	var entries []*catalogue.Entry
+	for _, o := range l.Objects {
+		e, err := catalogue.Decode(o.Value, o.Version)
+		if err != nil {
+			d.log.WithPrefix("commander").Error("skipped a broken entry", "name", o.Name, "err", err)
+			continue
+		}
+		entries = append(entries, e)
+	}
+	d.spreader.Merge(entries)
+	return nil
+}
+
 // entryHosts lists the live entry hosts of the platform's list.
 func entryHosts(ctx context.Context, p platform.Client) ([]unit.HostID, error) {
 	hosts, err := p.Hosts(ctx)
