prover: check that explain shows the marks and orders of an engine

Cause: a mark and its order are recorded on different daemons. Change: TestDrainMark counts the events of both marks and both orders on all daemons.

--- a/prover/orders_test.go
+++ b/prover/orders_test.go
@@ -20,6 +20,7 @@
 	"oleandercove.example/core/unit"
 	"oleandercove.example/oleandercove/commander"
 	"oleandercove.example/oleandercove/leaser"
+	"oleandercove.example/oleandercove/recorder"
 	"oleandercove.example/prover/invoker"
 	"oleandercove.example/prover/launcher"
 )
@@ -229,6 +230,27 @@
 	is.Equal(len(records), 2) // no order is repeated
 	is.Equal([]engine.OrderKind{records[0].Order.Kind, records[1].Order.Kind}, []engine.OrderKind{engine.OrderDrain, engine.OrderResume})
 	is.True(records[0].Order.Fence > 0)
+	is.NoErr(launcher.Wait(settleLimit, "events of both marks and both orders", func() bool {
+		return p.explained(t.Context(), "backend:engine-0", recorder.DecisionEdit) == 2 &&
+			p.explained(t.Context(), "backend:engine-0", recorder.DecisionOrder) == 2
+	}))
+}
+
+// explained counts the events with one decision on all daemons.
+func (p *pool) explained(ctx context.Context, subject, decision string) int {
+	n := 0
+	for i := range p.daemons {
+		var x api.Explanation
+		if p.operator(i, "ann").Get(ctx, "/v1/explain/"+subject, &x) != nil {
+			return -1
+		}
+		for _, e := range x.Events {
+			if e.Decision == decision {
+				n++
+			}
+		}
+	}
+	return n
 }
 
 // TestLeaseCosts guards against a lease that stays with a killed daemon, and
