--- a/oleandercove/daemon/daemon.go
+++ b/oleandercove/daemon/daemon.go
@@ -15,6 +15,7 @@
 	"github.com/gravitational/trace"
 	"github.com/sourcegraph/conc"
 
+	"oleandercove.example/core/clock"
 	"oleandercove.example/core/logger"
 	"oleandercove.example/core/platform"
 	"oleandercove.example/core/timer"
@@ -69,7 +70,9 @@
 	sharer   *quarantiner.Sharer
 	parts    *linker.Parts
 	// fault is why the daemon could not be built.
-	fault error
+	fault  error
+	orders *controllers
+	clock  *clock.Clock
 }
 
 // New builds a daemon from its settings.
@@ -78,12 +81,13 @@
 	t := timer.NewReal()
 	m := meter.New()
 	p := m.Platform(newPlatform(s))
-	d := &Daemon{settings: s, log: l, drainer: newDrainer(s.Shutdown, t, l), meter: m, timer: t, platform: p}
-	d.recorder = recorder.New(recorder.Options{Host: s.Host, Capacity: journalCapacity, Timer: t})
+	d := &Daemon{settings: s, log: l, clock: clock.New(t), drainer: newDrainer(s.Shutdown, t, l), meter: m, timer: t, platform: p}
+	d.recorder = recorder.New(recorder.Options{Host: s.Host, Capacity: journalCapacity, Timer: t, Clock: d.clock})
 	d.tracker = tracker.New()
 	if d.buildParts(p, t); d.fault == nil {
 		d.operator = d.newOperators(p, t)
 		d.operator.metrics = d.Metrics()
+		d.orders = d.newControllers(p, t)
 		d.server = d.newServer(t)
 	}
 	return d
@@ -127,6 +131,7 @@
 	wg.Go(func() { d.parts.Run(background) })
 	wg.Go(func() { d.limiter.Run(background) })
 	wg.Go(func() { d.shareMarks(background) })
+	d.orders.run(background, &wg)
 	defer wg.Wait()
 	defer cancel()
 	if err := d.operator.serve(background, &wg); err != nil {
--- a/oleandercove/settings/settings.go
+++ b/oleandercove/settings/settings.go
@@ -10,22 +10,25 @@
 
 	"oleandercove.example/core/loader"
 	"oleandercove.example/core/unit"
+	"oleandercove.example/oleandercove/leaser"
+	"oleandercove.example/oleandercove/placer"
 )
 
 // Settings are the settings of one daemon.
 type Settings struct {
-	Host       unit.HostID     `check:"required"`
-	DataCentre unit.DataCentre `check:"required"`
-	Region     unit.Region
-	Callers    Callers
-	Operators  Operators
-	Platform   Platform
-	Log        Log
-	Shutdown   Shutdown
-	Peers      Peers
-	Policy     Policy
-	Services   Services
-	Admission  Admission
+	Host        unit.HostID     `check:"required"`
+	DataCentre  unit.DataCentre `check:"required"`
+	Region      unit.Region
+	Callers     Callers
+	Operators   Operators
+	Platform    Platform
+	Log         Log
+	Shutdown    Shutdown
+	Peers       Peers
+	Policy      Policy
+	Services    Services
+	Admission   Admission
+	Controllers Controllers
 }
 
 // Callers configures the listener for callers.
@@ -74,6 +77,11 @@
 			BalancerDelay: loader.Duration(time.Second),
 			Limit:         loader.Duration(30 * time.Second),
 		},
+		Controllers: Controllers{
+			Lease:      loader.Duration(leaser.DefaultTerm),
+			OrderLimit: loader.Duration(leaser.DefaultOrderLimit),
+			MaxLoads:   placer.DefaultMaxLoads,
+		},
 		Policy: Policy{
 			SilenceLimit: loader.Duration(time.Second),
 			PollInterval: loader.Duration(500 * time.Millisecond),
--- a/oleandercove/watcher/combiner.go
+++ b/oleandercove/watcher/combiner.go
@@ -13,7 +13,7 @@
 		return Backend{}, false
 	}
 	b := row.backend
-	b.Draining, b.Healthy, b.Engine = leaving, false, nil
+	b.Leaving, b.Draining, b.Healthy, b.Engine = leaving, leaving, false, nil
 	selected := choose(reports, fromPoll, func(h unit.HostID) bool { return sel.polls(h, id, b.DataCentre) })
 	if own.backend.ID != "" {
 		selected = append(selected, own)
--- a/oleandercove/watcher/watcher.go
+++ b/oleandercove/watcher/watcher.go
@@ -45,6 +45,8 @@
 	Engine *engine.Status
 	// Seen is the time of the last good status.
 	Seen time.Time
+	// Leaving is the state of the backend server's row in the host list.
+	Leaving bool
 }
 
 // Usable tells whether the backend server may get new work.
