prover: run the tests that wait for leases in parallel

Cause: two tests spend 141 s waiting for leases and for windows of fixed length. Change: they run in parallel; checks and lengths are unchanged.

--- a/prover/orders_test.go
+++ b/prover/orders_test.go
@@ -157,6 +157,7 @@
 // wakes after another one took its lease, and turns engines back to an old
 // target; and against a delayed order that stays in effect.
 func TestPausedHolder(t *testing.T) {
+	t.Parallel() // most of its time is waiting for leases to expire
 	rows := []struct {
 		name  string
 		flags []string
@@ -168,6 +169,7 @@
 	}
 	for _, r := range rows {
 		t.Run(r.name, func(t *testing.T) {
+			t.Parallel()
 			is := is.New(t)
 			p := newPool(t, 3, shortLease, r.flags...)
 			random := rand.New(rand.NewPCG(1, 2))
@@ -256,6 +258,7 @@
 // TestLeaseCosts guards against a lease that stays with a killed daemon, and
 // against platform calls that grow with the number of daemons.
 func TestLeaseCosts(t *testing.T) {
+	t.Parallel() // it counts calls over fixed times
 	type calls struct{ Reads, Writes, Hosts unit.Version }
 	const window = 8 * time.Second
 	// settling is the time of three reads of the host list: the first lists are
