streamer, engine: choose tokens as a function of request and position

Cause: nothing fixed how a replaced last stage chooses a token, so an engine that samples could contradict a token that a survivor already used as input. Ruled out: a seed from the stream id, because a caller who resumes at another daemon gets another stream; a reference text that always needs the seed, because every caller at temperature 0 would then have to know its request id. Change: StreamRequest and StepRequest carry temperature and seed. The daemon derives the seed from account, request id, model and prompt, or takes the caller's seed. The toy model uses it at temperatures above 0, and the fake refuses a step that samples differently from earlier steps of its stream. Half of the streams of the crowd tests run at temperature 1.

--- a/core/api/api.go
+++ b/core/api/api.go
@@ -33,6 +33,10 @@
 	Prompt    string    `json:"prompt,omitempty"`
 	MaxTokens int       `json:"max_tokens,omitempty"`
 	Stream    bool      `json:"stream,omitempty"`
+	// Temperature 0 takes the most likely token.
+	Temperature float64 `json:"temperature,omitempty"`
+	// Seed replaces the seed that the daemon derives from the request.
+	Seed *int64 `json:"seed,omitempty"`
 }
 
 // Choice is one answer of a completion.
--- a/core/engine/engine.go
+++ b/core/engine/engine.go
@@ -49,6 +49,7 @@
 	MaxTokens int
 	Priority  Priority
 	Chain     []Stage
+	Sampling
 }
 
 // EventKind says what an Event reports.
@@ -137,6 +138,7 @@
 	Inputs   []Activation
 	// Fresh is the first position whose execution is not a replay.
 	Fresh unit.Position
+	Sampling
 }
 
 // StepCode is the outcome of a step.
--- a/oleandercove/request/request.go
+++ b/oleandercove/request/request.go
@@ -38,6 +38,10 @@
 type Completion struct {
 	Prompt    string
 	MaxTokens int
+	// Temperature and Seed say how tokens are chosen; without Seed it is derived
+	// from the request.
+	Temperature float64
+	Seed        *int64
 	// Emit passes a generated token to the caller, in order.
 	Emit func(text string) error
 	// Finish and Tokens are set when the answer is complete.
--- a/oleandercove/server/completions.go
+++ b/oleandercove/server/completions.go
@@ -15,6 +15,9 @@
 	"oleandercove.example/oleandercove/request"
 )
 
+// maxTemperature is the limit of the OpenAI-compatible protocol.
+const maxTemperature = 2
+
 func (s *Server) handleChat(w http.ResponseWriter, r *http.Request, _ httprouter.Params) {
 	s.complete(w, r, true)
 }
@@ -35,7 +38,9 @@
 	}
 	q.Name = unit.EntryName(m.Model)
 	a := &answer{w: w, id: q.ID, model: m.Model, chat: chat, stream: m.Stream, created: q.Arrived.Unix()}
-	q.Completion = &request.Completion{Prompt: prompt(m), MaxTokens: m.MaxTokens, Emit: a.emit}
+	q.Completion = &request.Completion{
+		Prompt: prompt(m), MaxTokens: m.MaxTokens, Temperature: m.Temperature, Seed: m.Seed, Emit: a.emit,
+	}
 	ctx, cancel := context.WithDeadline(r.Context(), q.Deadline)
 	defer cancel()
 	if err := s.options.Handler(ctx, q); err != nil {
@@ -68,6 +73,9 @@
 	if m.MaxTokens < 0 {
 		return nil, verdict.New(verdict.NotRun, verdict.BadRequest, "max_tokens must not be negative")
 	}
+	if m.Temperature < 0 || m.Temperature > maxTemperature {
+		return nil, verdict.New(verdict.NotRun, verdict.BadRequest, "temperature must be from 0 to %d", maxTemperature)
+	}
 	if m.Model == "" || strings.TrimSpace(prompt(m)) == "" {
 		return nil, verdict.New(verdict.NotRun, verdict.BadRequest, "model and %s are required", inputField(chat))
 	}
--- a/oleandercove/server/input_test.go
+++ b/oleandercove/server/input_test.go
@@ -115,6 +115,7 @@
 		{"empty body is a request", post(path, "", ""), 400, verdict.BadRequest},
 		{"empty prompt reaches an engine", post(path, "", `{"model":"report","prompt":" "}`), 400, verdict.BadRequest},
 		{"negative max_tokens reaches an engine", post(path, "", `{"model":"report","prompt":"x","max_tokens":-1}`), 400, verdict.BadRequest},
+		{"negative temperature reaches an engine", post(path, "", `{"model":"report","prompt":"x","temperature":-1}`), 400, verdict.BadRequest},
 		{"max_tokens exceeds the entry", post(path, "", `{"model":"report","prompt":"x","max_tokens":101}`), 400, verdict.BadRequest},
 		{"unknown model gets another one", post(path, "", `{"model":"other","prompt":"x"}`), 404, verdict.UnknownEntry},
 		{"announced size is read before the refusal", announce("Bearer t", maxBodyBytes+1), 413, verdict.TooLarge},
--- a/oleandercove/streamer/streamer.go
+++ b/oleandercove/streamer/streamer.go
@@ -148,6 +148,7 @@
 	s, err := t.options.Dispatcher.Open(ctx, engine.StreamRequest{
 		Stream: t.id, Epoch: t.epoch, Model: t.r.Name, Prompt: t.r.Completion.Prompt,
 		Emitted: t.emitted, MaxTokens: t.r.Completion.MaxTokens, Priority: t.r.Priority, Chain: t.chain,
+		Sampling: t.sampling(),
 	})
 	t.started = t.started || mayHaveRun(err)
 	if err != nil {
--- a/oleanderfake/runner/generator.go
+++ b/oleanderfake/runner/generator.go
@@ -22,7 +22,7 @@
 	for n := len(r.Emitted); n < r.MaxTokens; n++ {
 		reply := e.Step(ctx, engine.StepRequest{
 			Stream: r.Stream, Epoch: r.Epoch, Model: r.Model, Priority: r.Priority,
-			Chain: r.Chain, From: from, Inputs: embedAll(tokens[from:]), Fresh: fresh,
+			Chain: r.Chain, From: from, Inputs: embedAll(tokens[from:]), Fresh: fresh, Sampling: r.Sampling,
 		})
 		if reply.Code != engine.StepOk {
 			return emit(e.failedEvent(r, reply.Failure))
--- a/oleanderfake/runner/model.go
+++ b/oleanderfake/runner/model.go
@@ -28,7 +28,14 @@
 
 func embed(t unit.Token) engine.Activation { return engine.Activation(mix(uint64(t), 0x9e37)) }
 
-func sample(a engine.Activation) unit.Token { return unit.Token(uint64(a) % vocabulary) }
+// sample chooses the token after position p.
+func sample(a engine.Activation, s engine.Sampling, p unit.Position) unit.Token {
+	x := uint64(a)
+	if s.Temperature > 0 {
+		x = mix(x, mix(uint64(s.Seed), uint64(p)))
+	}
+	return unit.Token(x % vocabulary)
+}
 
 func mix(a, b uint64) uint64 {
 	x := a*0x9e3779b97f4a7c15 + b + 0x7f4a7c15
@@ -52,25 +59,31 @@
 
 // Reference computes the answer of the toy model on one machine, so that a
 // caller can check the text that it received.
-func Reference(layers unit.Layer, prompt string, n int) []unit.Token {
+func Reference(layers unit.Layer, s engine.Sampling, prompt string, n int) []unit.Token {
 	state := make([]uint64, layers)
 	var out engine.Activation
-	for _, t := range Tokenize(prompt) {
+	input := Tokenize(prompt)
+	for _, t := range input {
 		out = runLayers(state, 0, embed(t))
 	}
 	answer := make([]unit.Token, 0, n)
-	for range n {
-		t := sample(out)
+	for i := range n {
+		t := sample(out, s, unit.Position(len(input)+i-1))
 		answer = append(answer, t)
 		out = runLayers(state, 0, embed(t))
 	}
 	return answer
 }
 
-// ReferenceText is Reference as text.
+// ReferenceText is the text of Reference at temperature 0.
 func ReferenceText(layers unit.Layer, prompt string, n int) string {
+	return SampledText(layers, engine.Sampling{}, prompt, n)
+}
+
+// SampledText is the text of Reference.
+func SampledText(layers unit.Layer, s engine.Sampling, prompt string, n int) string {
 	var b strings.Builder
-	for _, t := range Reference(layers, prompt, n) {
+	for _, t := range Reference(layers, s, prompt, n) {
 		b.WriteString(Text(t))
 	}
 	return b.String()
--- a/oleanderfake/runner/stepper.go
+++ b/oleanderfake/runner/stepper.go
@@ -37,7 +37,7 @@
 	last := r.From + unit.Position(len(r.Inputs)) - 1
 	if r.Index == len(r.Chain)-1 {
 		out := s.output(last)
-		return engine.StepReply{Code: engine.StepOk, Token: sample(out[0])}
+		return engine.StepReply{Code: engine.StepOk, Token: sample(out[0], r.Sampling, last)}
 	}
 	return e.handOn(ctx, s, r, last)
 }
@@ -62,6 +62,9 @@
 			return nil, e.fail(engine.CauseOverloaded, "no memory for another stream")
 		}
 	}
+	if !s.samples(r.Sampling) {
+		return nil, e.fail(engine.CauseRefused, "sampling differs from earlier steps of the stream")
+	}
 	if !s.enter(r.Epoch) {
 		return nil, e.fail(engine.CauseOldEpoch, "has seen a newer epoch")
 	}
@@ -122,7 +125,7 @@
 		out := s.output(from)[:last-from+1]
 		reply := e.send(ctx, next, engine.StepRequest{
 			Stream: r.Stream, Epoch: r.Epoch, Model: r.Model, Priority: r.Priority,
-			Chain: r.Chain, Index: r.Index + 1, From: from, Inputs: out, Fresh: r.Fresh,
+			Chain: r.Chain, Index: r.Index + 1, From: from, Inputs: out, Fresh: r.Fresh, Sampling: r.Sampling,
 		})
 		if reply.Code != engine.StepNeedFrom {
 			s.markSent(next.Backend, last+1)
--- a/oleanderfake/runner/stream.go
+++ b/oleanderfake/runner/stream.go
@@ -19,6 +19,8 @@
 	used    time.Time
 	layers  []uint64
 	outputs []engine.Activation
+	// sampling is that of the first step; a change would break the answer.
+	sampling *engine.Sampling
 	// sent is the next position for the stage after this one.
 	sent map[unit.BackendID]unit.Position
 }
@@ -35,6 +37,16 @@
 	return true
 }
 
+// samples tells whether a step samples as all steps of the stream before it.
+func (s *stream) samples(g engine.Sampling) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.sampling == nil {
+		s.sampling = &g
+	}
+	return *s.sampling == g
+}
+
 func (s *stream) current(e unit.Epoch) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/prover/invoker/invoker.go
+++ b/prover/invoker/invoker.go
@@ -32,6 +32,8 @@
 	Model     string
 	Text      string
 	MaxTokens int
+	// Temperature above 0 makes the answer depend on the request's seed.
+	Temperature float64
 	// OnToken is called after each token, with their number so far.
 	OnToken func(n int)
 	// OnText is called with the text of each token.
@@ -60,7 +62,9 @@
 
 // Complete sends a streamed completion and reads it to its end.
 func (c Client) Complete(ctx context.Context, address string, p Prompt) (Answer, error) {
-	body, err := json.Marshal(api.CompletionRequest{Model: p.Model, Prompt: p.Text, MaxTokens: p.MaxTokens, Stream: true})
+	body, err := json.Marshal(api.CompletionRequest{
+		Model: p.Model, Prompt: p.Text, MaxTokens: p.MaxTokens, Stream: true, Temperature: p.Temperature,
+	})
 	if err != nil {
 		return Answer{}, err
 	}
--- a/prover/streams_test.go
+++ b/prover/streams_test.go
@@ -13,6 +13,9 @@
 
 	"github.com/matryer/is"
 
+	"oleandercove.example/core/api"
+	"oleandercove.example/core/engine"
+	"oleandercove.example/core/unit"
 	"oleandercove.example/oleanderfake/runner"
 	"oleandercove.example/prover/invoker"
 )
@@ -47,8 +50,10 @@
 type job struct {
 	text   string
 	tokens int
-	answer invoker.Answer
-	err    error
+	// temperature above 0 makes the answer depend on the request id.
+	temperature float64
+	answer      invoker.Answer
+	err         error
 }
 
 // check compares the answer with the reference text of the job's own prompt.
@@ -58,13 +63,21 @@
 		return fmt.Errorf("%s: %w", j.text, j.err)
 	case !j.answer.Done:
 		return fmt.Errorf("%s: no end marker after %d of %d tokens: %+v", j.text, j.answer.Tokens, j.tokens, j.answer.Refusal)
-	case j.answer.Text != runner.ReferenceText(layers, j.text, j.tokens):
+	case j.answer.Text != j.reference():
 		return fmt.Errorf("%s: wrong text", j.text)
 	default:
 		return nil
 	}
 }
 
+// reference computes the answer to the job's own request.
+func (j *job) reference() string {
+	id := unit.RequestID(j.answer.Header.Get(api.HeaderRequestID))
+	return runner.SampledText(layers, engine.Sampling{
+		Temperature: j.temperature, Seed: engine.SeedOf(account, id, modelName, j.text),
+	}, j.text, j.tokens)
+}
+
 // runCrowd runs many streams at once and calls fault when the given number of
 // tokens has arrived in total.
 func (r *rig) runCrowd(ctx context.Context, n int, random *rand.Rand, at int64, fault func()) []*job {
@@ -73,13 +86,16 @@
 	var once sync.Once
 	var wg sync.WaitGroup
 	for i := range jobs {
-		j := &job{text: fmt.Sprintf("briefing %d for village %d", i, random.IntN(1000)), tokens: 20 + random.IntN(60)}
+		j := &job{text: fmt.Sprintf("briefing %d for village %d", i, random.IntN(1000)), tokens: 20 + random.IntN(60), temperature: float64(i % 2)}
 		jobs[i] = j
 		wg.Go(func() {
-			j.answer, j.err = r.complete(ctx, i%len(r.daemons), j.text, j.tokens, func(int) {
-				if tokens.Add(1) >= at {
-					once.Do(fault)
-				}
+			j.answer, j.err = r.client.Complete(ctx, r.daemons[i%len(r.daemons)].Address, invoker.Prompt{
+				Model: modelName, Text: j.text, MaxTokens: j.tokens, Temperature: j.temperature,
+				OnToken: func(int) {
+					if tokens.Add(1) >= at {
+						once.Do(fault)
+					}
+				},
 			})
 		})
 	}
@@ -121,8 +137,8 @@
 				is := is.New(t)
 				random := rand.New(rand.NewPCG(seed, 0))
 				r := newRig(t, 2)
-				engine := random.IntN(len(r.engines))
-				jobs := r.runCrowd(t.Context(), crowd, random, int64(random.IntN(crowd*20)), func() { f.apply(r, engine) })
+				victim := random.IntN(len(r.engines))
+				jobs := r.runCrowd(t.Context(), crowd, random, int64(random.IntN(crowd*20)), func() { f.apply(r, victim) })
 				for _, err := range violations(jobs) {
 					t.Error(err)
 				}
