server, streamer: continue an answer from the position that a caller has

Cause: a caller whose daemon died had to read its whole answer again, and could not tell whether the new answer matched the part that it had. Ruled out: sharing the state of streams between daemons, which costs traffic for each token; taking the received text from the caller as input, because the daemon would have to trust it. Change: with X-Resume-Position N and the same X-Request-Id, any daemon generates the answer from its start and emits it from token N on.

--- a/core/api/api.go
+++ b/core/api/api.go
@@ -16,6 +16,8 @@
 	HeaderDeadline = "X-Deadline-Ms"
 	// HeaderPriority carries high, normal or low.
 	HeaderPriority = "X-Priority"
+	// HeaderResume is the number of tokens that the caller already has.
+	HeaderResume = "X-Resume-Position"
 	// HeaderVerdict repeats the verdict of a failed service call.
 	HeaderVerdict = "X-Verdict"
 )
--- a/oleandercove/request/request.go
+++ b/oleandercove/request/request.go
@@ -42,6 +42,9 @@
 	// from the request.
 	Temperature float64
 	Seed        *int64
+	// Resume is the number of tokens that the caller already has; they are
+	// generated but not emitted.
+	Resume int
 	// Emit passes a generated token to the caller, in order.
 	Emit func(text string) error
 	// Finish and Tokens are set when the answer is complete.
--- a/oleandercove/server/completions.go
+++ b/oleandercove/server/completions.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"net/http"
+	"strconv"
 	"strings"
 
 	"github.com/julienschmidt/httprouter"
@@ -41,6 +42,10 @@
 	q.Completion = &request.Completion{
 		Prompt: prompt(m), MaxTokens: m.MaxTokens, Temperature: m.Temperature, Seed: m.Seed, Emit: a.emit,
 	}
+	if q.Completion.Resume, err = resumePosition(r.Header, m.Stream); err != nil {
+		s.refuse(w, q, err)
+		return
+	}
 	ctx, cancel := context.WithDeadline(r.Context(), q.Deadline)
 	defer cancel()
 	if err := s.options.Handler(ctx, q); err != nil {
@@ -56,6 +61,23 @@
 	a.finish(q.Completion)
 }
 
+// resumePosition reads the number of tokens that the caller already has. The
+// answer is a function of the request id, so a resume needs the id.
+func resumePosition(h http.Header, stream bool) (int, error) {
+	value := h.Get(api.HeaderResume)
+	if value == "" {
+		return 0, nil
+	}
+	if h.Get(api.HeaderRequestID) == "" || !stream {
+		return 0, verdict.New(verdict.NotRun, verdict.BadRequest, "%s needs %s and a streamed completion", api.HeaderResume, api.HeaderRequestID)
+	}
+	n, err := strconv.Atoi(value)
+	if err != nil || n < 0 {
+		return 0, verdict.New(verdict.NotRun, verdict.BadRequest, "%s must be a number of tokens", api.HeaderResume)
+	}
+	return n, nil
+}
+
 func readCompletion(w http.ResponseWriter, r *http.Request, chat bool) (*api.CompletionRequest, error) {
 	body, err := readBody(w, r)
 	if err != nil {
--- a/oleandercove/server/input_test.go
+++ b/oleandercove/server/input_test.go
@@ -92,6 +92,8 @@
 	return res.StatusCode, refusal, res.Close
 }
 
+const streamed = `{"model":"report","prompt":"net 4","stream":true}`
+
 const good = `{"model":"report","prompt":"net 4"}`
 
 func post(path, headers, body string) string {
@@ -115,6 +117,12 @@
 		{"empty body is a request", post(path, "", ""), 400, verdict.BadRequest},
 		{"empty prompt reaches an engine", post(path, "", `{"model":"report","prompt":" "}`), 400, verdict.BadRequest},
 		{"negative max_tokens reaches an engine", post(path, "", `{"model":"report","prompt":"x","max_tokens":-1}`), 400, verdict.BadRequest},
+		{"resume without an id continues another answer", post(path, "X-Resume-Position: 3\r\n", streamed), 400, verdict.BadRequest},
+		{"whole answer is cut by a resume", post(path, "X-Resume-Position: 3\r\nX-Request-Id: r\r\n", good), 400, verdict.BadRequest},
+		{"negative resume position is used", post(path, "X-Resume-Position: -3\r\nX-Request-Id: r\r\n", streamed), 400, verdict.BadRequest},
+		{"resume position in words is ignored", post(path, "X-Resume-Position: all\r\nX-Request-Id: r\r\n", streamed), 400, verdict.BadRequest},
+		{"resume position exceeds max_tokens", post(path, "X-Resume-Position: 101\r\nX-Request-Id: r\r\n", streamed), 400, verdict.BadRequest},
+		{"valid resume is refused", post(path, "X-Resume-Position: 3\r\nX-Request-Id: r\r\n", streamed), 200, ""},
 		{"negative temperature reaches an engine", post(path, "", `{"model":"report","prompt":"x","temperature":-1}`), 400, verdict.BadRequest},
 		{"max_tokens exceeds the entry", post(path, "", `{"model":"report","prompt":"x","max_tokens":101}`), 400, verdict.BadRequest},
 		{"unknown model gets another one", post(path, "", `{"model":"other","prompt":"x"}`), 404, verdict.UnknownEntry},
--- a/oleandercove/streamer/streamer.go
+++ b/oleandercove/streamer/streamer.go
@@ -224,6 +224,9 @@
 			t.leave()
 		}
 	}
+	if len(t.emitted) <= t.r.Completion.Resume {
+		return nil
+	}
 	if err := t.r.Completion.Emit(e.Text); err != nil {
 		return verdict.New(verdict.MayHaveRun, verdict.Canceled, "caller went away: %v", err)
 	}
--- a/oleandercove/validator/validator.go
+++ b/oleandercove/validator/validator.go
@@ -34,5 +34,8 @@
 	case limit > 0 && n > limit:
 		return verdict.New(verdict.NotRun, verdict.BadRequest, "max_tokens is %d, but %s allows at most %d", n, r.Name, limit)
 	}
+	if n := r.Completion.Resume; n > r.Completion.MaxTokens {
+		return verdict.New(verdict.NotRun, verdict.BadRequest, "resume position %d exceeds max_tokens %d", n, r.Completion.MaxTokens)
+	}
 	return next(ctx, r)
 }
--- a/prover/invoker/invoker.go
+++ b/prover/invoker/invoker.go
@@ -14,6 +14,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"strconv"
 	"strings"
 	"time"
 
@@ -34,6 +35,8 @@
 	MaxTokens int
 	// Temperature above 0 makes the answer depend on the request's seed.
 	Temperature float64
+	// Resume is the number of tokens that the caller already has.
+	Resume int
 	// OnToken is called after each token, with their number so far.
 	OnToken func(n int)
 	// OnText is called with the text of each token.
@@ -69,7 +72,11 @@
 		return Answer{}, err
 	}
 	start := time.Now()
-	res, err := c.Do(ctx, http.MethodPost, "http://"+address+"/v1/completions", body, http.Header{api.HeaderRequestID: {p.ID}})
+	h := http.Header{api.HeaderRequestID: {p.ID}}
+	if p.Resume > 0 {
+		h.Set(api.HeaderResume, strconv.Itoa(p.Resume))
+	}
+	res, err := c.Do(ctx, http.MethodPost, "http://"+address+"/v1/completions", body, h)
 	if err != nil {
 		return Answer{}, err
 	}
--- /dev/null
+++ b/prover/resume_test.go
@@ -0,0 +1,72 @@
+package prover_test
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"sync"
+	"sync/atomic"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"oleandercove.example/prover/invoker"
+)
+
+// resumable is a job whose caller resumes at another daemon.
+type resumable struct {
+	job
+	resumed bool
+}
+
+// run reads the answer at one daemon, and the rest of it at the other one if
+// the connection breaks.
+func (s *resumable) run(ctx context.Context, r *rig, id string, onToken func(int)) {
+	p := invoker.Prompt{
+		ID: id, Model: modelName, Text: s.text, MaxTokens: s.tokens, Temperature: s.temperature, OnToken: onToken,
+	}
+	first, _ := r.client.Complete(ctx, r.daemons[0].Address, p)
+	if s.answer = first; first.Done {
+		return
+	}
+	s.resumed, p.Resume = true, first.Tokens
+	s.answer, s.err = r.client.Complete(ctx, r.daemons[1].Address, p)
+	if got := first.Tokens + s.answer.Tokens; got != s.tokens {
+		s.err = errors.Join(s.err, fmt.Errorf("received %d and %d tokens of %d", first.Tokens, s.answer.Tokens, s.tokens))
+	}
+	s.answer.Text = first.Text + s.answer.Text
+}
+
+// TestResumeAtAnotherDaemon guards against a missing, doubled or different
+// token where a caller's resume joins the part that a killed daemon sent.
+func TestResumeAtAnotherDaemon(t *testing.T) {
+	const streams, killAt = 80, 80 * 25
+	is := is.New(t)
+	r := newRig(t, 2)
+	all := make([]*resumable, streams)
+	var tokens atomic.Int64
+	var once sync.Once
+	var wg sync.WaitGroup
+	for i := range all {
+		s := &resumable{job: job{text: fmt.Sprintf("crew briefing %d", i), tokens: 40 + i%30, temperature: float64(i % 2)}}
+		all[i] = s
+		wg.Go(func() {
+			s.run(t.Context(), r, fmt.Sprintf("resume-%d", i), func(int) {
+				if tokens.Add(1) >= killAt {
+					once.Do(r.daemons[0].Kill)
+				}
+			})
+		})
+	}
+	wg.Wait()
+	resumed := 0
+	for _, s := range all {
+		is.NoErr(s.check())
+		if s.resumed {
+			resumed++
+		}
+	}
+	t.Logf("%d of %d callers resumed", resumed, streams)
+	is.True(resumed > streams/2)
+	is.NoErr(r.auditJournals())
+}
