streamer, watcher: replace a stage that hangs while its heartbeats go on

Cause: an engine whose accelerator hangs kept its streams until their deadline, because heartbeats and status calls went on. Ruled out: a fixed limit for each token, which moves the streams of overloaded engines; progress reports of each stream, which cost most under overload. Change: the status of an engine has its batch iterations and pending work. The watcher hides an engine with work whose iterations stand still. A stream that is later than its progress limit replaces a stalled stage of its chain. The engine fake can hang. Conclusion: hangs of a whole engine end in a recovery. A single stream lost inside a working engine is not noticed.

--- a/core/engine/engine.go
+++ b/core/engine/engine.go
@@ -101,6 +101,8 @@
 	CauseRefused FailureCause = "Refused"
 	// CauseDraining means that the stage takes no new streams.
 	CauseDraining FailureCause = "Draining"
+	// CauseStalled means that the stage answers but runs no work.
+	CauseStalled FailureCause = "Stalled"
 )
 
 // Event is one line of a stream's answer.
@@ -184,9 +186,13 @@
 	MaxBatch   int
 	// TokenTime is the time of one batch iteration in microseconds.
 	TokenTimeMicros int64
-	Load            Load
-	Links           []Link
-	Fencing         bool
+	// Iterations counts the batch iterations since Start.
+	Iterations uint64
+	// Pending is the work that waits or runs now; it does not lag.
+	Pending int
+	Load    Load
+	Links   []Link
+	Fencing bool
 }
 
 // Link describes the measured link to another engine.
--- a/oleandercove/streamer/streamer.go
+++ b/oleandercove/streamer/streamer.go
@@ -98,6 +98,9 @@
 	// touched is the number of emitted tokens when the attempt began.
 	touched  int
 	isolated bool
+	// progressed is the time of the last token or the begin of the attempt,
+	// checked that of the last look for a stalled stage.
+	progressed, checked time.Time
 	// marked is true once the request was in a crash or under suspicion.
 	marked bool
 	// leave ends the isolation of the attempt.
@@ -143,6 +146,7 @@
 	t.isolated, t.touched = isolated, len(t.emitted)
 	t.marked = t.marked || isolated
 	t.epoch++
+	t.progressed = t.options.Timer.Now()
 	finish := t.track()
 	defer finish()
 	s, err := t.options.Dispatcher.Open(ctx, engine.StreamRequest{
@@ -159,6 +163,9 @@
 		if err != nil {
 			return false, t.lost(ctx, err)
 		}
+		if f := t.stalled(e); f != nil {
+			return false, t.failed(ctx, f)
+		}
 		done, err := t.apply(ctx, e)
 		if done || err != nil || e.Kind == engine.EventFailed {
 			return done, err
--- a/oleandercove/watcher/combiner.go
+++ b/oleandercove/watcher/combiner.go
@@ -29,6 +29,7 @@
 		}
 	}
 	b.Engine, b.Seen = best.backend.Engine, best.backend.Seen
+	b.stall(selected)
 	for _, r := range selected {
 		b.Draining = b.Draining || (r.backend.Draining && r.backend.Address == b.Address && sameRun(r.backend, b))
 	}
--- a/oleandercove/watcher/poller.go
+++ b/oleandercove/watcher/poller.go
@@ -241,14 +241,18 @@
 // check polls a backend server and publishes what changed.
 func (w *Watcher) check(ctx context.Context, b Backend, publish bool) {
 	status, draining, err := w.status(ctx, b)
+	if err != nil {
+		status = nil // a broken status is none
+	}
 	now := w.options.Timer.Now()
 	n := b
-	n.Healthy, n.Engine = err == nil, status
 	if err == nil {
 		n.Draining, n.Seen = draining, now
 	}
 	s := source{fromPoll, w.options.Members.Self().Host}
 	w.mu.Lock()
+	n.Engine, n.Stalled = status, w.stalled(b.ID, status, now)
+	n.Healthy = err == nil && !n.Stalled
 	if err == nil {
 		delete(w.suspected, b.ID)
 	}
@@ -257,7 +261,7 @@
 	last, published := w.reports[b.ID][s]
 	w.mu.Unlock()
 	if known && before.backend.Healthy != n.Healthy {
-		w.options.Log.Info("backend server changed health", "backend", b.ID, "healthy", n.Healthy, "err", err)
+		w.options.Log.Info("backend server changed health", "backend", b.ID, "healthy", n.Healthy, "stalled", n.Stalled, "err", err)
 	}
 	if publish && (!published || last.gone || changed(last.backend, n, now)) {
 		w.publish(b.ID, fromPoll, report{backend: n})
--- /dev/null
+++ b/oleandercove/watcher/stalled_test.go
@@ -0,0 +1,45 @@
+package watcher
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"oleandercove.example/core/engine"
+)
+
+func TestStalled(t *testing.T) {
+	const second = int64(1e6) // an iteration of one second, in microseconds
+	working := func(iterations uint64) engine.Status { return engine.Status{Iterations: iterations, Pending: 3} }
+	idle := engine.Status{Iterations: 5}
+	slow := engine.Status{Iterations: 5, Pending: 3, TokenTimeMicros: second}
+	hung := []engine.Status{working(5), working(5), working(5)}
+	for _, row := range []struct {
+		name   string
+		gap    time.Duration
+		states []engine.Status
+		want   bool
+	}{
+		{"hung engine gets new streams", 500 * time.Millisecond, hung, true},
+		{"one late status hides an engine", 500 * time.Millisecond, hung[:2], false},
+		{"overloaded engine counts as hung", 5 * time.Second, []engine.Status{working(5), working(6), working(7)}, false},
+		{"idle engine counts as hung", 5 * time.Second, []engine.Status{idle, idle, idle}, false},
+		{"work after a pause counts from the pause", 5 * time.Second, []engine.Status{idle, idle, working(5)}, false},
+		{"slow engine counts as hung", 5 * time.Second, []engine.Status{slow, slow, slow}, false},
+		{"hung engine returns when its streams have left", 5 * time.Second, append(hung, idle), true},
+		{"idle engine is hidden for ever", 20 * time.Second, append(hung, idle, idle), false},
+		{"engine that runs again stays hidden", time.Second, append(hung, working(6)), false},
+		{"restarted engine stays hidden", time.Second, append(hung, engine.Status{Start: "new", Iterations: 5, Pending: 3}), false},
+	} {
+		t.Run(row.name, func(t *testing.T) {
+			var w work
+			now := time.Unix(0, 0)
+			for _, s := range row.states {
+				now = now.Add(row.gap)
+				w.progress(&s, now)
+			}
+			is.New(t).Equal(w.stalled, row.want)
+		})
+	}
+}
--- a/oleandercove/watcher/watcher.go
+++ b/oleandercove/watcher/watcher.go
@@ -45,6 +45,8 @@
 	Engine *engine.Status
 	// Seen is the time of the last good status.
 	Seen time.Time
+	// Stalled is true while an engine answers but runs no work.
+	Stalled bool
 }
 
 // Usable tells whether the backend server may get new work.
@@ -83,6 +85,8 @@
 	reports map[unit.BackendID]map[source]report
 	// polled holds this daemon's latest status, published or not.
 	polled map[unit.BackendID]report
+	// work holds what the status calls showed of the engines' iterations.
+	work map[unit.BackendID]work
 	// suspected holds backend servers that failed a call of this daemon.
 	suspected map[unit.BackendID]bool
 	// cached is the last snapshot; changes of reports discard it.
@@ -118,6 +122,7 @@
 		http:      &http.Client{Timeout: statusTimeout},
 		reports:   map[unit.BackendID]map[source]report{},
 		polled:    map[unit.BackendID]report{},
+		work:      map[unit.BackendID]work{},
 		suspected: map[unit.BackendID]bool{},
 		selection: newSelection(nil),
 		signs:     map[unit.BackendID]sign{},
--- a/oleanderfake/runner/batcher.go
+++ b/oleanderfake/runner/batcher.go
@@ -4,6 +4,7 @@
 	"container/heap"
 	"context"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"oleandercove.example/core/engine"
@@ -19,6 +20,10 @@
 	wake     chan struct{}
 	iterate  func() time.Duration
 	maxBatch int
+	// running is the work of the current iteration.
+	running    int
+	iterations atomic.Uint64
+	hung       atomic.Bool
 }
 
 type work struct {
@@ -62,11 +67,39 @@
 	return b.queue.Len()
 }
 
+// progress returns the iterations so far and the work that waits or runs.
+func (b *batcher) progress() (iterations uint64, pending int) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.iterations.Load(), b.queue.Len() + b.running
+}
+
+// hang stops the iterations, or lets them go on.
+func (b *batcher) hang(on bool) {
+	b.hung.Store(on)
+	select {
+	case b.wake <- struct{}{}:
+	default:
+	}
+}
+
+// awake waits while the batcher hangs; it returns false once ctx is done.
+func (b *batcher) awake(ctx context.Context) bool {
+	for b.hung.Load() {
+		select {
+		case <-b.wake:
+		case <-ctx.Done():
+			return false
+		}
+	}
+	return true
+}
+
 // run executes iterations until ctx is done. The next iteration starts when
 // the previous one should have ended, so that timer delays don't add up.
 func (b *batcher) run(ctx context.Context) {
 	end := time.Now()
-	for {
+	for b.awake(ctx) {
 		batch := b.take()
 		if len(batch) == 0 {
 			select {
@@ -81,6 +114,10 @@
 		}
 		end = end.Add(b.iterate())
 		time.Sleep(time.Until(end))
+		if !b.awake(ctx) {
+			return
+		}
+		b.iterations.Add(1)
 		for _, w := range batch {
 			close(w.done)
 		}
@@ -93,6 +130,7 @@
 	defer b.mu.Unlock()
 	room := b.maxBatch
 	var batch []*work
+	defer func() { b.running = len(batch) }()
 	for room > 0 && b.queue.Len() > 0 {
 		w := b.queue[0]
 		if w.canceled {
--- a/oleanderfake/runner/handler.go
+++ b/oleanderfake/runner/handler.go
@@ -189,6 +189,9 @@
 	Slow float64
 	// LinkSlow multiplies the time of every hand-over; 0 leaves it unchanged.
 	LinkSlow float64
+	// Hang stops all work while heartbeats and status calls go on, as an
+	// accelerator does that hangs.
+	Hang bool
 }
 
 func (e *Engine) handleFaults(w http.ResponseWriter, r *http.Request, _ httprouter.Params) {
@@ -196,6 +199,7 @@
 	if !responder.Read(w, r, &m) {
 		return
 	}
+	e.batch.hang(m.Hang)
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	if m.Slow > 0 {
--- a/oleanderfake/runner/runner.go
+++ b/oleanderfake/runner/runner.go
@@ -145,6 +145,7 @@
 // Status describes the engine; the load lags.
 func (e *Engine) Status() engine.Status {
 	iteration := e.iterationTime()
+	iterations, pending := e.batch.progress()
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	return engine.Status{
@@ -153,6 +154,7 @@
 		Start: e.start, Sequence: e.sequence.Add(1), Draining: e.draining,
 		MaxStreams: e.options.MaxStreams, MaxBatch: e.options.MaxBatch,
 		TokenTimeMicros: iteration.Microseconds(), Load: e.load,
+		Iterations: iterations, Pending: pending,
 		Links: []engine.Link{{
 			LatencyMicros: time.Duration(float64(e.options.LinkLatency) * e.linkSlow).Microseconds(),
 			Rate:          e.options.LinkRate,
--- /dev/null
+++ b/prover/hang_test.go
@@ -0,0 +1,129 @@
+package prover_test
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"oleandercove.example/oleanderfake/runner"
+	"oleandercove.example/prover/invoker"
+	"oleandercove.example/prover/launcher"
+)
+
+// inject sets the faults of one engine.
+func (r *rig) inject(ctx context.Context, engine int, f runner.Faults) error {
+	body, err := json.Marshal(f)
+	if err != nil {
+		return err
+	}
+	res, err := r.client.Do(ctx, http.MethodPost, "http://"+r.engines[engine].Address+"/faults", body, nil)
+	if err != nil {
+		return err
+	}
+	return res.Body.Close()
+}
+
+// recovered tells whether a daemon counted a recovery with the cause.
+func (r *rig) recovered(ctx context.Context, daemon int, cause string) (bool, error) {
+	operator := invoker.Client{Token: launcher.OperatorToken}
+	res, err := operator.Do(ctx, http.MethodGet, "http://"+r.daemons[daemon].Operators+"/metrics", nil, nil)
+	if err != nil {
+		return false, err
+	}
+	defer res.Body.Close()
+	body, err := io.ReadAll(res.Body)
+	return strings.Contains(string(body), `oleandercove_recoveries_total{cause="`+cause+`"}`), err
+}
+
+// longestGap returns the longest time between two tokens of all jobs.
+func longestGap(jobs []*job) time.Duration {
+	var longest time.Duration
+	for _, j := range jobs {
+		longest = max(longest, j.answer.Gap)
+	}
+	return longest
+}
+
+// TestHungEngine guards against streams that wait for ever on an engine whose
+// heartbeats go on while it runs nothing, in each stage.
+func TestHungEngine(t *testing.T) {
+	for stage := range 3 {
+		t.Run(fmt.Sprintf("stage %d", stage), func(t *testing.T) {
+			is := is.New(t)
+			random := rand.New(rand.NewPCG(firstSeed, uint64(stage)))
+			r := newRig(t, 2)
+			jobs := r.runCrowd(t.Context(), crowd, random, crowd*10, func() {
+				if err := r.inject(t.Context(), 2*stage, runner.Faults{Hang: true}); err != nil {
+					t.Error(err)
+				}
+			})
+			for _, err := range violations(jobs) {
+				t.Error(err)
+			}
+			is.NoErr(r.auditJournals())
+			stalled, err := r.recovered(t.Context(), 0, "Stalled")
+			is.NoErr(err)
+			is.True(stalled)
+			t.Logf("longest gap %s", longestGap(jobs).Round(time.Millisecond))
+
+			// The engine gets streams again once it runs again.
+			is.NoErr(r.inject(t.Context(), 2*stage, runner.Faults{}))
+			await(t, "usable engines", func() bool {
+				states, err := r.states(t.Context(), 0)
+				return err == nil && strings.Count(states, `"Healthy":true`) == len(r.engines)
+			})
+		})
+	}
+}
+
+// states returns the backend servers as a daemon sees them.
+func (r *rig) states(ctx context.Context, daemon int) (string, error) {
+	operator := invoker.Client{Token: launcher.OperatorToken}
+	res, err := operator.Do(ctx, http.MethodGet, "http://"+r.daemons[daemon].Operators+"/v1/backends", nil, nil)
+	if err != nil {
+		return "", err
+	}
+	defer res.Body.Close()
+	body, err := io.ReadAll(res.Body)
+	return string(body), err
+}
+
+// TestOverloadIsNoHang guards against streams that are moved because they wait
+// in the queue of an overloaded engine for longer than a hang is tolerated.
+func TestOverloadIsNoHang(t *testing.T) {
+	is := is.New(t)
+	r := newRig(t, 1, "--max-batch", "1")
+	for e := range r.engines {
+		is.NoErr(r.inject(t.Context(), e, runner.Faults{Slow: 20}))
+	}
+	jobs := make([]*job, crowd)
+	done := make(chan struct{}, crowd)
+	for i := range jobs {
+		j := &job{text: fmt.Sprintf("summary %d", i), tokens: 4}
+		jobs[i] = j
+		go func() {
+			j.answer, j.err = r.complete(t.Context(), 0, j.text, j.tokens, nil)
+			done <- struct{}{}
+		}()
+	}
+	for range jobs {
+		<-done
+	}
+	for _, err := range violations(jobs) {
+		t.Error(err)
+	}
+	longest := longestGap(jobs)
+	t.Logf("longest gap %s", longest.Round(time.Millisecond))
+	is.True(longest > time.Second) // the overload must exceed the least limit
+	stalled, err := r.recovered(t.Context(), 0, "Stalled")
+	is.NoErr(err)
+	is.True(!stalled)
+}
