streamer, mover: move late streams off slow engines and links

Cause: streams that ran on an engine or behind a link that became slow stayed late until their end. Ruled out: new plans at intervals for all streams, and orders from watchers; see docs/DECISIONS/moves.md. The new engine fetches the KV state while the stream goes on; without an export the kept activations are replayed. The setting Streams.Move turns moves off. Only engines with the same layers are considered.

--- a/core/engine/engine.go
+++ b/core/engine/engine.go
@@ -224,8 +224,10 @@
 	Fence   unit.Fence
 }
 
-// KVState is an export of the KV cache of one stream.
+// KVState is an export of the KV cache of one stream. An import with a Source
+// carries no state: the engine exports it from there itself.
 type KVState struct {
+	Source  string `json:",omitempty"`
 	Stream  unit.StreamID
 	Epoch   unit.Epoch
 	Model   unit.EntryName
@@ -233,6 +235,7 @@
 	To      unit.Layer
 	Layers  []uint64
 	Outputs []Activation
+	Sampling
 }
 
 // JournalRecord is one entry of an engine's journal of executed work.
@@ -246,6 +249,8 @@
 	First   unit.Position
 	Count   int
 	Replay  bool
+	// Imported marks positions that were not run but imported.
+	Imported bool `json:",omitempty"`
 	// At is the time at which the work ended.
 	At time.Time `json:",omitzero"`
 }
--- a/oleandercove/daemon/daemon.go
+++ b/oleandercove/daemon/daemon.go
@@ -97,7 +97,7 @@
 		Backends: backends, Tracker: k, Dispatcher: dispatcher.New(dispatcher.Options{Silence: d.settings.Policy.SilenceLimit.Std()}), Quarantine: q,
 		Policy:   planner.NewPolicy(d.settings.Policy.Balance),
 		Recorder: j, Timer: t, Log: d.log.WithPrefix("streamer"),
-		Signs: d.watcher, OnRecovery: d.meter.Recovery,
+		Signs: d.watcher, OnRecovery: d.meter.Recovery, Gate: d.gate(),
 	})
 	services, claims := d.newServices(t, k, j)
 	d.claimer = claims
--- a/oleandercove/dispatcher/dispatcher.go
+++ b/oleandercove/dispatcher/dispatcher.go
@@ -67,6 +67,8 @@
 	Open(ctx context.Context, r engine.StreamRequest) (Stream, error)
 	// Cancel ends a stream on one engine.
 	Cancel(ctx context.Context, s engine.Stage, r engine.CancelRequest)
+	// Import makes an engine take the state of a stream from another engine.
+	Import(ctx context.Context, to engine.Stage, k engine.KVState) error
 }
 
 // Stream is the answer of an engine in progress.
@@ -145,6 +147,18 @@
 	}
 }
 
+func (d *httpDispatcher) Import(ctx context.Context, to engine.Stage, k engine.KVState) error {
+	body, err := json.Marshal(k)
+	if err != nil {
+		return err
+	}
+	res, err := d.post(ctx, to.Address, "/v1/import", body)
+	if err != nil {
+		return err
+	}
+	return res.Body.Close()
+}
+
 type httpStream struct {
 	ctx      context.Context
 	cancel   context.CancelCauseFunc
--- /dev/null
+++ b/oleandercove/mover/gate.go
@@ -0,0 +1,44 @@
+package mover
+
+import (
+	"sync"
+	"time"
+
+	"oleandercove.example/core/timer"
+	"oleandercove.example/core/unit"
+)
+
+// settleTime is how long a move counts after its begin: load reports lag by
+// less than this, so that later decisions see it.
+const settleTime = 750 * time.Millisecond
+
+// Gate bounds the moves to each engine.
+type Gate struct {
+	timer timer.Service
+	mu    sync.Mutex
+	moves map[unit.BackendID][]time.Time
+}
+
+// NewGate returns a Gate without moves.
+func NewGate(t timer.Service) *Gate {
+	return &Gate{timer: t, moves: map[unit.BackendID][]time.Time{}}
+}
+
+// Enter counts a move to an engine if fewer than limit began lately.
+func (g *Gate) Enter(to unit.BackendID, limit int) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	now := g.timer.Now()
+	recent := g.moves[to][:0]
+	for _, at := range g.moves[to] {
+		if now.Sub(at) < settleTime {
+			recent = append(recent, at)
+		}
+	}
+	ok := len(recent) < max(1, limit)
+	if ok {
+		recent = append(recent, now)
+	}
+	g.moves[to] = recent
+	return ok
+}
--- /dev/null
+++ b/oleandercove/mover/mover_test.go
@@ -0,0 +1,62 @@
+package mover
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"oleandercove.example/core/engine"
+	"oleandercove.example/core/timer"
+	"oleandercove.example/core/unit"
+)
+
+func at(id unit.BackendID, from, to unit.Layer, ms int) Option {
+	return Option{Stage: engine.Stage{Backend: id, From: from, To: to}, Time: time.Duration(ms) * time.Millisecond}
+}
+
+func TestDecide(t *testing.T) {
+	chain := []Option{at("a", 0, 4, 2), at("slow", 4, 8, 200)}
+	spare := []Option{at("b", 0, 4, 1), at("c", 4, 8, 3), at("d", 4, 8, 2), at("x", 4, 9, 1)}
+	late := Snapshot{Chain: chain, Alternatives: spare, Interval: 202 * time.Millisecond, Remaining: 50, Positions: 40}
+	for _, row := range []struct {
+		name   string
+		change func(s *Snapshot)
+		want   unit.BackendID
+	}{
+		{"late stream stays on a slow stage", func(*Snapshot) {}, "d"},
+		{"stream in time moves", func(s *Snapshot) { s.Interval = LateInterval - 1 }, ""},
+		{"stream moves for its last token", func(s *Snapshot) { s.Remaining = 1 }, ""},
+		{"long replay outweighs nothing", func(s *Snapshot) { s.Positions = 1e6 }, ""},
+		{"stream moves to a stage that is hardly faster", func(s *Snapshot) { s.Alternatives = []Option{at("e", 4, 8, 150)} }, ""},
+		{"stream moves to other layers", func(s *Snapshot) { s.Alternatives = []Option{at("x", 4, 9, 1), at("y", 3, 8, 1)} }, ""},
+		{"late stream without an alternative moves", func(s *Snapshot) { s.Alternatives = nil }, ""},
+	} {
+		t.Run(row.name, func(t *testing.T) {
+			is := is.New(t)
+			s := late
+			row.change(&s)
+			m, ok := Decide(s)
+			is.Equal(ok, row.want != "")
+			if ok {
+				is.Equal(m.To.Backend, row.want)
+				is.Equal(m.From.Backend, unit.BackendID("slow"))
+			}
+		})
+	}
+}
+
+// TestGate guards against an engine that is overrun before its load shows.
+func TestGate(t *testing.T) {
+	is := is.New(t)
+	clock := timer.NewManual(time.Unix(0, 0))
+	g := NewGate(clock)
+	is.True(g.Enter("a", 2))
+	is.True(g.Enter("a", 2))
+	is.True(!g.Enter("a", 2))
+	is.True(g.Enter("b", 2))
+	clock.Advance(settleTime)
+	is.True(g.Enter("a", 2))
+	is.True(g.Enter("c", 0)) // an engine without batches still takes one
+	is.True(!g.Enter("c", 0))
+}
--- a/oleandercove/settings/settings.go
+++ b/oleandercove/settings/settings.go
@@ -26,6 +26,7 @@
 	Policy     Policy
 	Services   Services
 	Admission  Admission
+	Streams    Streams
 }
 
 // Callers configures the listener for callers.
@@ -69,7 +70,8 @@
 			HeaderTimeout: loader.Duration(5 * time.Second),
 			BodyTimeout:   loader.Duration(10 * time.Second),
 		},
-		Log: Log{Level: "info", Format: "text"},
+		Streams: Streams{Move: true},
+		Log:     Log{Level: "info", Format: "text"},
 		Shutdown: Shutdown{
 			BalancerDelay: loader.Duration(time.Second),
 			Limit:         loader.Duration(30 * time.Second),
--- a/oleandercove/streamer/planning.go
+++ b/oleandercove/streamer/planning.go
@@ -72,6 +72,9 @@
 }
 
 func (t *run) keeps(b watcher.Backend) bool {
+	if s, ok := t.move.holds[b.ID]; ok && s.From == b.Engine.From && s.To == b.Engine.To {
+		return true
+	}
 	for _, s := range t.chain {
 		if s.Backend == b.ID && !t.lacks[b.ID] && s.From == b.Engine.From && s.To == b.Engine.To {
 			return true
--- a/oleandercove/streamer/progress.go
+++ b/oleandercove/streamer/progress.go
@@ -67,12 +67,19 @@
 func progressLimit(stages []watcher.Backend) time.Duration {
 	var expected time.Duration
 	for _, b := range stages {
-		s := b.Engine
-		batches := s.Load.Running/max(1, s.MaxBatch) + 1
-		expected += time.Duration(s.TokenTimeMicros*int64(batches)) * time.Microsecond
-		for _, l := range s.Links {
-			expected += time.Duration(l.LatencyMicros) * time.Microsecond
-		}
+		expected += tokenTime(b, 1)
 	}
 	return max(minProgressLimit, progressFactor*expected)
 }
+
+// tokenTime is the time of a token on an engine with the streams that it holds
+// and some more.
+func tokenTime(b watcher.Backend, more int) time.Duration {
+	s := b.Engine
+	batches := max(1, float64(s.Load.Running+more)/float64(max(1, s.MaxBatch)))
+	d := time.Duration(float64(s.TokenTimeMicros) * batches * float64(time.Microsecond))
+	for _, l := range s.Links {
+		d += time.Duration(l.LatencyMicros) * time.Microsecond
+	}
+	return d
+}
--- a/oleandercove/streamer/stopping_test.go
+++ b/oleandercove/streamer/stopping_test.go
@@ -85,6 +85,8 @@
 
 func (e *engines) Cancel(context.Context, engine.Stage, engine.CancelRequest) {}
 
+func (e *engines) Import(context.Context, engine.Stage, engine.KVState) error { return nil }
+
 // ending is a stream that ends at once.
 type ending struct{ r engine.StreamRequest }
 
--- a/oleandercove/streamer/streamer.go
+++ b/oleandercove/streamer/streamer.go
@@ -27,6 +27,7 @@
 	"oleandercove.example/core/verdict"
 	"oleandercove.example/oleandercove/classifier"
 	"oleandercove.example/oleandercove/dispatcher"
+	"oleandercove.example/oleandercove/mover"
 	"oleandercove.example/oleandercove/planner"
 	"oleandercove.example/oleandercove/quarantiner"
 	"oleandercove.example/oleandercove/recorder"
@@ -58,6 +59,8 @@
 	Log        *log.Logger
 	// Signs learns of engines that refuse work because they leave; nil is valid.
 	Signs watcher.Signs
+	// Gate bounds the moves of running streams; nil leaves them where they are.
+	Gate *mover.Gate
 	// OnRecovery is called for each replacement of a stage; nil is valid.
 	OnRecovery func(engine.FailureCause)
 }
@@ -101,6 +104,7 @@
 	// progressed is the time of the last token or the begin of the attempt,
 	// checked that of the last look for a stalled stage.
 	progressed, checked time.Time
+	move                moving
 	// marked is true once the request was in a crash or under suspicion.
 	marked bool
 	// leave ends the isolation of the attempt.
@@ -112,6 +116,7 @@
 	t := &run{
 		Streamer: s, r: r, id: unit.StreamID(uuid.NewString()), print: quarantiner.Of(r.Name, r.Completion.Prompt),
 		excluded: map[unit.BackendID]bool{}, lacks: map[unit.BackendID]bool{}, held: map[unit.BackendID]engine.Stage{}, starts: map[unit.BackendID]string{},
+		move: moving{holds: map[unit.BackendID]engine.Stage{}},
 	}
 	defer t.release(ctx)
 	for range maxAttempts {
@@ -170,6 +175,9 @@
 		if done || err != nil || e.Kind == engine.EventFailed {
 			return done, err
 		}
+		if t.moves(ctx, e) {
+			return false, nil
+		}
 	}
 	return false, nil
 }
--- a/oleanderfake/runner/handler.go
+++ b/oleanderfake/runner/handler.go
@@ -113,48 +113,6 @@
 	w.WriteHeader(http.StatusNoContent)
 }
 
-func (e *Engine) handleExport(w http.ResponseWriter, r *http.Request, _ httprouter.Params) {
-	var m engine.CancelRequest
-	if !responder.Read(w, r, &m) {
-		return
-	}
-	s, ok := e.streams.find(m.Stream)
-	if !ok {
-		http.Error(w, "stream not found", http.StatusNotFound)
-		return
-	}
-	from, to, _ := e.shape()
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	responder.Write(w, http.StatusOK, engine.KVState{
-		Stream: m.Stream, Epoch: s.epoch, Model: e.options.Model, From: from, To: to,
-		Layers: s.layers, Outputs: s.outputs,
-	})
-}
-
-func (e *Engine) handleImport(w http.ResponseWriter, r *http.Request, _ httprouter.Params) {
-	var m engine.KVState
-	if !responder.Read(w, r, &m) {
-		return
-	}
-	from, to, _ := e.shape()
-	if m.From != from || m.To != to || len(m.Layers) != int(to-from) {
-		http.Error(w, "layers don't match", http.StatusConflict)
-		return
-	}
-	s, room := e.streams.get(m.Stream, int(to-from), e.options.MaxStreams)
-	if !room {
-		http.Error(w, "no memory for another stream", http.StatusServiceUnavailable)
-		return
-	}
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if len(s.outputs) < len(m.Outputs) && s.epoch <= m.Epoch {
-		s.epoch, s.layers, s.outputs = m.Epoch, m.Layers, m.Outputs
-	}
-	w.WriteHeader(http.StatusNoContent)
-}
-
 // handleOrder applies the target state of an order; an engine that honours
 // fencing refuses a number lower than the highest one seen.
 func (e *Engine) handleOrder(w http.ResponseWriter, r *http.Request, _ httprouter.Params) {
@@ -192,6 +150,8 @@
 	// Hang stops all work while heartbeats and status calls go on, as an
 	// accelerator does that hangs.
 	Hang bool
+	// NoExport makes the engine refuse to export KV state.
+	NoExport bool
 }
 
 func (e *Engine) handleFaults(w http.ResponseWriter, r *http.Request, _ httprouter.Params) {
@@ -200,6 +160,7 @@
 		return
 	}
 	e.batch.hang(m.Hang)
+	e.noExport.Store(m.NoExport)
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	if m.Slow > 0 {
--- a/oleanderfake/runner/runner.go
+++ b/oleanderfake/runner/runner.go
@@ -82,6 +82,7 @@
 
 	sequence  atomic.Uint64
 	generated atomic.Uint64
+	noExport  atomic.Bool
 
 	mu       sync.Mutex
 	from, to unit.Layer
--- a/oleanderfake/runner/stream.go
+++ b/oleanderfake/runner/stream.go
@@ -1,6 +1,7 @@
 package runner
 
 import (
+	"slices"
 	"sync"
 	"time"
 
@@ -91,6 +92,29 @@
 	s.sent[b] = next
 }
 
+// export returns a copy of the state.
+func (s *stream) export() engine.KVState {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	k := engine.KVState{Epoch: s.epoch, Layers: slices.Clone(s.layers), Outputs: slices.Clone(s.outputs)}
+	if s.sampling != nil {
+		k.Sampling = *s.sampling
+	}
+	return k
+}
+
+// adopt takes an exported state over unless the stream has the positions or a
+// newer epoch.
+func (s *stream) adopt(k engine.KVState) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if len(s.outputs) >= len(k.Outputs) || s.epoch > k.Epoch {
+		return false
+	}
+	s.epoch, s.layers, s.outputs, s.sampling, s.used = k.Epoch, k.Layers, k.Outputs, &k.Sampling, time.Now()
+	return true
+}
+
 // table holds the streams of an engine.
 type table struct {
 	mu      sync.Mutex
--- a/prover/audit_test.go
+++ b/prover/audit_test.go
@@ -37,10 +37,18 @@
 	stream unit.StreamID
 }
 
+// part identifies the state of one stream in a range of layers.
+type part struct {
+	stream   unit.StreamID
+	from, to unit.Layer
+}
+
 // auditJournals checks that no engine process ran a position of a stream
-// twice or out of order.
+// twice, out of order or after it had imported it, and that imported positions
+// were run by another engine process with the same layers.
 func (r *rig) auditJournals() error {
 	var faults []error
+	ran, imported := map[part]unit.Position{}, map[part]unit.Position{}
 	for _, e := range r.engines {
 		records, err := readJournal[engine.JournalRecord](r.Journal(e.Name))
 		if err != nil {
@@ -49,10 +57,24 @@
 		next := map[execution]unit.Position{}
 		for _, j := range records {
 			x := execution{start: j.Start, stream: j.Stream}
+			end, p := j.First+unit.Position(j.Count), part{stream: j.Stream, from: j.From, to: j.To}
+			if j.Imported {
+				if j.First != 0 || end < next[x] {
+					faults = append(faults, fmt.Errorf("%s: stream %s imported %d positions after it had %d", e.Name, j.Stream, end, next[x]))
+				}
+				imported[p], next[x] = max(imported[p], end), end
+				continue
+			}
+			ran[p] = max(ran[p], end)
 			if j.First != next[x] {
 				faults = append(faults, fmt.Errorf("%s: stream %s ran position %d after %d", e.Name, j.Stream, j.First, next[x]-1))
 			}
-			next[x] = j.First + unit.Position(j.Count)
+			next[x] = end
+		}
+	}
+	for p, n := range imported {
+		if ran[p] < n {
+			faults = append(faults, fmt.Errorf("stream %s: %d positions of layers %d to %d were imported, %d were run", p.stream, n, p.from, p.to, ran[p]))
 		}
 	}
 	return errors.Join(faults...)
--- a/prover/path_test.go
+++ b/prover/path_test.go
@@ -35,9 +35,16 @@
 
 // newRig starts two engines for each of three stages and n daemons.
 func newRig(t *testing.T, n int, engineFlags ...string) *rig {
+	t.Helper()
+	r := &rig{Launcher: launcher.New("../bin", t.TempDir())}
+	r.startUp(t, n, engineFlags...)
+	return r
+}
+
+func (r *rig) startUp(t *testing.T, n int, engineFlags ...string) {
 	t.Helper()
 	is := is.New(t)
-	r := &rig{Launcher: launcher.New("../bin", t.TempDir()), client: invoker.Client{Token: launcher.Token(account)}, timer: timer.NewReal()}
+	r.client, r.timer = invoker.Client{Token: launcher.Token(account)}, timer.NewReal()
 	t.Cleanup(r.Close)
 	p, err := r.Platform()
 	r.platform = p
@@ -67,7 +74,6 @@
 		r.daemons = append(r.daemons, d)
 	}
 	is.NoErr(launcher.Wait(20*time.Second, "complete answer on every daemon", func() bool { return r.serves(t.Context()) }))
-	return r
 }
 
 func (r *rig) serves(ctx context.Context) bool {
