streamer, mover: move long streams off an engine before it stops

Cause: streams that outlasted the drain limit of an engine were cut when it stopped, and recovered by replay; the drain always lasted until its limit. Ruled out: moving all streams at the first sign, because short ones end in time; counting these moves as failed attempts, because a long stream can meet many planned stops. Change: a draining engine reports the time until it stops. The owner moves a stream that may outlast it with its KV state, and the streams may return after the restart. Moves no longer use up the attempts of a stream.

--- a/core/engine/engine.go
+++ b/core/engine/engine.go
@@ -179,11 +179,14 @@
 	To         unit.Layer
 	Layers     unit.Layer
 	// Start identifies the run of the process; it changes on a restart.
-	Start      string
-	Sequence   uint64
-	Draining   bool
-	MaxStreams int
-	MaxBatch   int
+	Start    string
+	Sequence uint64
+	Draining bool
+	// DrainLeftMillis is the time until a draining engine stops; 0 means that it
+	// names no limit.
+	DrainLeftMillis int64 `json:",omitempty"`
+	MaxStreams      int
+	MaxBatch        int
 	// TokenTime is the time of one batch iteration in microseconds.
 	TokenTimeMicros int64
 	// Iterations counts the batch iterations since Start.
--- a/oleandercove/daemon/daemon.go
+++ b/oleandercove/daemon/daemon.go
@@ -26,6 +26,7 @@
 	"oleandercove.example/oleandercove/limiter"
 	"oleandercove.example/oleandercove/linker"
 	"oleandercove.example/oleandercove/meter"
+	"oleandercove.example/oleandercove/mover"
 	"oleandercove.example/oleandercove/planner"
 	"oleandercove.example/oleandercove/quarantiner"
 	"oleandercove.example/oleandercove/recorder"
@@ -97,7 +98,7 @@
 		Backends: backends, Tracker: k, Dispatcher: dispatcher.New(dispatcher.Options{Silence: d.settings.Policy.SilenceLimit.Std()}), Quarantine: q,
 		Policy:   planner.NewPolicy(d.settings.Policy.Balance),
 		Recorder: j, Timer: t, Log: d.log.WithPrefix("streamer"),
-		Signs: d.watcher, OnRecovery: d.meter.Recovery, Gate: d.gate(),
+		Signs: d.watcher, OnRecovery: d.meter.Recovery, Gate: mover.NewGate(t), MoveLate: d.settings.Streams.Move,
 	})
 	services, claims := d.newServices(t, k, j)
 	d.claimer = claims
--- a/oleandercove/mover/mover.go
+++ b/oleandercove/mover/mover.go
@@ -29,6 +29,10 @@
 	margin = 2
 	// reopenCost is the pause of a stream between two chains.
 	reopenCost = 100 * time.Millisecond
+	// leaveFactor and leaveReserve cover a stream that becomes slower before a
+	// stage stops, and the moves themselves.
+	leaveFactor  = 2
+	leaveReserve = 2 * time.Second
 	// prefillPerUnit is how many positions cost as much as one token when an
 	// engine runs them again.
 	prefillPerUnit = 16
@@ -74,6 +78,16 @@
 	return m, saved > 0 && total >= hysteresis*(total-saved) && pays
 }
 
+// Leave returns the move off a stage that stops in the given time, if the
+// stream may outlast it. Any alternative is taken, since the stream has to go.
+func Leave(s Snapshot, leaving engine.Stage, left time.Duration) (Move, bool) {
+	if leaveFactor*s.Interval*time.Duration(s.Remaining)+leaveReserve < left {
+		return Move{}, false
+	}
+	to, ok := cheapest(leaving, s.Alternatives)
+	return Move{From: leaving, To: to.Stage}, ok
+}
+
 // cheapest returns the alternative to a stage with the least time.
 func cheapest(s engine.Stage, all []Option) (best Option, ok bool) {
 	for _, a := range all {
--- a/oleandercove/mover/mover_test.go
+++ b/oleandercove/mover/mover_test.go
@@ -60,3 +60,25 @@
 	is.True(g.Enter("c", 0)) // an engine without batches still takes one
 	is.True(!g.Enter("c", 0))
 }
+
+func TestLeave(t *testing.T) {
+	leaving := at("a", 0, 4, 2)
+	for _, row := range []struct {
+		name      string
+		remaining int
+		left      time.Duration
+		spare     []Option
+		want      bool
+	}{
+		{"long stream is cut at the limit", 1000, 20 * time.Second, []Option{at("b", 0, 4, 9)}, true},
+		{"stream that ends in time moves", 100, 20 * time.Second, []Option{at("b", 0, 4, 9)}, false},
+		{"short stream is cut just before the limit", 1, time.Second, []Option{at("b", 0, 4, 9)}, true},
+		{"stream moves to other layers", 1000, 20 * time.Second, []Option{at("b", 0, 8, 9)}, false},
+	} {
+		t.Run(row.name, func(t *testing.T) {
+			s := Snapshot{Interval: 20 * time.Millisecond, Remaining: row.remaining, Alternatives: row.spare}
+			_, ok := Leave(s, leaving.Stage, row.left)
+			is.New(t).Equal(ok, row.want)
+		})
+	}
+}
--- a/oleandercove/streamer/moving.go
+++ b/oleandercove/streamer/moving.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"oleandercove.example/core/engine"
@@ -24,6 +25,9 @@
 	paceWeight = 0.25
 	// moveShare of an engine's batch may be filled by moves at the same time.
 	moveShare = 2
+	// leaveBatches of streams that have to leave an engine may move at the same
+	// time.
+	leaveBatches = 2
 )
 
 // moving is the state of a stream's moves.
@@ -66,7 +70,7 @@
 			return false
 		}
 	}
-	if t.options.Gate == nil || t.move.last.IsZero() || t.move.count >= maxMoves || now.Sub(t.move.decided) < moveCheck {
+	if t.options.Gate == nil || t.move.last.IsZero() || now.Sub(t.move.decided) < moveCheck {
 		return false
 	}
 	t.move.decided = now
@@ -76,20 +80,19 @@
 	return false
 }
 
-// decide looks for a move that pays.
+// decide looks for a move off a leaving engine, then for one that pays.
 func (t *run) decide(now time.Time) (mover.Move, bool) {
+	all := t.options.Backends.Backends()
+	stages := stagesOf(t.chain, all)
 	interval := max(t.move.interval, now.Sub(t.move.last))
-	if interval < mover.LateInterval {
+	late := t.options.MoveLate && t.move.count < maxMoves && interval >= mover.LateInterval
+	if !late && !leaving(stages) {
 		return mover.Move{}, false
 	}
-	all := t.options.Backends.Backends()
 	s := mover.Snapshot{
 		Interval: interval, Remaining: t.r.Completion.MaxTokens - len(t.emitted),
 		Positions: int(t.prompt) + len(t.emitted),
 	}
-	for _, b := range stagesOf(t.chain, all) {
-		s.Chain = append(s.Chain, option(b, 0))
-	}
 	batch := map[unit.BackendID]int{}
 	for _, b := range all {
 		if t.accepts(b) {
@@ -97,13 +100,40 @@
 			batch[b.ID] = b.Engine.MaxBatch
 		}
 	}
+	for _, b := range stages {
+		o := option(b, 0)
+		s.Chain = append(s.Chain, o)
+		if left := timeLeft(b, now); left > 0 {
+			m, ok := mover.Leave(s, o.Stage, left)
+			if ok && t.options.Gate.Enter(m.To.Backend, batch[m.To.Backend]*leaveBatches) {
+				return m, true
+			}
+		}
+	}
 	m, ok := mover.Decide(s)
-	return m, ok && t.options.Gate.Enter(m.To.Backend, batch[m.To.Backend]/moveShare)
+	if !late || !ok || t.excluded[m.To.Backend] || !t.options.Gate.Enter(m.To.Backend, batch[m.To.Backend]/moveShare) {
+		return mover.Move{}, false
+	}
+	t.move.count++
+	return m, true
+}
+
+// leaving tells whether one of the engines names the time until it stops.
+func leaving(stages []watcher.Backend) bool {
+	return slices.ContainsFunc(stages, func(b watcher.Backend) bool { return b.Draining && b.Engine.DrainLeftMillis > 0 })
+}
+
+// timeLeft is the time until a draining engine stops, or 0 if it names none.
+func timeLeft(b watcher.Backend, now time.Time) time.Duration {
+	if !b.Draining || b.Engine.DrainLeftMillis == 0 {
+		return 0
+	}
+	return max(1, time.Duration(b.Engine.DrainLeftMillis)*time.Millisecond-now.Sub(b.Seen))
 }
 
 // accepts tells whether the stream can move to a backend server.
 func (t *run) accepts(b watcher.Backend) bool {
-	if b.Role != platform.RoleEngine || b.Engine == nil || !b.Usable() || t.excluded[b.ID] {
+	if b.Role != platform.RoleEngine || b.Engine == nil || !b.Usable() {
 		return false
 	}
 	for _, s := range t.chain {
@@ -123,7 +153,6 @@
 
 // depart starts to copy the state of a stage.
 func (t *run) depart(ctx context.Context, m mover.Move) {
-	t.move.count++
 	t.move.current, t.move.imported = m, make(chan error, 1)
 	t.held[m.To.Backend] = m.To
 	t.options.Recorder.Record(recorder.Event{
@@ -154,12 +183,24 @@
 		t.move.holds[m.To.Backend] = m.To
 	}
 	t.options.Log.Info("stage moves", "request", t.r.ID, "stream", t.id, "from", m.From.Backend, "to", m.To.Backend, "imported", err == nil, "err", err)
-	t.excluded[m.From.Backend] = true
+	// An engine that leaves is usable again after its restart, a slow one is not.
+	if t.drains(m.From.Backend) {
+		t.lacks[m.From.Backend] = true
+	} else {
+		t.excluded[m.From.Backend] = true
+	}
+	delete(t.excluded, m.To.Backend)
+	t.attempts--
 	t.move.left = append(t.move.left, m.From)
 	t.move.interval, t.move.last = 0, time.Time{}
 	return true
 }
 
+// drains tells whether an engine takes no new streams.
+func (t *run) drains(id unit.BackendID) bool {
+	return slices.ContainsFunc(t.options.Backends.Backends(), func(b watcher.Backend) bool { return b.ID == id && b.Draining })
+}
+
 // forget ends the stream on engines that it has left. It is called after the
 // first token of the new chain, when no step to the old one is on its way.
 func (t *run) forget(ctx context.Context) {
--- a/oleandercove/streamer/streamer.go
+++ b/oleandercove/streamer/streamer.go
@@ -59,8 +59,11 @@
 	Log        *log.Logger
 	// Signs learns of engines that refuse work because they leave; nil is valid.
 	Signs watcher.Signs
-	// Gate bounds the moves of running streams; nil leaves them where they are.
+	// Gate bounds the moves of running streams; nil leaves all of them where
+	// they are.
 	Gate *mover.Gate
+	// MoveLate lets late streams move, not only those on leaving engines.
+	MoveLate bool
 	// OnRecovery is called for each replacement of a stage; nil is valid.
 	OnRecovery func(engine.FailureCause)
 }
@@ -82,10 +85,12 @@
 // run is the state of one stream at its owner.
 type run struct {
 	*Streamer
-	r        *request.Request
-	id       unit.StreamID
-	print    quarantiner.Fingerprint
-	epoch    unit.Epoch
+	r     *request.Request
+	id    unit.StreamID
+	print quarantiner.Fingerprint
+	epoch unit.Epoch
+	// attempts counts those that failed, not those that ended with a move.
+	attempts int
 	prompt   unit.Position
 	emitted  []unit.Token
 	chain    []engine.Stage
@@ -119,7 +124,7 @@
 		move: moving{holds: map[unit.BackendID]engine.Stage{}},
 	}
 	defer t.release(ctx)
-	for range maxAttempts {
+	for ; t.attempts < maxAttempts; t.attempts++ {
 		if err := t.plan(ctx); err != nil {
 			return err
 		}
--- a/oleanderfake/command/fakes.go
+++ b/oleanderfake/command/fakes.go
@@ -41,6 +41,7 @@
 		Short: "Run a stand-in for a model engine",
 		Args:  cobra.NoArgs,
 		RunE: func(c *cobra.Command, _ []string) error {
+			o.DrainLimit = l.drainLimit
 			e, err := runner.New(o)
 			if err != nil {
 				return err
--- a/oleanderfake/runner/handler.go
+++ b/oleanderfake/runner/handler.go
@@ -172,11 +172,14 @@
 	w.WriteHeader(http.StatusNoContent)
 }
 
-// Drain tells the engine to take no new streams.
+// Drain tells the engine to take no new streams, because the process ends.
 func (e *Engine) Drain() {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.draining = true
+	if e.options.DrainLimit > 0 {
+		e.drainEnd = time.Now().Add(e.options.DrainLimit)
+	}
 }
 
 // Serves returns the model that the engine holds.
--- a/oleanderfake/runner/runner.go
+++ b/oleanderfake/runner/runner.go
@@ -67,6 +67,8 @@
 	PoisonWord string
 	// Exit ends the process on a poison request.
 	Exit func(code int)
+	// DrainLimit is the time from Drain to the end of the process.
+	DrainLimit time.Duration
 	// Journal is the file of the journal; empty keeps it in memory.
 	Journal string
 }
@@ -89,6 +91,7 @@
 	model    unit.EntryName
 	fence    unit.Fence
 	draining bool
+	drainEnd time.Time
 	slow     float64
 	linkSlow float64
 	load     engine.Load
@@ -149,8 +152,13 @@
 	iterations, pending := e.batch.progress()
 	e.mu.Lock()
 	defer e.mu.Unlock()
+	var left int64
+	if !e.drainEnd.IsZero() {
+		left = max(1, time.Until(e.drainEnd).Milliseconds())
+	}
 	return engine.Status{
-		Backend: e.options.Backend, DataCentre: e.options.DataCentre, Kind: e.options.Kind,
+		DrainLeftMillis: left,
+		Backend:         e.options.Backend, DataCentre: e.options.DataCentre, Kind: e.options.Kind,
 		Model: e.model, From: e.from, To: e.to, Layers: e.options.Layers,
 		Start: e.start, Sequence: e.sequence.Add(1), Draining: e.draining,
 		MaxStreams: e.options.MaxStreams, MaxBatch: e.options.MaxBatch,
