watcher: test stalled reports of several daemons; name the later detection

Cause: daemons now share the status calls, so that an engine is stalled only if the daemons that poll it agree, and a call can be 1.5 s after the last one. Ruled out: a field in the report, because an unhealthy report with a status can only be of a stalled engine; a status that can't be read is dropped. Conclusion: hung engines are still recovered from, but later.

--- a/oleandercove/watcher/stalled_test.go
+++ b/oleandercove/watcher/stalled_test.go
@@ -43,3 +43,31 @@
 		})
 	}
 }
+
+func TestStalledReports(t *testing.T) {
+	good := report{backend: Backend{Healthy: true, Engine: &engine.Status{}}}
+	hung := report{backend: Backend{Engine: &engine.Status{}}}
+	dead := report{}
+	for _, row := range []struct {
+		name    string
+		reports []report
+		want    bool
+	}{
+		{"stalled engine counts as dead", []report{hung, hung}, true},
+		{"dead engine counts as stalled", []report{dead, dead}, false},
+		{"one late report hides an engine", []report{good, hung}, false},
+		{"unreachable poller keeps a stalled engine", []report{dead, hung}, true},
+		{"working engine counts as stalled", []report{good, good}, false},
+	} {
+		t.Run(row.name, func(t *testing.T) {
+			is := is.New(t)
+			var b Backend
+			for _, r := range row.reports {
+				b.Healthy = b.Healthy || r.backend.Healthy
+			}
+			b.stall(row.reports)
+			is.Equal(b.Stalled, row.want)
+			is.Equal(b.Engine != nil, row.want)
+		})
+	}
+}
