--- a/core/api/api.go
+++ b/core/api/api.go
@@ -16,6 +16,8 @@
 	HeaderDeadline = "X-Deadline-Ms"
 	// HeaderPriority carries high, normal or low.
 	HeaderPriority = "X-Priority"
+	// HeaderResume is the number of tokens that the caller already has.
+	HeaderResume = "X-Resume-Position"
 	// HeaderVerdict repeats the verdict of a failed service call.
 	HeaderVerdict = "X-Verdict"
 )
@@ -33,6 +35,10 @@
 	Prompt    string    `json:"prompt,omitempty"`
 	MaxTokens int       `json:"max_tokens,omitempty"`
 	Stream    bool      `json:"stream,omitempty"`
+	// Temperature 0 takes the most likely token.
+	Temperature float64 `json:"temperature,omitempty"`
+	// Seed replaces the seed that the daemon derives from the request.
+	Seed *int64 `json:"seed,omitempty"`
 }
 
 // Choice is one answer of a completion.
--- a/core/engine/engine.go
+++ b/core/engine/engine.go
@@ -49,6 +49,7 @@
 	MaxTokens int
 	Priority  Priority
 	Chain     []Stage
+	Sampling
 }
 
 // EventKind says what an Event reports.
@@ -100,6 +101,8 @@
 	CauseRefused FailureCause = "Refused"
 	// CauseDraining means that the stage takes no new streams.
 	CauseDraining FailureCause = "Draining"
+	// CauseStalled means that the stage answers but runs no work.
+	CauseStalled FailureCause = "Stalled"
 )
 
 // Event is one line of a stream's answer.
@@ -137,6 +140,7 @@
 	Inputs   []Activation
 	// Fresh is the first position whose execution is not a replay.
 	Fresh unit.Position
+	Sampling
 }
 
 // StepCode is the outcome of a step.
@@ -175,18 +179,25 @@
 	To         unit.Layer
 	Layers     unit.Layer
 	// Start identifies the run of the process; it changes on a restart.
-	Start      string
-	Sequence   uint64
-	Draining   bool
-	MaxStreams int
-	MaxBatch   int
+	Start    string
+	Sequence uint64
+	Draining bool
+	// DrainLeftMillis is the time until a draining engine stops; 0 means that it
+	// names no limit.
+	DrainLeftMillis int64 `json:",omitempty"`
+	MaxStreams      int
+	MaxBatch        int
 	// TokenTime is the time of one batch iteration in microseconds.
 	TokenTimeMicros int64
-	Load            Load
-	Links           []Link
-	Fencing         bool
-	Version         string   `json:",omitempty"`
-	Adapters        []string `json:",omitempty"`
+	// Iterations counts the batch iterations since Start.
+	Iterations uint64
+	// Pending is the work that waits or runs now; it does not lag.
+	Pending  int
+	Load     Load
+	Links    []Link
+	Fencing  bool
+	Version  string   `json:",omitempty"`
+	Adapters []string `json:",omitempty"`
 	// MaxLayers is how many layers fit in the memory; 0 means that any number
 	// fits.
 	MaxLayers unit.Layer `json:",omitempty"`
@@ -227,8 +238,10 @@
 	Fence    unit.Fence
 }
 
-// KVState is an export of the KV cache of one stream.
+// KVState is an export of the KV cache of one stream. An import with a Source
+// carries no state: the engine exports it from there itself.
 type KVState struct {
+	Source  string `json:",omitempty"`
 	Stream  unit.StreamID
 	Epoch   unit.Epoch
 	Model   unit.EntryName
@@ -236,6 +249,7 @@
 	To      unit.Layer
 	Layers  []uint64
 	Outputs []Activation
+	Sampling
 }
 
 // JournalRecord is one entry of an engine's journal of executed work.
@@ -249,6 +263,8 @@
 	First   unit.Position
 	Count   int
 	Replay  bool
+	// Imported marks positions that were not run but imported.
+	Imported bool `json:",omitempty"`
 	// At is the time at which the work ended.
 	At time.Time `json:",omitzero"`
 }
--- a/oleandercove/settings/settings.go
+++ b/oleandercove/settings/settings.go
@@ -29,6 +29,7 @@
 	Services    Services
 	Admission   Admission
 	Controllers Controllers
+	Streams     Streams
 }
 
 // Callers configures the listener for callers.
@@ -72,7 +73,8 @@
 			HeaderTimeout: loader.Duration(5 * time.Second),
 			BodyTimeout:   loader.Duration(10 * time.Second),
 		},
-		Log: Log{Level: "info", Format: "text"},
+		Streams: Streams{Move: true},
+		Log:     Log{Level: "info", Format: "text"},
 		Shutdown: Shutdown{
 			BalancerDelay: loader.Duration(time.Second),
 			Limit:         loader.Duration(30 * time.Second),
--- a/oleandercove/streamer/streamer.go
+++ b/oleandercove/streamer/streamer.go
@@ -27,6 +27,7 @@
 	"oleandercove.example/core/verdict"
 	"oleandercove.example/oleandercove/classifier"
 	"oleandercove.example/oleandercove/dispatcher"
+	"oleandercove.example/oleandercove/mover"
 	"oleandercove.example/oleandercove/planner"
 	"oleandercove.example/oleandercove/quarantiner"
 	"oleandercove.example/oleandercove/recorder"
@@ -58,6 +59,11 @@
 	Log        *log.Logger
 	// Signs learns of engines that refuse work because they leave; nil is valid.
 	Signs watcher.Signs
+	// Gate bounds the moves of running streams; nil leaves all of them where
+	// they are.
+	Gate *mover.Gate
+	// MoveLate lets late streams move, not only those on leaving engines.
+	MoveLate bool
 	// OnRecovery is called for each replacement of a stage; nil is valid.
 	OnRecovery func(engine.FailureCause)
 }
@@ -79,10 +85,12 @@
 // run is the state of one stream at its owner.
 type run struct {
 	*Streamer
-	r        *request.Request
-	id       unit.StreamID
-	print    quarantiner.Fingerprint
-	epoch    unit.Epoch
+	r     *request.Request
+	id    unit.StreamID
+	print quarantiner.Fingerprint
+	epoch unit.Epoch
+	// attempts counts those that failed, not those that ended with a move.
+	attempts int
 	prompt   unit.Position
 	emitted  []unit.Token
 	chain    []engine.Stage
@@ -98,6 +106,10 @@
 	// touched is the number of emitted tokens when the attempt began.
 	touched  int
 	isolated bool
+	// progressed is the time of the last token or the begin of the attempt,
+	// checked that of the last look for a stalled stage.
+	progressed, checked time.Time
+	move                moving
 	// marked is true once the request was in a crash or under suspicion.
 	marked bool
 	// leave ends the isolation of the attempt.
@@ -109,9 +121,10 @@
 	t := &run{
 		Streamer: s, r: r, id: unit.StreamID(uuid.NewString()), print: quarantiner.Of(r.Name, r.Completion.Prompt),
 		excluded: map[unit.BackendID]bool{}, lacks: map[unit.BackendID]bool{}, held: map[unit.BackendID]engine.Stage{}, starts: map[unit.BackendID]string{},
+		move: moving{holds: map[unit.BackendID]engine.Stage{}},
 	}
 	defer t.release(ctx)
-	for range maxAttempts {
+	for ; t.attempts < maxAttempts; t.attempts++ {
 		if err := t.plan(ctx); err != nil {
 			return err
 		}
@@ -143,11 +156,13 @@
 	t.isolated, t.touched = isolated, len(t.emitted)
 	t.marked = t.marked || isolated
 	t.epoch++
+	t.progressed = t.options.Timer.Now()
 	finish := t.track()
 	defer finish()
 	s, err := t.options.Dispatcher.Open(ctx, engine.StreamRequest{
 		Stream: t.id, Epoch: t.epoch, Model: t.r.Name, Prompt: t.r.Completion.Prompt,
 		Emitted: t.emitted, MaxTokens: t.r.Completion.MaxTokens, Priority: t.r.Priority, Chain: t.chain,
+		Sampling: t.sampling(),
 	})
 	t.started = t.started || mayHaveRun(err)
 	if err != nil {
@@ -158,10 +173,16 @@
 		if err != nil {
 			return false, t.lost(ctx, err)
 		}
+		if f := t.stalled(e); f != nil {
+			return false, t.failed(ctx, f)
+		}
 		done, err := t.apply(ctx, e)
 		if done || err != nil || e.Kind == engine.EventFailed {
 			return done, err
 		}
+		if t.moves(ctx, e) {
+			return false, nil
+		}
 	}
 	return false, nil
 }
@@ -223,6 +244,9 @@
 			t.leave()
 		}
 	}
+	if len(t.emitted) <= t.r.Completion.Resume {
+		return nil
+	}
 	if err := t.r.Completion.Emit(e.Text); err != nil {
 		return verdict.New(verdict.MayHaveRun, verdict.Canceled, "caller went away: %v", err)
 	}
--- a/oleanderfake/runner/handler.go
+++ b/oleanderfake/runner/handler.go
@@ -114,54 +114,17 @@
 	w.WriteHeader(http.StatusNoContent)
 }
 
-func (e *Engine) handleExport(w http.ResponseWriter, r *http.Request, _ httprouter.Params) {
-	var m engine.CancelRequest
-	if !responder.Read(w, r, &m) {
-		return
-	}
-	s, ok := e.streams.find(m.Stream)
-	if !ok {
-		http.Error(w, "stream not found", http.StatusNotFound)
-		return
-	}
-	from, to, _ := e.shape()
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	responder.Write(w, http.StatusOK, engine.KVState{
-		Stream: m.Stream, Epoch: s.epoch, Model: e.options.Model, From: from, To: to,
-		Layers: s.layers, Outputs: s.outputs,
-	})
-}
-
-func (e *Engine) handleImport(w http.ResponseWriter, r *http.Request, _ httprouter.Params) {
-	var m engine.KVState
-	if !responder.Read(w, r, &m) {
-		return
-	}
-	from, to, _ := e.shape()
-	if m.From != from || m.To != to || len(m.Layers) != int(to-from) {
-		http.Error(w, "layers don't match", http.StatusConflict)
-		return
-	}
-	s, room := e.streams.get(m.Stream, int(to-from), e.options.MaxStreams)
-	if !room {
-		http.Error(w, "no memory for another stream", http.StatusServiceUnavailable)
-		return
-	}
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if len(s.outputs) < len(m.Outputs) && s.epoch <= m.Epoch {
-		s.epoch, s.layers, s.outputs = m.Epoch, m.Layers, m.Outputs
-	}
-	w.WriteHeader(http.StatusNoContent)
-}
-
 // Faults are the injected faults of an engine.
 type Faults struct {
 	// Slow multiplies the time of every layer; 0 leaves it unchanged.
 	Slow float64
 	// LinkSlow multiplies the time of every hand-over; 0 leaves it unchanged.
 	LinkSlow float64
+	// Hang stops all work while heartbeats and status calls go on, as an
+	// accelerator does that hangs.
+	Hang bool
+	// NoExport makes the engine refuse to export KV state.
+	NoExport bool
 }
 
 func (e *Engine) handleFaults(w http.ResponseWriter, r *http.Request, _ httprouter.Params) {
@@ -169,6 +132,8 @@
 	if !responder.Read(w, r, &m) {
 		return
 	}
+	e.batch.hang(m.Hang)
+	e.noExport.Store(m.NoExport)
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	if m.Slow > 0 {
--- a/oleanderfake/runner/orders.go
+++ b/oleanderfake/runner/orders.go
@@ -77,4 +77,7 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.draining, e.leaving = true, true
+	if e.options.DrainLimit > 0 {
+		e.drainEnd = time.Now().Add(e.options.DrainLimit)
+	}
 }
--- a/oleanderfake/runner/runner.go
+++ b/oleanderfake/runner/runner.go
@@ -74,6 +74,8 @@
 	PoisonWord string
 	// Exit ends the process on a poison request.
 	Exit func(code int)
+	// DrainLimit is the time from Drain to the end of the process.
+	DrainLimit time.Duration
 	// Journal is the file of the journal; empty keeps it in memory.
 	Journal string
 }
@@ -90,6 +92,7 @@
 
 	sequence  atomic.Uint64
 	generated atomic.Uint64
+	noExport  atomic.Bool
 
 	mu       sync.Mutex
 	from, to unit.Layer
@@ -100,6 +103,7 @@
 	fence    unit.Fence
 	draining bool
 	leaving  bool
+	drainEnd time.Time
 	slow     float64
 	linkSlow float64
 	load     engine.Load
@@ -162,14 +166,21 @@
 // Status describes the engine; the load lags.
 func (e *Engine) Status() engine.Status {
 	iteration := e.iterationTime()
+	iterations, pending := e.batch.progress()
 	e.mu.Lock()
 	defer e.mu.Unlock()
+	var left int64
+	if !e.drainEnd.IsZero() {
+		left = max(1, time.Until(e.drainEnd).Milliseconds())
+	}
 	return engine.Status{
-		Backend: e.options.Backend, DataCentre: e.options.DataCentre, Kind: e.options.Kind,
+		DrainLeftMillis: left,
+		Backend:         e.options.Backend, DataCentre: e.options.DataCentre, Kind: e.options.Kind,
 		Model: e.model, From: e.from, To: e.to, Layers: e.options.Layers,
 		Start: e.start, Sequence: e.sequence.Add(1), Draining: e.draining,
 		MaxStreams: e.options.MaxStreams, MaxBatch: e.options.MaxBatch,
 		TokenTimeMicros: iteration.Microseconds(), Load: e.load,
+		Iterations: iterations, Pending: pending,
 		Links: []engine.Link{{
 			LatencyMicros: time.Duration(float64(e.options.LinkLatency) * e.linkSlow).Microseconds(),
 			Rate:          e.options.LinkRate,
--- a/prover/invoker/invoker.go
+++ b/prover/invoker/invoker.go
@@ -14,6 +14,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"strconv"
 	"strings"
 	"time"
 
@@ -32,6 +33,10 @@
 	Model     string
 	Text      string
 	MaxTokens int
+	// Temperature above 0 makes the answer depend on the request's seed.
+	Temperature float64
+	// Resume is the number of tokens that the caller already has.
+	Resume int
 	// OnToken is called after each token, with their number so far.
 	OnToken func(n int)
 	// OnText is called with the text of each token.
@@ -60,12 +65,18 @@
 
 // Complete sends a streamed completion and reads it to its end.
 func (c Client) Complete(ctx context.Context, address string, p Prompt) (Answer, error) {
-	body, err := json.Marshal(api.CompletionRequest{Model: p.Model, Prompt: p.Text, MaxTokens: p.MaxTokens, Stream: true})
+	body, err := json.Marshal(api.CompletionRequest{
+		Model: p.Model, Prompt: p.Text, MaxTokens: p.MaxTokens, Stream: true, Temperature: p.Temperature,
+	})
 	if err != nil {
 		return Answer{}, err
 	}
 	start := time.Now()
-	res, err := c.Do(ctx, http.MethodPost, "http://"+address+"/v1/completions", body, http.Header{api.HeaderRequestID: {p.ID}})
+	h := http.Header{api.HeaderRequestID: {p.ID}}
+	if p.Resume > 0 {
+		h.Set(api.HeaderResume, strconv.Itoa(p.Resume))
+	}
+	res, err := c.Do(ctx, http.MethodPost, "http://"+address+"/v1/completions", body, h)
 	if err != nil {
 		return Answer{}, err
 	}
--- a/prover/path_test.go
+++ b/prover/path_test.go
@@ -31,13 +31,22 @@
 	platform *launcher.Process
 	daemons  []*launcher.Process
 	engines  []*launcher.Process
+	// via returns the address at which others reach an engine; nil is valid.
+	via func(address string) (string, error)
 }
 
 // newRig starts two engines for each of three stages and n daemons.
 func newRig(t *testing.T, n int, engineFlags ...string) *rig {
+	t.Helper()
+	r := &rig{Launcher: launcher.New("../bin", t.TempDir())}
+	r.startUp(t, n, engineFlags...)
+	return r
+}
+
+func (r *rig) startUp(t *testing.T, n int, engineFlags ...string) {
 	t.Helper()
 	is := is.New(t)
-	r := &rig{Launcher: launcher.New("../bin", t.TempDir()), client: invoker.Client{Token: launcher.Token(account)}, timer: timer.NewReal()}
+	r.client, r.timer = invoker.Client{Token: launcher.Token(account)}, timer.NewReal()
 	t.Cleanup(r.Close)
 	p, err := r.Platform()
 	r.platform = p
@@ -56,7 +65,7 @@
 		e, err := r.Engine(launcher.EngineSpec{
 			ID: fmt.Sprintf("engine-%d", i), DataCentre: "dc-a", Model: modelName, Kind: "a",
 			Layers: layers, From: stage * 4, To: stage*4 + 4, LayerTime: 500 * time.Microsecond,
-			Flags: engineFlags,
+			Flags: engineFlags, Via: r.via,
 		})
 		is.NoErr(err)
 		r.engines = append(r.engines, e)
@@ -67,7 +76,6 @@
 		r.daemons = append(r.daemons, d)
 	}
 	is.NoErr(launcher.Wait(20*time.Second, "complete answer on every daemon", func() bool { return r.serves(t.Context()) }))
-	return r
 }
 
 func (r *rig) serves(ctx context.Context) bool {
