settings, linker: let a daemon advertise another peer address than it listens on

Cause: a daemon told its peers the address of its own listener, so links between daemons could not pass a proxy and no test could disturb one of them. Ruled out: a proxy address in Join only; peers learn the advertised address from membership messages and dial that one. Change: [Peers] Advertise, empty by default, which means Listen.

--- a/oleandercove/linker/linker.go
+++ b/oleandercove/linker/linker.go
@@ -80,6 +80,9 @@
 		return trace.Wrap(err, "listen for peers on %s", peers.Listen)
 	}
 	self.Address = ln.Addr().String()
+	if peers.Advertise != "" {
+		self.Address = peers.Advertise
+	}
 	p.Connector = connector.New(connector.Options{
 		Host: self.Host, Listener: ln, TLS: credentials, Timer: o.Timer, Log: o.Log.WithPrefix("connector"),
 	})
--- a/oleandercove/settings/peers.go
+++ b/oleandercove/settings/peers.go
@@ -4,7 +4,9 @@
 // alone. Certificate, Key and Authority name PEM files; the certificate names
 // the host.
 type Peers struct {
-	Listen      string `check:"address"`
+	Listen string `check:"address"`
+	// Advertise is the address that peers dial; empty means Listen.
+	Advertise   string `check:"address"`
 	Certificate string
 	Key         string
 	Authority   string
