prover: add mixed faults under load with real processes

Cause: each promise was tested under its own faults only; nothing combined faults of engines, daemons, workers, platform and links. Ruled out: judging by the daemons' logs or events; only the callers' records and the fakes' journals count. Reused connections of callers, because they blur a call that was never sent and one that was cut.

--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,7 @@
 MODULES := core oleandercove oleanderctl oleanderfake oleanderload prover wire
 GO_FILES := $(shell git ls-files --cached --others --exclude-standard '*.go' | grep -v '\.pb\.go$$')
 
-.PHONY: build tools generate format lint test unit demo bench capacity clean
+.PHONY: build tools generate format lint test unit prove demo bench capacity clean
 
 build:
 	mkdir -p bin
@@ -31,6 +31,15 @@
 
 test: lint build unit
 
+SEEDS ?= 3
+FIRST ?= 1
+
+# Mixed faults; three seeds at a time, about 15 s each.
+prove: SHELL := bash
+prove: .SHELLFLAGS := -o pipefail -c
+prove: build
+	MIXED_SEEDS=$(SEEDS) MIXED_FIRST=$(FIRST) go test ./prover -count=1 -timeout 60m -parallel 3 -run TestMixedFaults -v | grep -v '^=== '
+
 demo: build
 	go run ./prover/demo
 
--- a/prover/invoker/invoker.go
+++ b/prover/invoker/invoker.go
@@ -14,6 +14,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"strconv"
 	"strings"
 	"time"
 
@@ -32,6 +33,8 @@
 	Model     string
 	Text      string
 	MaxTokens int
+	// Deadline is the time that the caller allows; 0 names none.
+	Deadline time.Duration
 	// OnToken is called after each token, with their number so far.
 	OnToken func(n int)
 	// OnText is called with the text of each token.
@@ -64,8 +67,12 @@
 	if err != nil {
 		return Answer{}, err
 	}
+	h := http.Header{api.HeaderRequestID: {p.ID}}
+	if p.Deadline > 0 {
+		h.Set(api.HeaderDeadline, strconv.FormatInt(p.Deadline.Milliseconds(), 10))
+	}
 	start := time.Now()
-	res, err := c.Do(ctx, http.MethodPost, "http://"+address+"/v1/completions", body, http.Header{api.HeaderRequestID: {p.ID}})
+	res, err := c.Do(ctx, http.MethodPost, "http://"+address+"/v1/completions", body, h)
 	if err != nil {
 		return Answer{}, err
 	}
--- /dev/null
+++ b/prover/mixed_load_test.go
@@ -0,0 +1,218 @@
+package prover_test
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"time"
+
+	"oleandercove.example/core/api"
+	"oleandercove.example/core/catalogue"
+	"oleandercove.example/core/verdict"
+	"oleandercove.example/oleanderfake/runner"
+	"oleandercove.example/prover/invoker"
+)
+
+const (
+	mixedStreamCallers  = 8
+	mixedBookingCallers = 4
+	mixedReaders        = 2
+	// mixedTries bounds the attempts of a stream or booking; a booking whose
+	// claim is running gets 409 until its attempt has ended.
+	mixedTries = 12
+	// streamDeadline is what a stream's caller allows, and streamLimit when it
+	// calls the answer lost.
+	streamDeadline, streamLimit = 8 * time.Second, 14 * time.Second
+	// repeatDelay is the pause of a caller before it tries another daemon.
+	repeatDelay = 150 * time.Millisecond
+	// bookingPause keeps bookings from taking the CPU of the streams.
+	bookingPause = 10 * time.Millisecond
+	// editPause lets an operator's edits overlap without filling the history.
+	editPause = 25 * time.Millisecond
+)
+
+// tally is what the callers of a run saw.
+type tally struct {
+	mu       sync.Mutex
+	counts   map[string]int
+	bookings []*booking
+	editors  []*mixedEditor
+}
+
+func (t *tally) count(what string) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.counts[what]++
+}
+
+// crowd runs all callers until ctx is done and waits for their last answers.
+func (m *mixed) crowd(ctx context.Context, seed uint64, out *tally) {
+	var wg sync.WaitGroup
+	loop := func(stream uint64, one func(rnd *rand.Rand, n int)) {
+		wg.Go(func() {
+			rnd := rand.New(rand.NewPCG(seed, stream))
+			for n := 0; ctx.Err() == nil; n++ {
+				one(rnd, n)
+			}
+		})
+	}
+	for c := range mixedStreamCallers {
+		loop(uint64(100+c), func(rnd *rand.Rand, n int) {
+			m.stream(rnd, fmt.Sprintf("caller %d, report %d", c, n), 20+rnd.IntN(60), out)
+		})
+	}
+	for c := range mixedBookingCallers {
+		loop(uint64(200+c), func(rnd *rand.Rand, n int) {
+			m.book(rnd, fmt.Sprintf("booking-%d-%d", c, n), out)
+			<-m.timer.After(bookingPause)
+		})
+	}
+	for c := range mixedReaders {
+		loop(uint64(300+c), func(rnd *rand.Rand, _ int) {
+			a := m.send(booking{method: http.MethodGet}, rnd.IntN(mixedDaemons))
+			out.count(fmt.Sprintf("read %d%s", a.status, a.verdict))
+			<-m.timer.After(repeatDelay / 10)
+		})
+	}
+	for i, f := range ownFields[3:5] {
+		e := &mixedEditor{editor: editor{site: m.site, name: fmt.Sprintf("operator-%d", i), field: f}}
+		out.editors = append(out.editors, e)
+		loop(uint64(400+i), func(_ *rand.Rand, n int) {
+			e.edit(n + 1)
+			<-m.timer.After(editPause)
+		})
+	}
+	wg.Wait()
+}
+
+// mixedEditor keeps the values of all edits with an unknown outcome: an edit
+// that a paused daemon holds can take effect after later ones.
+type mixedEditor struct {
+	editor
+	unknown []int
+}
+
+func (e *mixedEditor) edit(value int) {
+	ctx, cancel := context.WithTimeout(context.Background(), 20*time.Second)
+	defer cancel()
+	before := len(e.possible)
+	e.patchOwn(ctx, value)
+	if len(e.possible) > before && before > 0 {
+		e.unknown = append(e.unknown, value)
+	}
+}
+
+// stream sends one prompt, and again to other daemons while its daemon is lost.
+func (m *mixed) stream(rnd *rand.Rand, text string, tokens int, out *tally) {
+	first := rnd.IntN(mixedDaemons)
+	for try := range mixedTries {
+		if m.tryStream((first+try)%mixedDaemons, text, tokens, out) {
+			return
+		}
+		<-m.timer.After(repeatDelay)
+	}
+	m.violate("stream %q: no daemon answered in %d tries", text, mixedTries)
+}
+
+// tryStream judges one answer and tells whether it needs no repeat.
+func (m *mixed) tryStream(daemon int, text string, tokens int, out *tally) bool {
+	ctx, cancel := context.WithTimeout(context.Background(), streamLimit)
+	defer cancel()
+	start := time.Now()
+	a, err := m.client.Complete(ctx, m.daemons[daemon].Address, invoker.Prompt{
+		Model: modelName, Text: text, MaxTokens: tokens, Deadline: streamDeadline,
+	})
+	want := runner.ReferenceText(layers, text, tokens)
+	switch {
+	case !strings.HasPrefix(want, a.Text):
+		m.violate("stream %q on daemon %d: wrong text after %d tokens", text, daemon, a.Tokens)
+	case a.Done && a.Text == want:
+		out.count("stream whole")
+	case a.Done:
+		m.violate("stream %q on daemon %d: end marker after %d of %d tokens", text, daemon, a.Tokens, tokens)
+	case a.Refusal.Verdict == verdict.NotRun && a.Tokens > 0:
+		m.violate("stream %q on daemon %d: NotRun after %d tokens", text, daemon, a.Tokens)
+	case a.Refusal.Verdict != "":
+		out.count(fmt.Sprintf("stream %d %s %s", a.Status, a.Refusal.Verdict, a.Refusal.Reason))
+		if a.Refusal.Reason == verdict.Draining {
+			return false
+		}
+	case refusedDial(err) && m.disturbed(daemon, start, time.Now(), false):
+		out.count("stream not connected")
+		return false
+	case m.disturbed(daemon, start, time.Now(), true):
+		out.count("stream lost with its daemon")
+		return false
+	default:
+		m.violate("stream %q on daemon %d: no end after %d of %d tokens in %s: status %d, %v",
+			text, daemon, a.Tokens, tokens, time.Since(start).Round(time.Millisecond), a.Status, err)
+	}
+	return true
+}
+
+// refusedDial tells whether no connection was made.
+func refusedDial(err error) bool {
+	var op *net.OpError
+	return errors.As(err, &op) && op.Op == "dial"
+}
+
+// book sends one booking; one with a key is repeated through other daemons
+// after any failure that is not Ran.
+func (m *mixed) book(rnd *rand.Rand, body string, out *tally) {
+	b := &booking{method: http.MethodPost, body: body}
+	tries := 1
+	if rnd.IntN(4) > 0 {
+		b.key, tries = "key-"+body, mixedTries
+	}
+	first := rnd.IntN(mixedDaemons)
+	for try := range tries {
+		daemon := (first + try) % mixedDaemons
+		start := time.Now()
+		a := m.send(*b, daemon)
+		b.answers = append(b.answers, a)
+		out.count(fmt.Sprintf("booking %d%s", a.status, a.verdict))
+		if a.status == 0 && !m.disturbed(daemon, start, time.Now(), false) {
+			m.violate("booking %s on daemon %d: no answer in %s", body, daemon, time.Since(start).Round(time.Millisecond))
+		}
+		if a.status >= http.StatusBadRequest && a.verdict == "" {
+			m.violate("booking %s on daemon %d: status %d without a verdict", body, daemon, a.status)
+		}
+		if a.status == http.StatusCreated || a.verdict == verdict.Ran {
+			break
+		}
+		<-m.timer.After(repeatDelay)
+	}
+	out.mu.Lock()
+	defer out.mu.Unlock()
+	out.bookings = append(out.bookings, b)
+}
+
+func (m *mixed) send(b booking, daemon int) bookingAnswer {
+	r := bookingRig{t: m.t, client: m.client, daemons: m.daemons}
+	return r.send(b, daemon)
+}
+
+// fresh tells whether a new stream, booking and edit succeed on a daemon.
+func (m *mixed) fresh(ctx context.Context, daemon int) bool {
+	ctx, cancel := context.WithTimeout(ctx, 5*time.Second)
+	defer cancel()
+	const tokens = 5
+	a, err := m.client.Complete(ctx, m.daemons[daemon].Address, invoker.Prompt{Model: modelName, Text: "fresh", MaxTokens: tokens})
+	if err != nil || !a.Done || a.Text != runner.ReferenceText(layers, "fresh", tokens) {
+		return false
+	}
+	id := fmt.Sprintf("fresh-%d-%d", daemon, time.Now().UnixNano())
+	if m.send(booking{method: http.MethodPost, key: id, body: id}, daemon).status != http.StatusCreated {
+		return false
+	}
+	owner := catalogue.FieldEdit{Field: "Owner", Value: json.RawMessage(fmt.Sprintf("%q", id))}
+	var e api.EditAccepted
+	err = m.operator(daemon, "recovery").Edit(ctx, http.MethodPatch, entryPath(patched), nil, api.EntryPatch{Set: []catalogue.FieldEdit{owner}}, &e)
+	return m.outcome(patched, e, err) == ""
+}
