spreader, server: refuse callers as NotRun until the catalogue is whole

Cause: a restarted daemon served callers before it had a catalogue and refused known accounts with 401. Ruled out: listening only once ready, because /readyz and the drain must answer. Change: without a catalogue a caller gets 503, NotRun, Starting and Retry-After. The replicated table reports when it holds every key of a peer, and only that or the platform's list makes the catalogue ready. If all peers of a daemon are starting too, a partial table can still count as whole.

--- a/core/verdict/verdict.go
+++ b/core/verdict/verdict.go
@@ -62,6 +62,8 @@
 	Canceled Reason = "Canceled"
 	// Draining means that the daemon is shutting down.
 	Draining Reason = "Draining"
+	// Starting means that the daemon has no catalogue yet.
+	Starting Reason = "Starting"
 	// Quarantined means that the request crashed backend servers before.
 	Quarantined Reason = "Quarantined"
 	// DuplicateRunning means that an earlier request with the same key runs.
--- a/oleandercove/replicator/exchanger.go
+++ b/oleandercove/replicator/exchanger.go
@@ -91,7 +91,11 @@
 	t.mu.Lock()
 	if d.Hash == t.hash {
 		delete(t.differs, from)
+		filled := len(t.items) > 0
 		t.mu.Unlock()
+		if filled {
+			t.options.Complete()
+		}
 		return
 	}
 	t.differs[from]++
@@ -121,12 +125,30 @@
 			return
 		}
 		t.answer(from, reply.Wanted)
-		if t.accept(from, reply.Items) == 0 {
+		lacked := t.lacks(reply.Items)
+		installed := t.accept(from, reply.Items)
+		if !lacked {
+			t.options.Complete()
+		}
+		if installed == 0 {
 			return
 		}
 	}
 }
 
+// lacks tells whether a key of a peer's items is not in the table, or whether
+// the table is empty, which proves nothing about the peer's.
+func (t *Table) lacks(items []*peer.Item) bool {
+	t.mu.RLock()
+	defer t.mu.RUnlock()
+	for _, i := range items {
+		if _, ok := t.items[string(i.Key)]; !ok {
+			return true
+		}
+	}
+	return len(t.items) == 0
+}
+
 // summary lists the counted items.
 func (t *Table) summary() *peer.SyncRequest {
 	t.mu.RLock()
--- a/oleandercove/replicator/replicator.go
+++ b/oleandercove/replicator/replicator.go
@@ -47,6 +47,9 @@
 	Timer timer.Service
 	// Changed is called with items that a peer sent and that were installed.
 	Changed func(from unit.HostID, items []Item)
+	// Complete is called when the table holds every key of a peer. A single
+	// pushed change does not make it complete.
+	Complete func()
 	// Counted excludes items from digests, so that daemons may forget them at
 	// different times; nil counts all.
 	Counted func(i Item) bool
@@ -75,6 +78,9 @@
 	if o.Changed == nil {
 		o.Changed = func(unit.HostID, []Item) {}
 	}
+	if o.Complete == nil {
+		o.Complete = func() {}
+	}
 	if o.Spawn == nil {
 		o.Spawn = func(fn func()) { go fn() }
 	}
--- a/oleandercove/replicator/replicator_test.go
+++ b/oleandercove/replicator/replicator_test.go
@@ -133,3 +133,22 @@
 	_, ok := b.Get("k")
 	is.True(ok)
 }
+
+// TestComplete guards against a table that counts as whole after one pushed
+// item, before it holds the peer's others.
+func TestComplete(t *testing.T) {
+	is := is.New(t)
+	a, b, w := pair()
+	whole := 0
+	b.options.Complete = func() { whole++ }
+	w.lossy = true
+	a.Set(Item{"k", 1, []byte("v")})
+	w.lossy = false
+	a.Set(Item{"l", 1, []byte("v")})
+	is.Equal(len(b.Items()), 1)
+	is.Equal(whole, 0)
+	w.other.link("a")
+	w.link("b")
+	is.Equal(len(b.Items()), 2)
+	is.True(whole > 0)
+}
--- a/oleandercove/server/server.go
+++ b/oleandercove/server/server.go
@@ -33,6 +33,8 @@
 const (
 	// maxBodyBytes bounds the body of a caller's request.
 	maxBodyBytes = 4 << 20
+	// startDelay is when a caller may come back to a starting daemon.
+	startDelay = time.Second
 	// defaultDeadline applies when the caller names none.
 	defaultDeadline = 2 * time.Minute
 	// maxDeadline bounds the deadline that a caller may ask for.
@@ -100,7 +102,10 @@
 // nothing is read from a caller without a known token.
 func (s *Server) begin(w http.ResponseWriter, r *http.Request, kind catalogue.Kind) (*request.Request, bool) {
 	q, err := s.newRequest(r, kind)
-	if _, ok := s.options.Catalogue.AccountByToken(q.Bearer); !ok {
+	// Without a catalogue no token can be told from an unknown one.
+	if !s.options.Catalogue.Ready() {
+		err = verdict.New(verdict.NotRun, verdict.Starting, "no catalogue yet").After(startDelay)
+	} else if _, ok := s.options.Catalogue.AccountByToken(q.Bearer); !ok {
 		err = verdict.New(verdict.NotRun, verdict.Unauthorized, "bearer token is missing or unknown")
 	}
 	if s.options.Draining != nil {
--- a/oleandercove/spreader/spreader.go
+++ b/oleandercove/spreader/spreader.go
@@ -77,7 +77,7 @@
 		tokens:  map[string]catalogue.Key{},
 	}
 	s.table = replicator.New(replicator.Options{
-		Connector: o.Connector, Kind: peer.TypeCatalogue, Timer: o.Timer, Changed: s.received,
+		Connector: o.Connector, Kind: peer.TypeCatalogue, Timer: o.Timer, Changed: s.received, Complete: s.complete,
 	})
 	return s
 }
@@ -119,7 +119,16 @@
 	return out
 }
 
-// Ready tells whether the daemon has a catalogue at all.
+// complete notes that the catalogue is whole: the platform's list or all
+// entries of a peer are installed. Single entries that peers push earlier do
+// not make it ready, because the others would be refused as unknown.
+func (s *Spreader) complete() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.ready = true
+}
+
+// Ready tells whether the daemon has a whole catalogue.
 func (s *Spreader) Ready() bool {
 	s.mu.RLock()
 	defer s.mu.RUnlock()
@@ -130,6 +139,7 @@
 // to peers and returns how many it installed.
 func (s *Spreader) Merge(entries []*catalogue.Entry) int {
 	n := s.merge(entries)
+	s.complete()
 	s.push(entries)
 	return n
 }
@@ -146,7 +156,6 @@
 		s.install(old, e)
 		n++
 	}
-	s.ready = true
 	return n
 }
 
--- a/oleandercove/spreader/spreader_test.go
+++ b/oleandercove/spreader/spreader_test.go
@@ -64,6 +64,7 @@
 			e, ok := s.Get(catalogue.KindModel, unit.EntryName("report"))
 			is.True(ok)
 			is.Equal(e.Owner, c.want)
+			is.True(!s.Ready()) // a pushed entry is not the whole catalogue
 		})
 	}
 }
