prover: let mixed faults reach every engine, and check refusals

With 8 streams at once least-delay sent all of them to the first engine of each stage, so faults of the four other engines disturbed nothing; the engines' journals showed it. A refusal of a known account counted as any other, and a booking cut by a graceful shutdown was not told apart from a refused connection. Ruled out: fewer engines, because a replacement needs a spare. Change: 24 streams at once; even seeds balance round robin; each run prints how many engines ran streams. 401 and 404 for a known account and entry are violations, and only a killed or frozen daemon may leave a call unanswered.

--- a/prover/bookings_test.go
+++ b/prover/bookings_test.go
@@ -144,21 +144,27 @@
 }
 
 func (r *bookingRig) send(b booking, daemon int) bookingAnswer {
-	ctx, cancel := context.WithTimeout(r.t.Context(), 5*time.Second)
+	a, _ := sendBooking(r.t.Context(), r.client, r.daemons[daemon].Address, b)
+	return a
+}
+
+// sendBooking sends one call; an answer without a status comes with an error.
+func sendBooking(ctx context.Context, c invoker.Client, address string, b booking) (bookingAnswer, error) {
+	ctx, cancel := context.WithTimeout(ctx, 5*time.Second)
 	defer cancel()
 	h := http.Header{api.HeaderIdempotencyKey: {b.key}, api.HeaderDeadline: {bookingDeadline}}
-	res, err := r.client.Do(ctx, b.method, "http://"+r.daemons[daemon].Address+"/services/logbook/trips", []byte(b.body), h)
+	res, err := c.Do(ctx, b.method, "http://"+address+"/services/logbook/trips", []byte(b.body), h)
 	if err != nil {
-		return bookingAnswer{}
+		return bookingAnswer{}, err
 	}
 	defer res.Body.Close()
 	a := bookingAnswer{status: res.StatusCode}
 	var f api.Refusal
-	if json.NewDecoder(res.Body).Decode(&f) != nil && a.status < http.StatusBadRequest {
-		return bookingAnswer{}
+	if err := json.NewDecoder(res.Body).Decode(&f); err != nil && a.status < http.StatusBadRequest {
+		return bookingAnswer{}, err
 	}
 	a.verdict = f.Verdict
-	return a
+	return a, nil
 }
 
 // run sends one booking, and repeats one with a key to other daemons until it
--- a/prover/mixed_load_test.go
+++ b/prover/mixed_load_test.go
@@ -20,7 +20,9 @@
 )
 
 const (
-	mixedStreamCallers  = 8
+	// mixedStreamCallers is enough to use all engines: with 8 the policy
+	// least-delay sent every stream to the first engine of each stage.
+	mixedStreamCallers  = 24
 	mixedBookingCallers = 4
 	mixedReaders        = 2
 	// mixedTries bounds the attempts of a stream or booking; a booking whose
@@ -32,7 +34,7 @@
 	// repeatDelay is the pause of a caller before it tries another daemon.
 	repeatDelay = 150 * time.Millisecond
 	// bookingPause keeps bookings from taking the CPU of the streams.
-	bookingPause = 10 * time.Millisecond
+	bookingPause = 20 * time.Millisecond
 	// editPause lets an operator's edits overlap without filling the history.
 	editPause = 25 * time.Millisecond
 )
@@ -75,8 +77,7 @@
 	}
 	for c := range mixedReaders {
 		loop(uint64(300+c), func(rnd *rand.Rand, _ int) {
-			a := m.send(booking{method: http.MethodGet}, rnd.IntN(mixedDaemons))
-			out.count(fmt.Sprintf("read %d%s", a.status, a.verdict))
+			m.call("read", booking{method: http.MethodGet}, rnd.IntN(mixedDaemons), out)
 			<-m.timer.After(repeatDelay / 10)
 		})
 	}
@@ -138,9 +139,11 @@
 		m.violate("stream %q on daemon %d: end marker after %d of %d tokens", text, daemon, a.Tokens, tokens)
 	case a.Refusal.Verdict == verdict.NotRun && a.Tokens > 0:
 		m.violate("stream %q on daemon %d: NotRun after %d tokens", text, daemon, a.Tokens)
+	case a.Status == http.StatusUnauthorized || a.Status == http.StatusNotFound:
+		m.violate("stream %q on daemon %d: a known account and entry refused with status %d", text, daemon, a.Status)
 	case a.Refusal.Verdict != "":
 		out.count(fmt.Sprintf("stream %d %s %s", a.Status, a.Refusal.Verdict, a.Refusal.Reason))
-		if a.Refusal.Reason == verdict.Draining {
+		if a.Refusal.Reason == verdict.Draining || a.Refusal.Reason == verdict.Starting {
 			return false
 		}
 	case refusedDial(err) && m.disturbed(daemon, start, time.Now(), false):
@@ -172,17 +175,8 @@
 	}
 	first := rnd.IntN(mixedDaemons)
 	for try := range tries {
-		daemon := (first + try) % mixedDaemons
-		start := time.Now()
-		a := m.send(*b, daemon)
+		a := m.call("booking", *b, (first+try)%mixedDaemons, out)
 		b.answers = append(b.answers, a)
-		out.count(fmt.Sprintf("booking %d%s", a.status, a.verdict))
-		if a.status == 0 && !m.disturbed(daemon, start, time.Now(), false) {
-			m.violate("booking %s on daemon %d: no answer in %s", body, daemon, time.Since(start).Round(time.Millisecond))
-		}
-		if a.status >= http.StatusBadRequest && a.verdict == "" {
-			m.violate("booking %s on daemon %d: status %d without a verdict", body, daemon, a.status)
-		}
 		if a.status == http.StatusCreated || a.verdict == verdict.Ran {
 			break
 		}
@@ -193,9 +187,22 @@
 	out.bookings = append(out.bookings, b)
 }
 
-func (m *mixed) send(b booking, daemon int) bookingAnswer {
-	r := bookingRig{t: m.t, client: m.client, daemons: m.daemons}
-	return r.send(b, daemon)
+// call sends one service call. Only a lost daemon may leave it without an
+// answer, and only a stopped one may refuse the connection.
+func (m *mixed) call(what string, b booking, daemon int, out *tally) bookingAnswer {
+	start := time.Now()
+	a, err := sendBooking(m.t.Context(), m.client, m.daemons[daemon].Address, b)
+	out.count(fmt.Sprintf("%s %d%s", what, a.status, a.verdict))
+	end := time.Now()
+	switch {
+	case a.status == http.StatusUnauthorized || a.status == http.StatusNotFound:
+		m.violate("%s %q on daemon %d: a known account and entry refused with status %d", what, b.body, daemon, a.status)
+	case a.status >= http.StatusBadRequest && a.verdict == "":
+		m.violate("%s %q on daemon %d: status %d without a verdict", what, b.body, daemon, a.status)
+	case a.status == 0 && !m.disturbed(daemon, start, end, !refusedDial(err)):
+		m.violate("%s %q on daemon %d: no answer in %s: %v", what, b.body, daemon, end.Sub(start).Round(time.Millisecond), err)
+	}
+	return a
 }
 
 // fresh tells whether a new stream, booking and edit succeed on a daemon.
@@ -208,7 +215,8 @@
 		return false
 	}
 	id := fmt.Sprintf("fresh-%d-%d", daemon, time.Now().UnixNano())
-	if m.send(booking{method: http.MethodPost, key: id, body: id}, daemon).status != http.StatusCreated {
+	b, err := sendBooking(ctx, m.client, m.daemons[daemon].Address, booking{method: http.MethodPost, key: id, body: id})
+	if err != nil || b.status != http.StatusCreated {
 		return false
 	}
 	owner := catalogue.FieldEdit{Field: "Owner", Value: json.RawMessage(fmt.Sprintf("%q", id))}
--- a/prover/mixed_site_test.go
+++ b/prover/mixed_site_test.go
@@ -53,7 +53,9 @@
 	spans   map[int][]span
 }
 
-func newMixed(t *testing.T) *mixed {
+// newMixed starts the site of a seed; even seeds use all engines in turn, so
+// that a fault of any engine hits streams.
+func newMixed(t *testing.T, seed uint64) *mixed {
 	m := &mixed{
 		site: &site{
 			Launcher: launcher.New("../bin", t.TempDir()), refused: map[verdict.Verdict]int{},
@@ -68,6 +70,9 @@
 	is := is.New(t)
 	t.Cleanup(m.Close)
 	m.DaemonSettings = "\n[Shutdown]\nBalancerDelay = \"300ms\"\nLimit = \"10s\"\n"
+	if seed%2 == 0 {
+		m.DaemonSettings += "\n[Policy]\nBalance = \"round-robin\"\n"
+	}
 	var err error
 	m.platform, err = m.Platform()
 	is.NoErr(err)
--- a/prover/mixed_test.go
+++ b/prover/mixed_test.go
@@ -15,6 +15,7 @@
 	"github.com/matryer/is"
 
 	"oleandercove.example/core/catalogue"
+	"oleandercove.example/core/engine"
 	"oleandercove.example/core/platform"
 	"oleandercove.example/core/unit"
 	"oleandercove.example/oleanderfake/booker"
@@ -62,11 +63,11 @@
 			t.Parallel()
 			start := time.Now()
 			steps := drawSteps(rand.New(rand.NewPCG(seed, 0)))
-			m := newMixed(t)
+			m := newMixed(t, seed)
 			out := &tally{counts: map[string]int{}}
 			m.run(seed, steps, out)
-			t.Logf("seed %d: faults %q; %v; edits accepted %d, refused %v; violations %d; %s", seed, steps, out.counts,
-				len(m.accepted), m.refused, len(m.violated), time.Since(start).Round(time.Millisecond))
+			t.Logf("seed %d: faults %q; %v; engines used %d; edits accepted %d, refused %v; violations %d; %s", seed, steps, out.counts,
+				m.enginesUsed(), len(m.accepted), m.refused, len(m.violated), time.Since(start).Round(time.Millisecond))
 			for _, v := range m.violated {
 				t.Errorf("seed %d: %s", seed, v)
 			}
@@ -75,6 +76,16 @@
 	}
 }
 
+// enginesUsed counts the engines that ran a part of a stream.
+func (m *mixed) enginesUsed() (n int) {
+	for _, e := range m.engines {
+		if records, err := readJournal[engine.JournalRecord](m.Journal(e.Name)); err == nil && len(records) > 0 {
+			n++
+		}
+	}
+	return n
+}
+
 // keep copies the logs and journals of a failed run.
 func (m *mixed) keep(seed uint64) {
 	if dir := os.Getenv(mixedKeepEnv); dir != "" && m.t.Failed() {
