oleanderfake/runner: refuse a step whose layers changed while it waited

Cause: a step was checked against the engine's layers on arrival and then waited for a batch. The answer had a wrong text. Ruled out: the recovery of streams; the epoch did not change at that position. Change: the layers are compared again before the step runs; the stage reports Refused, and the daemon replaces it. The order was given to an engine that still ran a stream.

--- a/oleanderfake/runner/stepper.go
+++ b/oleanderfake/runner/stepper.go
@@ -83,6 +83,9 @@
 		return e.fail(engine.CauseOldEpoch, "superseded while queued")
 	}
 	from, to, _ := e.shape()
+	if stage := r.Chain[r.Index]; stage.From != from || stage.To != to {
+		return e.fail(engine.CauseRefused, fmt.Sprintf("holds layers %d to %d by now", from, to))
+	}
 	s.append(from, inputs)
 	e.generated.Add(1)
 	e.record(r, from, to, have, len(inputs))
