--- a/prover/invoker/invoker.go
+++ b/prover/invoker/invoker.go
@@ -37,6 +37,8 @@
 	Temperature float64
 	// Resume is the number of tokens that the caller already has.
 	Resume int
+	// Deadline is the time that the caller allows; 0 names none.
+	Deadline time.Duration
 	// OnToken is called after each token, with their number so far.
 	OnToken func(n int)
 	// OnText is called with the text of each token.
@@ -71,11 +73,14 @@
 	if err != nil {
 		return Answer{}, err
 	}
-	start := time.Now()
 	h := http.Header{api.HeaderRequestID: {p.ID}}
+	if p.Deadline > 0 {
+		h.Set(api.HeaderDeadline, strconv.FormatInt(p.Deadline.Milliseconds(), 10))
+	}
 	if p.Resume > 0 {
 		h.Set(api.HeaderResume, strconv.Itoa(p.Resume))
 	}
+	start := time.Now()
 	res, err := c.Do(ctx, http.MethodPost, "http://"+address+"/v1/completions", body, h)
 	if err != nil {
 		return Answer{}, err
