prover: run the fakes of capacity in a process of their own

Cause: at 270 daemons one process held both ends of every status and platform connection. All daemons shared one default transport, which keeps two idle connections to the one address of all backend servers, so that most status calls opened a connection; 15,084 sockets were in TIME-WAIT and 10,168 files were open when the run was ended after 60 s without settling.

--- /dev/null
+++ b/prover/capacity/fakes.go
@@ -0,0 +1,58 @@
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"os"
+	"os/exec"
+
+	"oleandercove.example/prover/cluster"
+)
+
+// fakesFlag makes this program serve the fakes.
+const fakesFlag = "fakes"
+
+// startFakes runs the fakes in a process of this program, so that their
+// processor time and open files are apart from those of the daemons.
+func startFakes(ctx context.Context) (a cluster.Addresses, stop func(), err error) {
+	self, err := os.Executable()
+	if err != nil {
+		return a, nil, err
+	}
+	c := exec.CommandContext(ctx, self, "--"+fakesFlag)
+	c.Stderr = os.Stderr
+	in, err := c.StdinPipe()
+	if err != nil {
+		return a, nil, err
+	}
+	out, err := c.StdoutPipe()
+	if err != nil {
+		return a, nil, err
+	}
+	if err := c.Start(); err != nil {
+		return a, nil, err
+	}
+	stop = func() { in.Close(); _ = c.Wait() }
+	if err := json.NewDecoder(out).Decode(&a); err != nil {
+		stop()
+		return a, nil, err
+	}
+	return a, stop, nil
+}
+
+// serveFakes prints the addresses and serves until the standard input ends,
+// which it does when the starting process ends in any way.
+func serveFakes() error {
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	f, err := cluster.StartFakes(ctx)
+	if err != nil {
+		return err
+	}
+	if err := json.NewEncoder(os.Stdout).Encode(f.Addresses); err != nil {
+		return err
+	}
+	_, err = io.Copy(io.Discard, os.Stdin)
+	return err
+}
--- a/prover/capacity/main.go
+++ b/prover/capacity/main.go
@@ -1,13 +1,15 @@
 // Command capacity measures what the control parts of daemons cost at several
 // fleet sizes and extends the fitted lines to the design size.
 //
-// All daemons of a size run in this process over loopback links. The share of
-// the CPU therefore holds the fake platform and the fake backend servers too.
-// Bytes are counted below TLS, without TCP and IP headers.
+// All daemons of a size run in this process over loopback links, in the same
+// number of data centres and regions at each size. The fake platform and the
+// fake backend servers run in a second process of this program, whose share of
+// the CPU is reported apart. Bytes are counted below TLS, without TCP and IP
+// headers.
 //
 // Usage:
 //
-//	go run ./prover/capacity --sizes 30,90,150 --output out/capacity.json
+//	go run ./prover/capacity --sizes 80,160,320 --output out/capacity.json
 package main
 
 import (
@@ -25,12 +27,31 @@
 // designSize is the number of daemons that the system is designed for.
 const designSize = 610
 
+// options are those of all sizes.
+type options struct {
+	centres, regions int
+	window           time.Duration
+	// profiles is the folder of processor profiles; empty writes none.
+	profiles string
+}
+
 func main() {
-	sizes := flag.String("sizes", "30,90,150", "fleet sizes, separated by commas")
-	window := flag.Duration("window", 10*time.Second, "length of the measurement at each size")
+	var o options
+	sizes := flag.String("sizes", "80,160,320", "fleet sizes, separated by commas")
+	flag.IntVar(&o.centres, "centres", 16, "number of data centres")
+	flag.IntVar(&o.regions, "regions", 7, "number of regions")
+	flag.DurationVar(&o.window, "window", 10*time.Second, "length of the measurement at each size")
+	flag.StringVar(&o.profiles, "profiles", "", "folder of processor profiles; empty writes none")
 	output := flag.String("output", "out/capacity.json", "file of the JSON report")
+	fakes := flag.Bool(fakesFlag, false, "serve the fakes until the standard input ends")
 	flag.Parse()
-	if err := run(*sizes, *window, *output); err != nil {
+	err := error(nil)
+	if *fakes {
+		err = serveFakes()
+	} else {
+		err = run(*sizes, o, *output)
+	}
+	if err != nil {
 		fmt.Fprintln(os.Stderr, "capacity:", err)
 		os.Exit(1)
 	}
@@ -44,14 +65,14 @@
 	Fitted     Point
 }
 
-func run(sizes string, window time.Duration, output string) error {
+func run(sizes string, o options, output string) error {
 	r := Report{DesignSize: designSize}
 	for _, s := range strings.Split(sizes, ",") {
 		n, err := strconv.Atoi(s)
 		if err != nil {
 			return err
 		}
-		p, err := measure(context.Background(), n, window)
+		p, err := measure(context.Background(), n, o)
 		if err != nil {
 			return fmt.Errorf("%d daemons: %w", n, err)
 		}
--- a/prover/capacity/measurer.go
+++ b/prover/capacity/measurer.go
@@ -6,7 +6,6 @@
 	"io"
 	"runtime"
 	"slices"
-	"syscall"
 	"time"
 
 	"oleandercove.example/core/unit"
@@ -16,14 +15,8 @@
 )
 
 const (
-	// centreSize is the number of daemons of a data centre at the design size:
-	// 610 daemons in 16 data centres.
-	centreSize = 38
-	minCentres = 3
-	// centresPerRegion is 16 data centres in 7 regions, rounded up.
-	centresPerRegion = 3
-	// backendsPerDaemon is 2,100 workers for 610 daemons, rounded up.
-	backendsPerDaemon = 4
+	// backendsPerDaemon is 2,100 workers for 610 daemons.
+	backendsPerDaemon = 2100.0 / designSize
 	// entries is 3,400 accounts and the models and services.
 	entries = 3420
 	// editInterval is 9,400 changes in a day.
@@ -47,34 +40,52 @@
 	MaxBytesPerSecond float64
 	// PolledBytesPerSecond is of status calls to backend servers.
 	PolledBytesPerSecond float64
-	MessagesPerSecond    float64
-	LinksMean            float64
-	CPUPercent           float64
-	MemoryMB             float64
-	// PlatformCallsPerSecond is of the whole fleet.
-	PlatformCallsPerSecond float64
+	// PolledCallsPerSecond are the status calls, ConnectionsPerSecond the new
+	// connections for them.
+	PolledCallsPerSecond, ConnectionsPerSecond float64
+	MessagesPerSecond                          float64
+	LinksMean                                  float64
+	// CPUPercent is of the daemons, FakesCPUPercent of the process of the fakes.
+	CPUPercent, FakesCPUPercent float64
+	MemoryMB                    float64
+	// The platform calls are of the whole fleet.
+	ReadsPerSecond, WatchesPerSecond, HostListsPerSecond float64
+	// SettleSeconds is the time from the first start to the settled fleet.
+	SettleSeconds float64
 	// ChangeP50Ms and ChangeMaxMs are until a change is in force everywhere.
 	ChangeP50Ms, ChangeMaxMs float64
 }
 
-func measure(ctx context.Context, n int, window time.Duration) (Point, error) {
-	centres := max(minCentres, (n+centreSize/2)/centreSize)
+func measure(ctx context.Context, n int, o options) (Point, error) {
 	p := Point{Daemons: n}
+	fakes, stop, err := startFakes(ctx)
+	if err != nil {
+		return p, err
+	}
+	defer stop()
 	runtime.GC()
-	memory := memoryInUse()
+	memory, start := memoryInUse(), time.Now()
 	c, err := cluster.Start(ctx, cluster.Options{
-		Daemons: n, Centres: centres, Regions: (centres + centresPerRegion - 1) / centresPerRegion,
-		Backends: n * backendsPerDaemon, Entries: entries,
+		Daemons: n, Centres: o.centres, Regions: o.regions,
+		Backends: int(float64(n) * backendsPerDaemon), Entries: entries, Fakes: fakes,
 	})
 	if err != nil {
 		return p, err
 	}
 	defer c.Close()
 	if err := c.Settle(settleLimit); err != nil {
+		dumpGoroutines(o.profiles, fmt.Sprint(n))
 		return p, err
 	}
+	p.SettleSeconds = time.Since(start).Seconds()
 	time.Sleep(quietTime)
-	if err := p.window(ctx, c, window); err != nil {
+	end, err := profile(o.profiles, fmt.Sprint(n))
+	if err != nil {
+		return p, err
+	}
+	err = p.window(ctx, c, o.window)
+	end()
+	if err != nil {
 		return p, err
 	}
 	runtime.GC()
@@ -84,7 +95,11 @@
 
 // window measures the ordinary traffic with the design's rate of changes.
 func (p *Point) window(ctx context.Context, c *cluster.Cluster, window time.Duration) error {
-	before, cpu, polled := traffic(c), cpuTime(), c.PolledBytes.Load()
+	before, cpu := traffic(c), cluster.CPUTime()
+	usage, err := c.Usage()
+	if err != nil {
+		return err
+	}
 	calls, err := c.Calls()
 	if err != nil {
 		return err
@@ -107,15 +122,28 @@
 		p.MessagesPerSecond += float64(a.MessagesSent-b.MessagesSent+a.MessagesReceived-b.MessagesReceived) / seconds / n
 		p.LinksMean += float64(len(c.Daemons[i].Connector.Links())) / n
 	}
-	p.CPUPercent = (cpuTime() - cpu).Seconds() / seconds / n * 100
-	p.PolledBytesPerSecond = float64(c.PolledBytes.Load()-polled) / seconds / n
+	p.CPUPercent = (cluster.CPUTime() - cpu).Seconds() / seconds / n * 100
+	return p.rates(c, usage, calls, seconds)
+}
+
+// rates sets what the fakes counted since the given states.
+func (p *Point) rates(c *cluster.Cluster, usage cluster.Usage, calls storer.Calls, seconds float64) error {
+	u, err := c.Usage()
+	if err != nil {
+		return err
+	}
 	now, err := c.Calls()
-	p.PlatformCallsPerSecond = float64(total(now)-total(calls)) / seconds
+	each := seconds * float64(len(c.Daemons))
+	p.FakesCPUPercent = (u.CPU - usage.CPU).Seconds() / each * 100
+	p.PolledBytesPerSecond = float64(u.PolledBytes-usage.PolledBytes) / each
+	p.PolledCallsPerSecond = float64(u.PolledCalls-usage.PolledCalls) / each
+	p.ConnectionsPerSecond = float64(u.PolledConnections-usage.PolledConnections) / each
+	p.ReadsPerSecond = float64(now.Reads-calls.Reads) / seconds
+	p.WatchesPerSecond = float64(now.Watches-calls.Watches) / seconds
+	p.HostListsPerSecond = float64(now.Hosts-calls.Hosts) / seconds
 	return err
 }
 
-func total(c storer.Calls) uint64 { return c.Reads + c.Watches + c.Hosts }
-
 func (p *Point) edits(ctx context.Context, c *cluster.Cluster) error {
 	var took []float64
 	for i := range timedEdits {
@@ -142,12 +170,6 @@
 	return out
 }
 
-func cpuTime() time.Duration {
-	var u syscall.Rusage
-	_ = syscall.Getrusage(syscall.RUSAGE_SELF, &u)
-	return time.Duration(u.Utime.Nano() + u.Stime.Nano())
-}
-
 // memoryInUse returns the bytes of heap and stacks.
 func memoryInUse() float64 {
 	var m runtime.MemStats
@@ -166,7 +188,13 @@
 		{"links", &p.LinksMean},
 		{"CPU %", &p.CPUPercent},
 		{"memory MB", &p.MemoryMB},
-		{"platform calls/s (fleet)", &p.PlatformCallsPerSecond},
+		{"fakes' CPU %", &p.FakesCPUPercent},
+		{"status calls/s", &p.PolledCallsPerSecond},
+		{"status connections/s", &p.ConnectionsPerSecond},
+		{"reads/s (fleet)", &p.ReadsPerSecond},
+		{"watches/s (fleet)", &p.WatchesPerSecond},
+		{"host lists/s (fleet)", &p.HostListsPerSecond},
+		{"settled s", &p.SettleSeconds},
 		{"change p50 ms", &p.ChangeP50Ms},
 		{"change max ms", &p.ChangeMaxMs},
 	}
--- a/prover/cluster/cluster.go
+++ b/prover/cluster/cluster.go
@@ -13,16 +13,12 @@
 	"context"
 	"encoding/json"
 	"fmt"
-	"net"
 	"net/http"
 	"strconv"
-	"strings"
 	"sync"
-	"sync/atomic"
 	"time"
 
 	"oleandercove.example/core/catalogue"
-	"oleandercove.example/core/engine"
 	"oleandercove.example/core/logger"
 	"oleandercove.example/core/platform"
 	"oleandercove.example/core/timer"
@@ -50,6 +46,8 @@
 	Backends int
 	// Entries is the number of catalogue entries at the start.
 	Entries int
+	// Fakes are fakes in another process; empty starts them in this one.
+	Fakes Addresses
 }
 
 // Cluster is a set of daemons in this process.
@@ -57,15 +55,12 @@
 	Daemons []*linker.Parts
 	// Platform is the client of the fake platform.
 	Platform platform.Client
-	// PolledBytes counts what the server of all backend servers carried.
-	PolledBytes atomic.Uint64
 
-	options  Options
-	address  string
-	backends string
-	draining sync.Map
-	cancel   context.CancelFunc
-	wg       sync.WaitGroup
+	options   Options
+	addresses Addresses
+	fakes     *Fakes
+	cancel    context.CancelFunc
+	wg        sync.WaitGroup
 }
 
 // Start runs the platform, the backend servers and the daemons.
@@ -80,13 +75,13 @@
 }
 
 func (c *Cluster) start(ctx context.Context) (err error) {
-	if c.address, err = c.serve(ctx, storer.New(storer.Options{}).Handler(), nil); err != nil {
-		return err
-	}
-	if c.backends, err = c.serve(ctx, http.HandlerFunc(c.status), &c.PolledBytes); err != nil {
-		return err
+	if c.addresses = c.options.Fakes; c.addresses.Platform == "" {
+		if c.fakes, err = StartFakes(ctx); err != nil {
+			return err
+		}
+		c.addresses = c.fakes.Addresses
 	}
-	c.Platform = platform.NewClient(platform.Options{Address: c.address})
+	c.Platform = platform.NewClient(platform.Options{Address: c.addresses.Platform})
 	for i := range c.options.Entries {
 		if err := c.Edit(ctx, fmt.Sprintf("account-%d", i), 0); err != nil {
 			return err
@@ -98,8 +93,8 @@
 	// Backend servers come last: each wave of daemons moves the selection of
 	// their watchers, which would measure the start again.
 	for i := range c.options.Backends {
-		registrar.Register(ctx, c.address, platform.Host{
-			ID: fmt.Sprintf("engine-%d", i), Role: platform.RoleEngine, Address: c.backends + "/" + strconv.Itoa(i),
+		registrar.Register(ctx, c.addresses.Platform, platform.Host{
+			ID: fmt.Sprintf("engine-%d", i), Role: platform.RoleEngine, Address: c.addresses.Backends + "/" + strconv.Itoa(i),
 			DataCentre: c.centre(i), State: platform.HostLive, Serves: "report",
 		})
 	}
@@ -128,13 +123,13 @@
 				Peers:  settings.Peers{Listen: "127.0.0.1:0"},
 			},
 			Credentials: connector.NewCredentials(pair, pool),
-			Platform:    platform.NewClient(platform.Options{Address: c.address}),
+			Platform:    platform.NewClient(platform.Options{Address: c.addresses.Platform}),
 			Timer:       timer.NewReal(), Log: logger.Discard(),
 		})
 		if err != nil {
 			return err
 		}
-		registrar.Register(ctx, c.address, platform.Host{
+		registrar.Register(ctx, c.addresses.Platform, platform.Host{
 			ID: id, Role: platform.RoleEntry, Address: p.Gossiper.Self().Address, DataCentre: c.centre(i), State: platform.HostLive,
 		})
 		c.Daemons = append(c.Daemons, p)
@@ -213,67 +208,25 @@
 
 // Calls returns what the platform was asked so far.
 func (c *Cluster) Calls() (calls storer.Calls, err error) {
-	res, err := http.Get("http://" + c.address + "/calls")
-	if err != nil {
-		return calls, err
-	}
-	defer res.Body.Close()
-	return calls, json.NewDecoder(res.Body).Decode(&calls)
-}
-
-// Drain makes a backend server report that it drains.
-func (c *Cluster) Drain(id string) { c.draining.Store(id, true) }
-
-func (c *Cluster) status(w http.ResponseWriter, r *http.Request) {
-	id := "engine-" + strings.Split(r.URL.Path, "/")[1]
-	_, draining := c.draining.Load(id)
-	_ = json.NewEncoder(w).Encode(&engine.Status{
-		Backend: unit.BackendID(id), Kind: "a", Model: "report", To: 8, Layers: 24, Start: "run-1",
-		MaxStreams: 64, MaxBatch: 32, TokenTimeMicros: 4000, Draining: draining,
-	})
+	return calls, c.get(c.addresses.Platform+"/calls", &calls)
 }
 
-// serve runs an HTTP server on a loopback address until ctx is done.
-func (c *Cluster) serve(ctx context.Context, h http.Handler, bytes *atomic.Uint64) (string, error) {
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		return "", err
+// Drain makes a backend server report that it drains, unless the fakes run in
+// another process.
+func (c *Cluster) Drain(id string) {
+	if c.fakes != nil {
+		c.fakes.draining.Store(id, true)
 	}
-	srv := &http.Server{Handler: h, ReadHeaderTimeout: time.Second}
-	context.AfterFunc(ctx, func() { srv.Close() })
-	go func() { _ = srv.Serve(&countingListener{ln, bytes}) }()
-	return ln.Addr().String(), nil
 }
 
-type countingListener struct {
-	net.Listener
-	bytes *atomic.Uint64
-}
+// Usage returns what the fakes cost and carried so far.
+func (c *Cluster) Usage() (u Usage, err error) { return u, c.get(c.addresses.Backends+"/usage", &u) }
 
-// Accept returns a connection whose bytes are counted.
-func (l *countingListener) Accept() (net.Conn, error) {
-	conn, err := l.Listener.Accept()
-	if err != nil || l.bytes == nil {
-		return conn, err
+func (c *Cluster) get(address string, out any) error {
+	res, err := http.Get("http://" + address)
+	if err != nil {
+		return err
 	}
-	return &countingConn{conn, l.bytes}, nil
-}
-
-type countingConn struct {
-	net.Conn
-	bytes *atomic.Uint64
-}
-
-// Read counts what it read.
-func (c *countingConn) Read(b []byte) (int, error) {
-	n, err := c.Conn.Read(b)
-	c.bytes.Add(uint64(n))
-	return n, err
-}
-
-// Write counts what it wrote.
-func (c *countingConn) Write(b []byte) (int, error) {
-	n, err := c.Conn.Write(b)
-	c.bytes.Add(uint64(n))
-	return n, err
+	defer res.Body.Close()
+	return json.NewDecoder(res.Body).Decode(out)
 }
--- /dev/null
+++ b/prover/cluster/fakes.go
@@ -0,0 +1,129 @@
+package cluster
+
+import (
+	"context"
+	"encoding/json"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"time"
+
+	"oleandercove.example/core/engine"
+	"oleandercove.example/core/unit"
+	"oleandercove.example/oleanderfake/storer"
+)
+
+// Addresses are those of the fakes of a cluster.
+type Addresses struct {
+	// Platform is the object API, Backends the server of all backend servers.
+	Platform, Backends string
+}
+
+// Usage is what the fakes cost and carried so far.
+type Usage struct {
+	// CPU is the processor time of the process of the fakes.
+	CPU time.Duration
+	// PolledBytes is what the status calls carried in both directions.
+	PolledBytes uint64
+	// PolledCalls is the number of status calls, PolledConnections that of the
+	// connections that they used.
+	PolledCalls, PolledConnections uint64
+}
+
+// Fakes are the fake platform and the server of all backend servers.
+type Fakes struct {
+	Addresses
+
+	bytes, calls, connections atomic.Uint64
+	draining                  sync.Map
+}
+
+// StartFakes serves the fakes on loopback addresses until ctx is done.
+func StartFakes(ctx context.Context) (*Fakes, error) {
+	f := &Fakes{}
+	var err error
+	if f.Platform, err = f.serve(ctx, storer.New(storer.Options{}).Handler(), false); err != nil {
+		return nil, err
+	}
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /usage", func(w http.ResponseWriter, _ *http.Request) { _ = json.NewEncoder(w).Encode(f.usage()) })
+	mux.HandleFunc("/", f.status)
+	f.Backends, err = f.serve(ctx, mux, true)
+	return f, err
+}
+
+func (f *Fakes) usage() Usage {
+	return Usage{
+		CPU: CPUTime(), PolledBytes: f.bytes.Load(), PolledCalls: f.calls.Load(), PolledConnections: f.connections.Load(),
+	}
+}
+
+// CPUTime returns the processor time of this process so far.
+func CPUTime() time.Duration {
+	var u syscall.Rusage
+	_ = syscall.Getrusage(syscall.RUSAGE_SELF, &u)
+	return time.Duration(u.Utime.Nano() + u.Stime.Nano())
+}
+
+func (f *Fakes) status(w http.ResponseWriter, r *http.Request) {
+	f.calls.Add(1)
+	id := "engine-" + strings.Split(r.URL.Path, "/")[1]
+	_, draining := f.draining.Load(id)
+	_ = json.NewEncoder(w).Encode(&engine.Status{
+		Backend: unit.BackendID(id), Kind: "a", Model: "report", To: 8, Layers: 24, Start: "run-1",
+		MaxStreams: 64, MaxBatch: 32, TokenTimeMicros: 4000, Draining: draining,
+	})
+}
+
+// serve runs an HTTP server on a loopback address until ctx is done.
+func (f *Fakes) serve(ctx context.Context, h http.Handler, count bool) (string, error) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return "", err
+	}
+	address := ln.Addr().String()
+	if count {
+		ln = &countingListener{ln, f}
+	}
+	srv := &http.Server{Handler: h, ReadHeaderTimeout: time.Second, IdleTimeout: time.Minute}
+	context.AfterFunc(ctx, func() { srv.Close() })
+	go func() { _ = srv.Serve(ln) }()
+	return address, nil
+}
+
+type countingListener struct {
+	net.Listener
+	fakes *Fakes
+}
+
+// Accept returns a connection whose bytes are counted.
+func (l *countingListener) Accept() (net.Conn, error) {
+	conn, err := l.Listener.Accept()
+	if err != nil {
+		return conn, err
+	}
+	l.fakes.connections.Add(1)
+	return &countingConn{conn, &l.fakes.bytes}, nil
+}
+
+type countingConn struct {
+	net.Conn
+	bytes *atomic.Uint64
+}
+
+// Read counts what it read.
+func (c *countingConn) Read(b []byte) (int, error) {
+	n, err := c.Conn.Read(b)
+	c.bytes.Add(uint64(n))
+	return n, err
+}
+
+// Write counts what it wrote.
+func (c *countingConn) Write(b []byte) (int, error) {
+	n, err := c.Conn.Write(b)
+	c.bytes.Add(uint64(n))
+	return n, err
+}
