--- a/oleandercove/watcher/leaving.go
+++ b/oleandercove/watcher/leaving.go
@@ -37,7 +37,7 @@
 	if _, ok := w.signs[id]; !ok {
 		w.options.Log.Info("backend server leaves", "backend", id, "cause", cause)
 	}
-	w.signs[id], w.cached = sign{at: w.options.Timer.Now(), start: w.start(id)}, nil
+	w.signs[id], w.stale[id] = sign{at: w.options.Timer.Now(), start: w.start(id)}, true
 }
 
 // start returns the run of an engine in the last snapshot.
--- a/oleandercove/watcher/poller.go
+++ b/oleandercove/watcher/poller.go
@@ -120,9 +120,7 @@
 	self, n := w.options.Members.Self(), 0
 	reader := w.reads(self.Host, self.DataCentre)
 	w.mu.Lock()
-	if len(w.signs) > 0 {
-		w.cached = nil // signs expire with time
-	}
+	w.touchSigns()
 	known := w.listed || len(w.reports) > 0 || !reader
 	w.mu.Unlock()
 	p := pool.New().WithMaxGoroutines(maxParallelCalls)
@@ -140,19 +138,22 @@
 	return n
 }
 
+// tasks lists the backend servers that this daemon polls or has reported on.
 func (w *Watcher) tasks(self unit.HostID) []task {
 	backends := w.Backends()
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	out := make([]task, 0, len(backends))
+	var out []task
 	for _, b := range backends {
 		mine := w.selection.polls(self, b.ID, b.DataCentre)
 		poll := mine || w.suspected[b.ID]
 		if _, ok := w.polled[b.ID]; ok && !poll {
 			delete(w.polled, b.ID)
-			w.cached = nil
+			w.stale[b.ID] = true
+		}
+		if poll || w.own[b.ID] {
+			out = append(out, task{b, mine, poll})
 		}
-		out = append(out, task{b, mine, poll})
 	}
 	return out
 }
@@ -162,9 +163,7 @@
 	live := w.options.Members.Live()
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	if !w.selection.of(live) {
-		w.selection, w.cached = newSelection(live), nil
-	}
+	w.selectFrom(live)
 	return w.selection.reads(host, dc)
 }
 
@@ -198,7 +197,8 @@
 func (w *Watcher) install(hosts []platform.Host) {
 	self := w.options.Members.Self()
 	w.mu.Lock()
-	w.listed, w.cached = true, nil
+	w.listed = true
+	w.touchSigns()
 	w.mu.Unlock()
 	listed := map[string]bool{}
 	for _, h := range hosts {
@@ -253,7 +253,7 @@
 		delete(w.suspected, b.ID)
 	}
 	before, known := w.polled[b.ID]
-	w.polled[b.ID], w.cached = report{version: uint64(now.UnixMilli()), backend: n}, nil
+	w.polled[b.ID], w.stale[b.ID] = report{version: uint64(now.UnixMilli()), backend: n}, true
 	last, published := w.reports[b.ID][s]
 	w.mu.Unlock()
 	if known && before.backend.Healthy != n.Healthy {
--- a/oleandercove/watcher/report.go
+++ b/oleandercove/watcher/report.go
@@ -114,7 +114,10 @@
 	}
 	if old, ok := all[s]; !ok || old.version < r.version {
 		all[s] = r
-		w.cached = nil
+		w.stale[id] = true
+		if s.host == w.self {
+			w.own[id] = true
+		}
 	}
 }
 
--- a/oleandercove/watcher/watcher.go
+++ b/oleandercove/watcher/watcher.go
@@ -15,7 +15,9 @@
 package watcher
 
 import (
+	"cmp"
 	"net/http"
+	"slices"
 	"sort"
 	"sync"
 	"time"
@@ -77,6 +79,7 @@
 // Watcher is the default Backends.
 type Watcher struct {
 	options Options
+	self    unit.HostID
 	http    *http.Client
 	table   *replicator.Table
 
@@ -87,9 +90,13 @@
 	polled map[unit.BackendID]report
 	// suspected holds backend servers that failed a call of this daemon.
 	suspected map[unit.BackendID]bool
-	// cached is the last snapshot; changes of reports discard it.
+	// cached is the last snapshot, and stale holds the backend servers that
+	// changed since. A change of the membership discards it.
 	cached    []Backend
+	stale     map[unit.BackendID]bool
 	selection *selection
+	// own holds the backend servers that this daemon has reported on.
+	own map[unit.BackendID]bool
 	// outbox holds reports that were not pushed yet.
 	outbox []replicator.Item
 	// signs holds the last sign that a backend server leaves.
@@ -117,12 +124,15 @@
 	}
 	w := &Watcher{
 		options:   o,
+		self:      o.Members.Self().Host,
 		http:      &http.Client{Timeout: statusTimeout},
 		reports:   map[unit.BackendID]map[source]report{},
 		polled:    map[unit.BackendID]report{},
 		suspected: map[unit.BackendID]bool{},
 		selection: newSelection(nil),
 		signs:     map[unit.BackendID]sign{},
+		stale:     map[unit.BackendID]bool{},
+		own:       map[unit.BackendID]bool{},
 	}
 	w.table = replicator.New(replicator.Options{
 		Connector: o.Connector, Kind: peer.TypeBackends, Timer: o.Timer, Counted: counted,
@@ -135,40 +145,88 @@
 func (w *Watcher) Backends() []Backend {
 	live := w.options.Members.Live()
 	w.mu.RLock()
-	cached, same := w.cached, w.selection.of(live)
+	cached, same := w.cached, w.selection.of(live) && len(w.stale) == 0
 	w.mu.RUnlock()
 	if cached != nil && same {
 		return cached
 	}
 	w.mu.Lock()
 	defer w.mu.Unlock()
+	w.selectFrom(live)
+	w.refresh()
+	return w.cached
+}
+
+// selectFrom selects the watchers anew after a change of the membership.
+func (w *Watcher) selectFrom(live []gossiper.Member) {
 	if !w.selection.of(live) {
-		w.selection = newSelection(live)
+		w.selection, w.cached = newSelection(live), nil
 	}
-	w.cached = w.snapshot()
-	return w.cached
+}
+
+// refresh brings the snapshot up to date. It combines only the reports on
+// backend servers that changed, because each status call changes one.
+func (w *Watcher) refresh() {
+	if w.cached == nil || !w.patch() {
+		w.cached = w.snapshot()
+	}
+	clear(w.stale)
+}
+
+// patch replaces the stale rows in a copy of the snapshot, since callers may
+// still read the old one. It returns false if rows come or go.
+func (w *Watcher) patch() bool {
+	if len(w.stale) == 0 {
+		return true
+	}
+	out := slices.Clone(w.cached)
+	for id := range w.stale {
+		i, listed := slices.BinarySearchFunc(out, id, func(b Backend, id unit.BackendID) int { return cmp.Compare(b.ID, id) })
+		b, ok := w.view(id)
+		if ok != listed {
+			return false
+		}
+		if ok {
+			out[i] = b
+		}
+	}
+	w.cached = out
+	return true
 }
 
 func (w *Watcher) snapshot() []Backend {
 	out := make([]Backend, 0, len(w.reports))
-	for id, r := range w.reports {
-		b, ok := combine(id, r, w.polled[id], w.selection)
-		if !ok {
-			continue
+	for id := range w.reports {
+		if b, ok := w.view(id); ok {
+			out = append(out, b)
 		}
-		b.Healthy = b.Healthy && !w.suspected[id]
-		b.Draining = w.settleSign(b)
-		out = append(out, b)
 	}
 	sort.Slice(out, func(i, j int) bool { return out[i].ID < out[j].ID })
 	return out
 }
 
+// view combines the reports on one backend server.
+func (w *Watcher) view(id unit.BackendID) (Backend, bool) {
+	b, ok := combine(id, w.reports[id], w.polled[id], w.selection)
+	if ok {
+		b.Healthy = b.Healthy && !w.suspected[id]
+		b.Draining = w.settleSign(b)
+	}
+	return b, ok
+}
+
+// touchSigns makes the next snapshot check signs, which expire with time.
+func (w *Watcher) touchSigns() {
+	for id := range w.signs {
+		w.stale[id] = true
+	}
+}
+
 // Suspect marks a backend server as unhealthy until its next good status.
 func (w *Watcher) Suspect(id unit.BackendID) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	if _, ok := w.reports[id]; ok {
-		w.suspected[id], w.cached = true, nil
+		w.suspected[id], w.stale[id] = true, true
 	}
 }
