watcher: keep connections for status calls

Cause: the watcher used the default transport, which keeps two idle connections to an address. Where backend servers share an address, most status calls opened a connection; a run of 160 daemons in one process had 60,429 sockets in TIME-WAIT, so that status calls failed for want of ports and it never settled. Change: a transport of its own with a connection for each parallel call, without User-Agent and Accept-Encoding headers. Conclusion: 160 daemons settle (39 s at a load average of 34).

--- a/oleandercove/watcher/poller.go
+++ b/oleandercove/watcher/poller.go
@@ -37,6 +37,8 @@
 	statusTimeout = 400 * time.Millisecond
 	// maxParallelCalls bounds the status calls in flight.
 	maxParallelCalls = 32
+	// idleLimit closes connections for status calls that are no longer used.
+	idleLimit = 30 * time.Second
 	// rateInterval bounds how often a changed rate or load is published.
 	rateInterval = 5 * time.Second
 	// rateChange is the relative change that is published.
@@ -298,6 +300,7 @@
 	if err != nil {
 		return nil, false, err
 	}
+	req.Header["User-Agent"] = nil // saves bytes
 	res, err := w.http.Do(req)
 	if err != nil {
 		return nil, false, err
--- a/oleandercove/watcher/watcher.go
+++ b/oleandercove/watcher/watcher.go
@@ -125,7 +125,7 @@
 	w := &Watcher{
 		options:   o,
 		self:      o.Members.Self().Host,
-		http:      &http.Client{Timeout: statusTimeout},
+		http:      newHTTP(),
 		reports:   map[unit.BackendID]map[source]report{},
 		polled:    map[unit.BackendID]report{},
 		suspected: map[unit.BackendID]bool{},
@@ -141,6 +141,15 @@
 	return w
 }
 
+// newHTTP returns a client that keeps a connection for each parallel call. The
+// default transport keeps two for each address, so that backend servers behind
+// one address would get a new connection for most calls.
+func newHTTP() *http.Client {
+	return &http.Client{Timeout: statusTimeout, Transport: &http.Transport{
+		MaxIdleConnsPerHost: maxParallelCalls, IdleConnTimeout: idleLimit, DisableCompression: true,
+	}}
+}
+
 // Backends returns a snapshot, ordered by id.
 func (w *Watcher) Backends() []Backend {
 	live := w.options.Members.Live()
