prover: measure the cost of tokens, requests and streams

Change: bench -rigs slopes sends 40 to 320 streams at a fixed pace, and 40 to 320 requests/s of one token, through one daemon and fits lines through the daemon's processor time and resident memory.

--- a/prover/bench/main.go
+++ b/prover/bench/main.go
@@ -32,6 +32,7 @@
 	Rows     []*Row    `json:",omitempty"`
 	Recovery *Recovery `json:",omitempty"`
 	Relay    *Relay    `json:",omitempty"`
+	Slopes   *Slopes   `json:",omitempty"`
 	// Overload holds the measurement without and with admission.
 	Overload []*Overload `json:",omitempty"`
 }
@@ -45,7 +46,7 @@
 func main() {
 	var o options
 	flag.Uint64Var(&o.seed, "seed", 14, "seed of the load")
-	flag.StringVar(&o.rigs, "rigs", "equal,mixed,slow-link,dead,recovery,relay,overload", "measurements to run")
+	flag.StringVar(&o.rigs, "rigs", "equal,mixed,slow-link,dead,recovery,relay,slopes,overload", "measurements to run")
 	flag.StringVar(&o.policies, "policies", "least-delay,round-robin,least-connections", "policies to compare")
 	flag.StringVar(&o.out, "out", "out", "folder of bench.json and the plots")
 	flag.Parse()
@@ -133,6 +134,12 @@
 		fmt.Printf("relay: %.0f tokens/s, through the daemon p50 %.3f ms, p99 %.3f ms; direct p50 %.3f ms, p99 %.3f ms; daemon cpu %.0f us/token, load %s\n",
 			r.Rate, r.Daemon.P50, r.Daemon.P99, r.Direct.P50, r.Direct.P99, r.DaemonMicros, machineLoad())
 	}
+	if o.selected("slopes") {
+		if res.Slopes, err = measureSlopes(ctx); err != nil {
+			return err
+		}
+		res.Slopes.print()
+	}
 	if !o.selected("overload") {
 		return nil
 	}
--- /dev/null
+++ b/prover/bench/slopes.go
@@ -0,0 +1,184 @@
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net"
+	"net/http"
+	"os"
+	"strconv"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"oleandercove.example/core/engine"
+	"oleandercove.example/core/unit"
+	"oleandercove.example/prover/invoker"
+	"oleandercove.example/prover/launcher"
+)
+
+// slopeWindow is the length of each run.
+const slopeWindow = 4 * time.Second
+
+// Slopes is what one daemon costs for each token, stream and request.
+type Slopes struct {
+	Points []SlopePoint
+	// TokenMicros is the slope of the processor time over the tokens,
+	// RequestMicros that over requests of one token each, without the token.
+	TokenMicros, RequestMicros float64
+	// StreamKB is the slope of the resident memory over the streams.
+	StreamKB float64
+}
+
+// SlopePoint is one run against one daemon.
+type SlopePoint struct {
+	Kind string
+	// Streams is the number at a time, or of each second for Kind "request".
+	Streams           int
+	Tokens, Failed    int64
+	CPUMicros, Memory float64
+	Load              string
+}
+
+// pacer is an engine that sends tokens at a fixed pace.
+type pacer struct{ pause atomic.Int64 }
+
+func (p *pacer) status(w http.ResponseWriter, _ *http.Request) {
+	_ = json.NewEncoder(w).Encode(engine.Status{
+		Backend: "emitter", Model: "relay", To: 1, Layers: 1, MaxStreams: 4000, MaxBatch: 4000,
+		TokenTimeMicros: time.Duration(p.pause.Load()).Microseconds(), Start: "1",
+	})
+}
+
+func (p *pacer) stream(w http.ResponseWriter, r *http.Request) {
+	var m engine.StreamRequest
+	if json.NewDecoder(r.Body).Decode(&m) != nil {
+		return
+	}
+	out, next, pause := json.NewEncoder(w), time.Now(), time.Duration(p.pause.Load())
+	for n := range m.MaxTokens {
+		next = next.Add(pause)
+		time.Sleep(time.Until(next))
+		_ = out.Encode(engine.Event{
+			Kind: engine.EventToken, Stream: m.Stream, Epoch: m.Epoch,
+			Position: unit.Position(n + 1), Token: unit.Token(n), Text: "word ", Load: &engine.Load{},
+		})
+		_ = http.NewResponseController(w).Flush()
+	}
+	_ = out.Encode(engine.Event{Kind: engine.EventEnd, Stream: m.Stream, Epoch: m.Epoch, Finish: engine.FinishLength})
+}
+
+func measureSlopes(ctx context.Context) (*Slopes, error) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return nil, err
+	}
+	p := &pacer{}
+	p.pause.Store(int64(relayPause))
+	mux := http.NewServeMux()
+	mux.HandleFunc("POST /v1/streams", p.stream)
+	mux.HandleFunc("POST /v1/cancel", func(http.ResponseWriter, *http.Request) {})
+	mux.HandleFunc("GET /v1/status", p.status)
+	srv := &http.Server{Handler: mux, ReadHeaderTimeout: time.Second}
+	go func() { _ = srv.Serve(ln) }()
+	defer srv.Close()
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	r, err := newRelayRig(ctx, ln.Addr().String())
+	if err != nil {
+		return nil, err
+	}
+	defer r.close()
+	return r.slopes(ctx, p), nil
+}
+
+func (r *rig) slopes(ctx context.Context, p *pacer) *Slopes {
+	out := &Slopes{}
+	run := func(kind string, streams int, pause time.Duration, x func(SlopePoint) float64, y func(SlopePoint) float64) float64 {
+		p.pause.Store(int64(pause))
+		var points []SlopePoint
+		for _, n := range []int{1, 2, 4, 8} {
+			s := r.point(ctx, kind, streams*n, pause)
+			out.Points, points = append(out.Points, s), append(points, s)
+		}
+		return slope(points, x, y)
+	}
+	cpu := func(s SlopePoint) float64 { return s.CPUMicros }
+	tokens := func(s SlopePoint) float64 { return float64(s.Tokens) }
+	out.TokenMicros = run("token", 40, 25*time.Millisecond, tokens, cpu)
+	out.RequestMicros = run("request", 40, time.Millisecond, tokens, cpu) - out.TokenMicros
+	out.StreamKB = run("stream", 40, 100*time.Millisecond,
+		func(s SlopePoint) float64 { return float64(s.Streams) }, func(s SlopePoint) float64 { return s.Memory })
+	return out
+}
+
+// point sends for one window: streams that last for all of it, or requests of
+// one token at a rate.
+func (r *rig) point(ctx context.Context, kind string, streams int, pause time.Duration) SlopePoint {
+	s := SlopePoint{Kind: kind, Streams: streams, Load: machineLoad()}
+	var arrived, failed atomic.Int64
+	var wg sync.WaitGroup
+	call := func(max int) {
+		c := invoker.Client{Token: launcher.Token(accounts[0])}
+		a, err := c.Complete(ctx, r.daemons[0].Address, invoker.Prompt{
+			Model: "relay", Text: "x", MaxTokens: max, OnText: func(string) { arrived.Add(1) },
+		})
+		if err != nil || !a.Done {
+			failed.Add(1)
+		}
+	}
+	cpu, start := cpuTime(r.daemons), time.Now()
+	if kind == "request" {
+		for i := 0; time.Since(start) < slopeWindow; i++ {
+			wg.Go(func() { call(1) })
+			time.Sleep(time.Until(start.Add(time.Duration(i+1) * time.Second / time.Duration(streams))))
+		}
+	} else {
+		for i := range streams {
+			wg.Go(func() {
+				time.Sleep(pause * time.Duration(i) / time.Duration(streams))
+				call(int(slopeWindow / pause))
+			})
+		}
+		time.Sleep(slopeWindow / 2)
+		s.Memory = residentKB(r.daemons[0])
+	}
+	wg.Wait()
+	s.CPUMicros = float64((cpuTime(r.daemons) - cpu).Microseconds())
+	s.Tokens, s.Failed = arrived.Load(), failed.Load()
+	return s
+}
+
+// residentKB returns the resident memory of a process.
+func residentKB(p *launcher.Process) float64 {
+	data, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", p.PID()))
+	if err != nil {
+		return 0
+	}
+	_, rest, _ := strings.Cut(string(data), "VmRSS:")
+	if f := strings.Fields(rest); len(f) > 0 {
+		kb, _ := strconv.ParseFloat(f[0], 64)
+		return kb
+	}
+	return 0
+}
+
+// slope is that of the least-squares line.
+func slope(points []SlopePoint, x, y func(SlopePoint) float64) float64 {
+	var n, sx, sy, sxx, sxy float64
+	for _, p := range points {
+		a, b := x(p), y(p)
+		n, sx, sy, sxx, sxy = n+1, sx+a, sy+b, sxx+a*a, sxy+a*b
+	}
+	return (n*sxy - sx*sy) / (n*sxx - sx*sx)
+}
+
+func (s *Slopes) print() {
+	for _, p := range s.Points {
+		fmt.Printf("slopes: %-7s %4d streams, %6d tokens, %d failed, daemon cpu %.0f ms, memory %.0f KB, load %s\n",
+			p.Kind, p.Streams, p.Tokens, p.Failed, p.CPUMicros/1000, p.Memory, p.Load)
+	}
+	fmt.Printf("slopes: %.1f us/token, %.0f us/request, %.1f KB/stream\n", s.TokenMicros, s.RequestMicros, s.StreamKB)
+}
