prover: give each daemon of a cluster a context of its own

Cause: all daemons of a cluster had one parent context. Every call with a timeout locks its parent; in a stack dump of 240 daemons 3,639 goroutines queued for that one lock, status calls timed out after 400 ms and flapping health was pushed to all, so that the fleet never settled. Change: a context for each daemon; the backend servers register together from the process of the fakes.

--- a/prover/cluster/cluster.go
+++ b/prover/cluster/cluster.go
@@ -14,7 +14,6 @@
 	"encoding/json"
 	"fmt"
 	"net/http"
-	"strconv"
 	"sync"
 	"time"
 
@@ -60,6 +59,7 @@
 	addresses Addresses
 	fakes     *Fakes
 	cancel    context.CancelFunc
+	stops     []context.CancelFunc
 	wg        sync.WaitGroup
 }
 
@@ -91,19 +91,14 @@
 		return err
 	}
 	// Backend servers come last: each wave of daemons moves the selection of
-	// their watchers, which would measure the start again.
-	for i := range c.options.Backends {
-		registrar.Register(ctx, c.addresses.Platform, platform.Host{
-			ID: fmt.Sprintf("engine-%d", i), Role: platform.RoleEngine, Address: c.addresses.Backends + "/" + strconv.Itoa(i),
-			DataCentre: c.centre(i), State: platform.HostLive, Serves: "report",
-		})
-	}
-	return nil
+	// their watchers, which would measure the start again. They come together,
+	// because each row that comes alone is pushed alone.
+	return c.get(fmt.Sprintf("%s/register?backends=%d&centres=%d", c.addresses.Backends, c.options.Backends, c.options.Centres), &struct{}{})
 }
 
-func (c *Cluster) centre(i int) unit.DataCentre {
-	return unit.DataCentre(fmt.Sprintf("dc-%d", i%c.options.Centres))
-}
+func (c *Cluster) centre(i int) unit.DataCentre { return centre(i, c.options.Centres) }
+
+func centre(i, centres int) unit.DataCentre { return unit.DataCentre(fmt.Sprintf("dc-%d", i%centres)) }
 
 func (c *Cluster) startDaemons(ctx context.Context) error {
 	a, err := launcher.NewAuthority()
@@ -133,7 +128,7 @@
 			ID: id, Role: platform.RoleEntry, Address: p.Gossiper.Self().Address, DataCentre: c.centre(i), State: platform.HostLive,
 		})
 		c.Daemons = append(c.Daemons, p)
-		c.wg.Go(func() { p.Run(ctx) })
+		c.run(ctx, p)
 		if len(c.Daemons)%wave == 0 {
 			if err := c.joined(); err != nil {
 				return err
@@ -143,6 +138,15 @@
 	return nil
 }
 
+// run starts a daemon with a context of its own. Every call with a timeout locks
+// the parent context; with one parent for all daemons, thousands of goroutines
+// queue for its lock, and status calls and heartbeats time out.
+func (c *Cluster) run(ctx context.Context, p *linker.Parts) {
+	own, cancel := context.WithCancel(context.WithoutCancel(ctx))
+	c.stops = append(c.stops, cancel)
+	c.wg.Go(func() { p.Run(own) })
+}
+
 // joined waits until all daemons that were started know each other.
 func (c *Cluster) joined() error {
 	return launcher.WaitEvery(100*time.Millisecond, waveLimit, "full membership", func() bool {
@@ -157,6 +161,9 @@
 
 // Close stops everything.
 func (c *Cluster) Close() {
+	for _, stop := range c.stops {
+		stop()
+	}
 	c.cancel()
 	c.wg.Wait()
 }
--- a/prover/cluster/fakes.go
+++ b/prover/cluster/fakes.go
@@ -3,8 +3,10 @@
 import (
 	"context"
 	"encoding/json"
+	"fmt"
 	"net"
 	"net/http"
+	"strconv"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -12,7 +14,9 @@
 	"time"
 
 	"oleandercove.example/core/engine"
+	"oleandercove.example/core/platform"
 	"oleandercove.example/core/unit"
+	"oleandercove.example/oleanderfake/registrar"
 	"oleandercove.example/oleanderfake/storer"
 )
 
@@ -50,6 +54,7 @@
 	}
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /usage", func(w http.ResponseWriter, _ *http.Request) { _ = json.NewEncoder(w).Encode(f.usage()) })
+	mux.HandleFunc("GET /register", f.register)
 	mux.HandleFunc("/", f.status)
 	f.Backends, err = f.serve(ctx, mux, true)
 	return f, err
@@ -68,6 +73,19 @@
 	return time.Duration(u.Utime.Nano() + u.Stime.Nano())
 }
 
+// register puts backend servers into the host list.
+func (f *Fakes) register(w http.ResponseWriter, r *http.Request) {
+	n, _ := strconv.Atoi(r.FormValue("backends"))
+	centres, _ := strconv.Atoi(r.FormValue("centres"))
+	for i := range n {
+		registrar.Register(r.Context(), f.Platform, platform.Host{
+			ID: fmt.Sprintf("engine-%d", i), Role: platform.RoleEngine, Address: f.Backends + "/" + strconv.Itoa(i),
+			DataCentre: centre(i, centres), State: platform.HostLive, Serves: "report",
+		})
+	}
+	_, _ = w.Write([]byte("{}"))
+}
+
 func (f *Fakes) status(w http.ResponseWriter, r *http.Request) {
 	f.calls.Add(1)
 	id := "engine-" + strings.Split(r.URL.Path, "/")[1]
