prover: measure a fleet whose backend servers change their load

Cause: all status answers of the capacity run were alike, so that no load report passed between daemons. The memory for each stream comes from the streams of 40 tokens/s, since slower ones are refused by the admission.

--- a/prover/bench/slopes.go
+++ b/prover/bench/slopes.go
@@ -96,21 +96,22 @@
 
 func (r *rig) slopes(ctx context.Context, p *pacer) *Slopes {
 	out := &Slopes{}
-	run := func(kind string, streams int, pause time.Duration, x func(SlopePoint) float64, y func(SlopePoint) float64) float64 {
+	run := func(kind string, pause time.Duration) []SlopePoint {
 		p.pause.Store(int64(pause))
 		var points []SlopePoint
-		for _, n := range []int{1, 2, 4, 8} {
-			s := r.point(ctx, kind, streams*n, pause)
-			out.Points, points = append(out.Points, s), append(points, s)
+		for _, n := range []int{40, 80, 160, 320} {
+			points = append(points, r.point(ctx, kind, n, pause))
 		}
-		return slope(points, x, y)
+		out.Points = append(out.Points, points...)
+		return points
 	}
 	cpu := func(s SlopePoint) float64 { return s.CPUMicros }
 	tokens := func(s SlopePoint) float64 { return float64(s.Tokens) }
-	out.TokenMicros = run("token", 40, 25*time.Millisecond, tokens, cpu)
-	out.RequestMicros = run("request", 40, time.Millisecond, tokens, cpu) - out.TokenMicros
-	out.StreamKB = run("stream", 40, 100*time.Millisecond,
-		func(s SlopePoint) float64 { return float64(s.Streams) }, func(s SlopePoint) float64 { return s.Memory })
+	streams := func(s SlopePoint) float64 { return float64(s.Streams) }
+	memory := func(s SlopePoint) float64 { return s.Memory }
+	long, short := run("token", 25*time.Millisecond), run("request", time.Millisecond)
+	out.TokenMicros, out.StreamKB = slope(long, tokens, cpu), slope(long, streams, memory)
+	out.RequestMicros = slope(short, tokens, cpu) - out.TokenMicros
 	return out
 }
 
--- a/prover/capacity/fakes.go
+++ b/prover/capacity/fakes.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"fmt"
 	"io"
 	"os"
 	"os/exec"
@@ -15,12 +16,12 @@
 
 // startFakes runs the fakes in a process of this program, so that their
 // processor time and open files are apart from those of the daemons.
-func startFakes(ctx context.Context) (a cluster.Addresses, stop func(), err error) {
+func startFakes(ctx context.Context, busy bool) (a cluster.Addresses, stop func(), err error) {
 	self, err := os.Executable()
 	if err != nil {
 		return a, nil, err
 	}
-	c := exec.CommandContext(ctx, self, "--"+fakesFlag)
+	c := exec.CommandContext(ctx, self, "--"+fakesFlag, fmt.Sprintf("--busy=%t", busy))
 	c.Stderr = os.Stderr
 	in, err := c.StdinPipe()
 	if err != nil {
@@ -43,13 +44,14 @@
 
 // serveFakes prints the addresses and serves until the standard input ends,
 // which it does when the starting process ends in any way.
-func serveFakes() error {
+func serveFakes(busy bool) error {
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	f, err := cluster.StartFakes(ctx)
 	if err != nil {
 		return err
 	}
+	f.Busy.Store(busy)
 	if err := json.NewEncoder(os.Stdout).Encode(f.Addresses); err != nil {
 		return err
 	}
--- a/prover/capacity/main.go
+++ b/prover/capacity/main.go
@@ -33,6 +33,8 @@
 	window           time.Duration
 	// profiles is the folder of processor profiles; empty writes none.
 	profiles string
+	// busy makes the load of each backend server change with each status call.
+	busy bool
 }
 
 func main() {
@@ -42,12 +44,13 @@
 	flag.IntVar(&o.regions, "regions", 7, "number of regions")
 	flag.DurationVar(&o.window, "window", 10*time.Second, "length of the measurement at each size")
 	flag.StringVar(&o.profiles, "profiles", "", "folder of processor profiles; empty writes none")
+	flag.BoolVar(&o.busy, "busy", false, "change the load of each backend server with each status call")
 	output := flag.String("output", "out/capacity.json", "file of the JSON report")
 	fakes := flag.Bool(fakesFlag, false, "serve the fakes until the standard input ends")
 	flag.Parse()
 	err := error(nil)
 	if *fakes {
-		err = serveFakes()
+		err = serveFakes(o.busy)
 	} else {
 		err = run(*sizes, o, *output)
 	}
--- a/prover/capacity/measurer.go
+++ b/prover/capacity/measurer.go
@@ -58,7 +58,7 @@
 
 func measure(ctx context.Context, n int, o options) (Point, error) {
 	p := Point{Daemons: n}
-	fakes, stop, err := startFakes(ctx)
+	fakes, stop, err := startFakes(ctx, o.busy)
 	if err != nil {
 		return p, err
 	}
--- a/prover/cluster/cluster.go
+++ b/prover/cluster/cluster.go
@@ -14,6 +14,7 @@
 	"encoding/json"
 	"fmt"
 	"net/http"
+	"strconv"
 	"sync"
 	"time"
 
@@ -91,14 +92,19 @@
 		return err
 	}
 	// Backend servers come last: each wave of daemons moves the selection of
-	// their watchers, which would measure the start again. They come together,
-	// because each row that comes alone is pushed alone.
-	return c.get(fmt.Sprintf("%s/register?backends=%d&centres=%d", c.addresses.Backends, c.options.Backends, c.options.Centres), &struct{}{})
+	// their watchers, which would measure the start again.
+	for i := range c.options.Backends {
+		registrar.Register(ctx, c.addresses.Platform, platform.Host{
+			ID: fmt.Sprintf("engine-%d", i), Role: platform.RoleEngine, Address: c.addresses.Backends + "/" + strconv.Itoa(i),
+			DataCentre: c.centre(i), State: platform.HostLive, Serves: "report",
+		})
+	}
+	return nil
 }
 
-func (c *Cluster) centre(i int) unit.DataCentre { return centre(i, c.options.Centres) }
-
-func centre(i, centres int) unit.DataCentre { return unit.DataCentre(fmt.Sprintf("dc-%d", i%centres)) }
+func (c *Cluster) centre(i int) unit.DataCentre {
+	return unit.DataCentre(fmt.Sprintf("dc-%d", i%c.options.Centres))
+}
 
 func (c *Cluster) startDaemons(ctx context.Context) error {
 	a, err := launcher.NewAuthority()
--- a/prover/cluster/fakes.go
+++ b/prover/cluster/fakes.go
@@ -3,10 +3,9 @@
 import (
 	"context"
 	"encoding/json"
-	"fmt"
+	"math/rand/v2"
 	"net"
 	"net/http"
-	"strconv"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -14,12 +13,13 @@
 	"time"
 
 	"oleandercove.example/core/engine"
-	"oleandercove.example/core/platform"
 	"oleandercove.example/core/unit"
-	"oleandercove.example/oleanderfake/registrar"
 	"oleandercove.example/oleanderfake/storer"
 )
 
+// maxLoad bounds the figures of a busy backend server.
+const maxLoad = 1000
+
 // Addresses are those of the fakes of a cluster.
 type Addresses struct {
 	// Platform is the object API, Backends the server of all backend servers.
@@ -40,6 +40,8 @@
 // Fakes are the fake platform and the server of all backend servers.
 type Fakes struct {
 	Addresses
+	// Busy makes each status report another load.
+	Busy atomic.Bool
 
 	bytes, calls, connections atomic.Uint64
 	draining                  sync.Map
@@ -54,7 +56,6 @@
 	}
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /usage", func(w http.ResponseWriter, _ *http.Request) { _ = json.NewEncoder(w).Encode(f.usage()) })
-	mux.HandleFunc("GET /register", f.register)
 	mux.HandleFunc("/", f.status)
 	f.Backends, err = f.serve(ctx, mux, true)
 	return f, err
@@ -73,25 +74,16 @@
 	return time.Duration(u.Utime.Nano() + u.Stime.Nano())
 }
 
-// register puts backend servers into the host list.
-func (f *Fakes) register(w http.ResponseWriter, r *http.Request) {
-	n, _ := strconv.Atoi(r.FormValue("backends"))
-	centres, _ := strconv.Atoi(r.FormValue("centres"))
-	for i := range n {
-		registrar.Register(r.Context(), f.Platform, platform.Host{
-			ID: fmt.Sprintf("engine-%d", i), Role: platform.RoleEngine, Address: f.Backends + "/" + strconv.Itoa(i),
-			DataCentre: centre(i, centres), State: platform.HostLive, Serves: "report",
-		})
-	}
-	_, _ = w.Write([]byte("{}"))
-}
-
 func (f *Fakes) status(w http.ResponseWriter, r *http.Request) {
 	f.calls.Add(1)
 	id := "engine-" + strings.Split(r.URL.Path, "/")[1]
 	_, draining := f.draining.Load(id)
+	var load engine.Load
+	if f.Busy.Load() {
+		load = engine.Load{Running: rand.IntN(maxLoad), Queued: rand.IntN(maxLoad), Rate: unit.TokensPerSecond(rand.IntN(maxLoad))}
+	}
 	_ = json.NewEncoder(w).Encode(&engine.Status{
-		Backend: unit.BackendID(id), Kind: "a", Model: "report", To: 8, Layers: 24, Start: "run-1",
+		Load: load, Backend: unit.BackendID(id), Kind: "a", Model: "report", To: 8, Layers: 24, Start: "run-1",
 		MaxStreams: 64, MaxBatch: 32, TokenTimeMicros: 4000, Draining: draining,
 	})
 }
