prover: go back to one context for all daemons of a cluster

Conclusion: the lock of the shared context is not the cause. It bounds how many calls start together, which seems to keep a starved process from thrashing; that was not proved.

--- a/prover/cluster/cluster.go
+++ b/prover/cluster/cluster.go
@@ -60,7 +60,6 @@
 	addresses Addresses
 	fakes     *Fakes
 	cancel    context.CancelFunc
-	stops     []context.CancelFunc
 	wg        sync.WaitGroup
 }
 
@@ -134,7 +133,7 @@
 			ID: id, Role: platform.RoleEntry, Address: p.Gossiper.Self().Address, DataCentre: c.centre(i), State: platform.HostLive,
 		})
 		c.Daemons = append(c.Daemons, p)
-		c.run(ctx, p)
+		c.wg.Go(func() { p.Run(ctx) })
 		if len(c.Daemons)%wave == 0 {
 			if err := c.joined(); err != nil {
 				return err
@@ -144,15 +143,6 @@
 	return nil
 }
 
-// run starts a daemon with a context of its own. Every call with a timeout locks
-// the parent context; with one parent for all daemons, thousands of goroutines
-// queue for its lock, and status calls and heartbeats time out.
-func (c *Cluster) run(ctx context.Context, p *linker.Parts) {
-	own, cancel := context.WithCancel(context.WithoutCancel(ctx))
-	c.stops = append(c.stops, cancel)
-	c.wg.Go(func() { p.Run(own) })
-}
-
 // joined waits until all daemons that were started know each other.
 func (c *Cluster) joined() error {
 	return launcher.WaitEvery(100*time.Millisecond, waveLimit, "full membership", func() bool {
@@ -167,9 +157,6 @@
 
 // Close stops everything.
 func (c *Cluster) Close() {
-	for _, stop := range c.stops {
-		stop()
-	}
 	c.cancel()
 	c.wg.Wait()
 }
