--- a/oleandercove/watcher/poller.go
+++ b/oleandercove/watcher/poller.go
@@ -26,6 +26,12 @@
 	// callInterval is the time for each backend server that a daemon polls: 4
 	// calls of about 500 bytes each second.
 	callInterval = 250 * time.Millisecond
+	// rowInterval is the time for each row of the host list, up to
+	// maxListInterval. Twice a second, 2,710 rows of 200 bytes would cost a
+	// reader 1 MB/s and more than 1% of a core. The list lags anyway; a leaving
+	// backend server is noticed by its status.
+	rowInterval     = time.Millisecond
+	maxListInterval = 3 * time.Second
 	// flushInterval joins the reports of a round into few messages.
 	flushInterval = 50 * time.Millisecond
 	// settleTime is how long the membership must be stable before a starting
@@ -37,6 +43,8 @@
 	statusTimeout = 400 * time.Millisecond
 	// maxParallelCalls bounds the status calls in flight.
 	maxParallelCalls = 32
+	// idleLimit closes connections for status calls that are no longer used.
+	idleLimit = 30 * time.Second
 	// rateInterval bounds how often a changed rate or load is published.
 	rateInterval = 5 * time.Second
 	// rateChange is the relative change that is published.
@@ -53,8 +61,7 @@
 	// delay the status calls that notice a leaving backend server.
 	wg.Go(func() {
 		for ctx.Err() == nil {
-			w.list(ctx)
-			_ = w.options.Timer.Sleep(ctx, w.options.Interval)
+			_ = w.options.Timer.Sleep(ctx, w.listPause(w.list(ctx)))
 		}
 	})
 	wg.Go(func() {
@@ -99,20 +106,27 @@
 	mine, poll bool
 }
 
-// list reads the host list if this daemon is selected to.
-func (w *Watcher) list(ctx context.Context) {
+// listPause returns the time until the next read of a host list of so many rows.
+func (w *Watcher) listPause(rows int) time.Duration {
+	return max(w.options.Interval, min(time.Duration(rows)*rowInterval, maxListInterval))
+}
+
+// list reads the host list if this daemon is selected to, and returns the
+// number of its rows.
+func (w *Watcher) list(ctx context.Context) int {
 	self := w.options.Members.Self()
 	if !w.reads(self.Host, self.DataCentre) && !w.reads(self.Host, "") {
-		return
+		return 0
 	}
 	hosts, err := w.options.Platform.Hosts(ctx)
 	if err != nil {
 		if ctx.Err() == nil {
 			w.options.Log.Warn("host list is unavailable; keeping the last one", "err", err)
 		}
-		return
+		return 0
 	}
 	w.install(hosts)
+	return len(hosts)
 }
 
 // round polls and returns the number of calls.
@@ -120,9 +134,7 @@
 	self, n := w.options.Members.Self(), 0
 	reader := w.reads(self.Host, self.DataCentre)
 	w.mu.Lock()
-	if len(w.signs) > 0 {
-		w.cached = nil // signs expire with time
-	}
+	w.touchSigns()
 	known := w.listed || len(w.reports) > 0 || !reader
 	w.mu.Unlock()
 	p := pool.New().WithMaxGoroutines(maxParallelCalls)
@@ -140,19 +152,22 @@
 	return n
 }
 
+// tasks lists the backend servers that this daemon polls or has reported on.
 func (w *Watcher) tasks(self unit.HostID) []task {
 	backends := w.Backends()
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	out := make([]task, 0, len(backends))
+	var out []task
 	for _, b := range backends {
 		mine := w.selection.polls(self, b.ID, b.DataCentre)
 		poll := mine || w.suspected[b.ID]
 		if _, ok := w.polled[b.ID]; ok && !poll {
 			delete(w.polled, b.ID)
-			w.cached = nil
+			w.stale[b.ID] = true
+		}
+		if poll || w.own[b.ID] {
+			out = append(out, task{b, mine, poll})
 		}
-		out = append(out, task{b, mine, poll})
 	}
 	return out
 }
@@ -162,9 +177,7 @@
 	live := w.options.Members.Live()
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	if !w.selection.of(live) {
-		w.selection, w.cached = newSelection(live), nil
-	}
+	w.selectFrom(live)
 	return w.selection.reads(host, dc)
 }
 
@@ -198,7 +211,8 @@
 func (w *Watcher) install(hosts []platform.Host) {
 	self := w.options.Members.Self()
 	w.mu.Lock()
-	w.listed, w.cached = true, nil
+	w.listed = true
+	w.touchSigns()
 	w.mu.Unlock()
 	listed := map[string]bool{}
 	for _, h := range hosts {
@@ -257,7 +271,7 @@
 		delete(w.suspected, b.ID)
 	}
 	before, known := w.polled[b.ID]
-	w.polled[b.ID], w.cached = report{version: uint64(now.UnixMilli()), backend: n}, nil
+	w.polled[b.ID], w.stale[b.ID] = report{version: uint64(now.UnixMilli()), backend: n}, true
 	last, published := w.reports[b.ID][s]
 	w.mu.Unlock()
 	if known && before.backend.Healthy != n.Healthy {
@@ -302,6 +316,7 @@
 	if err != nil {
 		return nil, false, err
 	}
+	req.Header["User-Agent"] = nil // saves bytes
 	res, err := w.http.Do(req)
 	if err != nil {
 		return nil, false, err
