watcher: share load in small fleets only

Cause: each poller published a changed load every 5 s to all daemons. With load that changes at each status, 48 daemons with 165 backend servers sent 74.5 KB/s each; planning reads the number of running streams only, while rate and queue triggered the reports. Ruled out: a longer interval; at 2,100 backend servers it would have to be an hour. Change: reports of load are triggered by running streams, and only in fleets of at most 64 backend servers.

--- a/oleandercove/watcher/poller.go
+++ b/oleandercove/watcher/poller.go
@@ -47,6 +47,9 @@
 	idleLimit = 30 * time.Second
 	// rateInterval bounds how often a changed rate or load is published.
 	rateInterval = 5 * time.Second
+	// maxSharedLoads is the largest number of backend servers whose load is
+	// spread to all daemons. Each change costs about 400 bytes on each link.
+	maxSharedLoads = 64
 	// rateChange is the relative change that is published.
 	rateChange = 0.25
 )
@@ -277,14 +280,24 @@
 	if known && before.backend.Healthy != n.Healthy {
 		w.options.Log.Info("backend server changed health", "backend", b.ID, "healthy", n.Healthy, "stalled", n.Stalled, "err", err)
 	}
-	if publish && (!published || last.gone || changed(last.backend, n, now)) {
+	if publish && (!published || last.gone || changed(last.backend, n, now, w.sharesLoad())) {
 		w.publish(b.ID, fromPoll, report{backend: n})
 	}
 }
 
+// sharesLoad tells whether the fleet is small enough to spread the load of
+// backend servers. In a larger one a daemon knows the load from its own streams
+// and polls only.
+func (w *Watcher) sharesLoad() bool {
+	w.mu.RLock()
+	defer w.mu.RUnlock()
+	return len(w.reports) <= maxSharedLoads
+}
+
 // changed tells whether a status is worth a message: at once for health, drain
-// state, layers and limits, and at an interval for rates and load.
-func changed(old, b Backend, now time.Time) bool {
+// state, layers and limits, and at an interval for rates and for the load that
+// planning reads.
+func changed(old, b Backend, now time.Time, sharesLoad bool) bool {
 	if old.Healthy != b.Healthy || old.Draining != b.Draining || old.Address != b.Address {
 		return true
 	}
@@ -294,9 +307,12 @@
 	if !sameLayers(old.Engine, b.Engine) {
 		return true
 	}
-	return now.Sub(old.Seen) >= rateInterval && (differs(float64(old.Engine.TokenTimeMicros), float64(b.Engine.TokenTimeMicros)) ||
-		differs(float64(old.Engine.Load.Rate), float64(b.Engine.Load.Rate)) ||
-		differs(float64(old.Engine.Load.Queued), float64(b.Engine.Load.Queued)) || !slices.Equal(old.Engine.Links, b.Engine.Links))
+	if now.Sub(old.Seen) < rateInterval {
+		return false
+	}
+	return differs(float64(old.Engine.TokenTimeMicros), float64(b.Engine.TokenTimeMicros)) ||
+		(sharesLoad && differs(float64(old.Engine.Load.Running), float64(b.Engine.Load.Running))) ||
+		!slices.Equal(old.Engine.Links, b.Engine.Links)
 }
 
 func sameLayers(a, b *engine.Status) bool {
