--- a/oleandercove/command/command_test.go
+++ b/oleandercove/command/command_test.go
@@ -13,7 +13,9 @@
 	is := is.New(t)
 	files, err := filepath.Glob("../../examples/*.toml")
 	is.NoErr(err)
-	is.Equal(len(files), 2)
+	files = append(files, "../../examples/local/daemon.toml")
+	is.NoErr(err)
+	is.Equal(len(files), 3)
 	for _, f := range files {
 		is.Equal(Run([]string{"check-config", f}), 0)
 	}
