settings: check the certificates and peers of a peer listener

Cause: check-config accepted a peer listener without certificates and malformed addresses in Join; the daemon failed at its start instead. Change: Peers.Check.

--- a/oleandercove/settings/peers.go
+++ b/oleandercove/settings/peers.go
@@ -1,5 +1,12 @@
 package settings
 
+import (
+	"fmt"
+	"net/netip"
+
+	"oleandercove.example/core/loader"
+)
+
 // Peers configures the links to other daemons. Without Listen the daemon runs
 // alone. Certificate, Key and Authority name PEM files; the certificate names
 // the host.
@@ -14,3 +21,24 @@
 	// addition to the platform's host list, which may be unavailable.
 	Join []string
 }
+
+// Check checks the files that a listener needs and the addresses of peers.
+func (p *Peers) Check() []loader.Problem {
+	var out []loader.Problem
+	for i, a := range p.Join {
+		if _, err := netip.ParseAddrPort(a); err != nil {
+			out = append(out, loader.Problem{Key: "Join", Expected: fmt.Sprintf("an IP address and port as value %d, got %q", i+1, a)})
+		}
+	}
+	if p.Listen == "" {
+		return out
+	}
+	for _, f := range []struct{ key, file string }{
+		{"Certificate", p.Certificate}, {"Key", p.Key}, {"Authority", p.Authority},
+	} {
+		if f.file == "" {
+			out = append(out, loader.Problem{Key: f.key, Expected: "a PEM file, because Listen is set"})
+		}
+	}
+	return out
+}
--- a/oleandercove/settings/settings_test.go
+++ b/oleandercove/settings/settings_test.go
@@ -44,6 +44,8 @@
 		{"delay uses up the whole shutdown", valid + "[Shutdown]\nLimit = '1s'", []string{"5: Shutdown.BalancerDelay: expected a duration from 0s"}},
 		{"order outlasts the lease that allows it", valid + "[Controllers]\nOrderLimit = '6s'", []string{"6: Controllers.OrderLimit: expected less than Lease (6s)"}},
 		{"operators are served without a token", valid + "[Operators]\nListen = '127.0.0.1:9'", []string{"5: Operators.Token: expected a bearer token"}},
+		{"links to peers come up without certificates", valid + "[Peers]\nListen = '127.0.0.1:9'", []string{"5: Peers.Certificate: expected a PEM file", "5: Peers.Key: expected", "5: Peers.Authority: expected"}},
+		{"misspelt peer is never contacted", valid + "[Peers]\nJoin = ['peer-1:8082']", []string{"6: Peers.Join: expected an IP address and port as value 1"}},
 		{"misspelt level logs everything", valid + "[Log]\nLevel = 'warning'", []string{"6: Log.Level: expected debug"}},
 		{"unlimited body time holds connections", valid + "Callers.BodyTimeout = '0s'", []string{"5: Callers.BodyTimeout: expected a value above zero"}},
 	} {
