oleanderfake/runner: add a bounded prefix cache with late, lossy events

Cause: the fake engine had no prefix cache, which real engines have, so affinity to cached prefixes can't be tried. Ruled out: keeping the toy model's state of cached prefixes; the cache saves only time, so the text stays a function of the request. The daemon does not use the events yet.

--- a/core/engine/engine.go
+++ b/core/engine/engine.go
@@ -11,6 +11,7 @@
 //	POST /v1/steps    StepRequest   -> StepReply
 //	POST /v1/cancel   CancelRequest
 //	GET  /v1/status   -> Status
+//	GET  /v1/cache-events?after=SEQUENCE -> []CacheEvent
 package engine
 
 import (
@@ -268,3 +269,23 @@
 	// At is the time at which the work ended.
 	At time.Time `json:",omitzero"`
 }
+
+// CacheEventKind says what happened to a cached block.
+type CacheEventKind string
+
+const (
+	// CacheStored means that a block was cached.
+	CacheStored CacheEventKind = "Stored"
+	// CacheEvicted means that a block left the cache.
+	CacheEvicted CacheEventKind = "Evicted"
+)
+
+// CacheEvent reports a change of an engine's prefix cache. Events are late, and
+// a gap in the sequence means that some were lost.
+type CacheEvent struct {
+	Sequence uint64
+	Kind     CacheEventKind
+	// Block is the hash of a prompt up to the end of the block.
+	Block uint64
+	At    time.Time
+}
--- /dev/null
+++ b/oleanderfake/runner/cacher.go
@@ -0,0 +1,118 @@
+package runner
+
+import (
+	"container/list"
+	"math/rand/v2"
+	"net/http"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/julienschmidt/httprouter"
+
+	"oleandercove.example/core/engine"
+	"oleandercove.example/oleanderfake/responder"
+)
+
+const (
+	// blockPositions is the number of positions in one cached block.
+	blockPositions = 16
+	// maxCacheEvents bounds the events that are kept for readers.
+	maxCacheEvents = 4096
+)
+
+// cacher remembers the prefixes of prompts in limited memory. A block stands
+// for all positions up to its end. The toy model's state is computed anew; only
+// the time of cached positions is saved.
+type cacher struct {
+	limit int
+	// lag delays the events, and gaps is the share of them that is lost.
+	lag  time.Duration
+	gaps float64
+
+	mu       sync.Mutex
+	recent   *list.List
+	blocks   map[uint64]*list.Element
+	sequence uint64
+	events   []engine.CacheEvent
+}
+
+func newCacher(limit int, lag time.Duration, gaps float64) *cacher {
+	return &cacher{limit: limit, lag: lag, gaps: gaps, recent: list.New(), blocks: map[uint64]*list.Element{}}
+}
+
+// hashes returns the hash of each whole block of a prompt.
+func hashes(inputs []engine.Activation) []uint64 {
+	var out []uint64
+	h := uint64(0)
+	for i, in := range inputs {
+		h = mix(h, uint64(in))
+		if (i+1)%blockPositions == 0 {
+			out = append(out, h)
+		}
+	}
+	return out
+}
+
+// use returns how many leading positions are cached, and caches the others.
+func (c *cacher) use(inputs []engine.Activation) int {
+	if c.limit == 0 {
+		return 0
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	cached, missed := 0, false
+	for _, h := range hashes(inputs) {
+		e, ok := c.blocks[h]
+		missed = missed || !ok
+		if !missed {
+			cached += blockPositions
+		}
+		if ok {
+			c.recent.MoveToFront(e)
+			continue
+		}
+		c.blocks[h] = c.recent.PushFront(h)
+		c.publish(engine.CacheStored, h)
+	}
+	for c.recent.Len() > c.limit {
+		h := c.recent.Remove(c.recent.Back()).(uint64)
+		delete(c.blocks, h)
+		c.publish(engine.CacheEvicted, h)
+	}
+	return cached
+}
+
+// publish adds an event, or only its gap in the sequence.
+func (c *cacher) publish(kind engine.CacheEventKind, block uint64) {
+	c.sequence++
+	if rand.Float64() < c.gaps {
+		return
+	}
+	c.events = append(c.events, engine.CacheEvent{Sequence: c.sequence, Kind: kind, Block: block, At: time.Now()})
+	if len(c.events) > maxCacheEvents {
+		c.events = c.events[len(c.events)-maxCacheEvents:]
+	}
+}
+
+// after returns the events after a sequence number that are older than the lag.
+func (c *cacher) after(sequence uint64, now time.Time) []engine.CacheEvent {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	out := []engine.CacheEvent{}
+	for _, e := range c.events {
+		if e.Sequence > sequence && now.Sub(e.At) >= c.lag {
+			out = append(out, e)
+		}
+	}
+	return out
+}
+
+func (e *Engine) handleCacheEvents(w http.ResponseWriter, r *http.Request, _ httprouter.Params) {
+	after, err := strconv.ParseUint(r.URL.Query().Get("after"), 10, 64)
+	if err != nil {
+		http.Error(w, "after is not a number", http.StatusBadRequest)
+		return
+	}
+	responder.Write(w, http.StatusOK, e.cache.after(after, time.Now()))
+}
--- a/oleanderfake/runner/handler.go
+++ b/oleanderfake/runner/handler.go
@@ -22,6 +22,7 @@
 	r.GET("/v1/status", func(w http.ResponseWriter, _ *http.Request, _ httprouter.Params) {
 		responder.Write(w, http.StatusOK, e.Status())
 	})
+	r.GET("/v1/cache-events", e.handleCacheEvents)
 	r.POST("/v1/export", e.handleExport)
 	r.POST("/v1/import", e.handleImport)
 	r.POST("/v1/orders", e.handleOrder)
--- a/oleanderfake/runner/runner.go
+++ b/oleanderfake/runner/runner.go
@@ -76,6 +76,13 @@
 	Exit func(code int)
 	// DrainLimit is the time from Drain to the end of the process.
 	DrainLimit time.Duration
+	// CacheBlocks is the memory of the prefix cache, in blocks of 16 positions;
+	// 0 turns it off.
+	CacheBlocks int
+	// CacheLag delays the events of the prefix cache, and CacheGaps is the share
+	// of them that is lost.
+	CacheLag  time.Duration
+	CacheGaps float64
 	// Journal is the file of the journal; empty keeps it in memory.
 	Journal string
 }
@@ -88,6 +95,7 @@
 	orders  *journaler.Journal[engine.OrderRecord]
 	batch   *batcher
 	streams *table
+	cache   *cacher
 	http    *http.Client
 
 	sequence  atomic.Uint64
@@ -121,7 +129,7 @@
 	}
 	e := &Engine{
 		orders: orders, version: o.Version, adapters: o.Adapters,
-		options: o, start: uuid.NewString(), journal: j, streams: newTable(),
+		options: o, start: uuid.NewString(), journal: j, streams: newTable(), cache: newCacher(o.CacheBlocks, o.CacheLag, o.CacheGaps),
 		from: o.From, to: o.To, model: o.Model, slow: 1, linkSlow: 1,
 		http: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 512}},
 	}
--- a/oleanderfake/runner/stepper.go
+++ b/oleanderfake/runner/stepper.go
@@ -79,7 +79,11 @@
 		return nil
 	}
 	inputs := r.Inputs[have-r.From:]
-	if err := e.batch.wait(ctx, r.Priority, unitsOf(len(inputs))); err != nil {
+	cached := 0
+	if have == 0 {
+		cached = e.cache.use(inputs)
+	}
+	if err := e.batch.wait(ctx, r.Priority, unitsOf(max(1, len(inputs)-cached))); err != nil {
 		return e.fail(engine.CauseUnreachable, "step canceled")
 	}
 	if !s.current(r.Epoch) {
