divider: give out a part of an unused limit beyond the demand

Cause: a slice was at most 1.5 times the demand before. An account with 20 concurrent requests and a demand of 2 got 3, so a burst of 4 was refused while the fleet-wide limit had room. Ruled out: a larger margin, which a small demand outgrows as well. Change: half of what nobody asked for is divided equally between the daemons with a slice; the other half is left for daemons without one. The sum of slices stays within the limit (TestLedgerNeverExceedsLimit).

--- a/oleandercove/divider/divider.go
+++ b/oleandercove/divider/divider.go
@@ -18,6 +18,11 @@
 	"oleandercove.example/core/unit"
 )
 
+// spare is the part of an unused limit that is given out beyond the demand, so
+// that growth between two reports is not refused. The rest is left for daemons
+// without a slice.
+const spare = 0.5
+
 // Validity is how long a slice may be used without renewal.
 const Validity = 2 * time.Second
 
@@ -63,8 +68,9 @@
 
 // Grant records the demand of a daemon and returns its slice, which is valid
 // for Validity from the time at which the daemon sent its demand. The slice is
-// its fair share, but never more than the slices of the others leave free: a
-// daemon whose share shrinks keeps its old slice until it renews.
+// its fair share and a part of what nobody asked for, but never more than the
+// slices of the others leave free: a daemon whose share shrinks keeps its old
+// slice until it renews.
 func (l *Ledger) Grant(now time.Time, limit float64, d Demand) float64 {
 	l.expire(now)
 	l.slice(d.Host).demand = d.Wanted
@@ -119,10 +125,12 @@
 	for h, s := range l.slices {
 		demands = append(demands, Demand{Host: h, Wanted: s.demand})
 	}
+	own, left := 0.0, limit
 	for i, share := range Fair(limit, demands) {
+		left -= share
 		if demands[i].Host == host {
-			return share
+			own = share
 		}
 	}
-	return 0
+	return own + max(0, left)*spare/float64(len(demands))
 }
--- a/oleandercove/limiter/limiter_test.go
+++ b/oleandercove/limiter/limiter_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"math"
 	"testing"
 	"time"
 
@@ -48,6 +49,10 @@
 	for _, d := range demands {
 		s := limiter.Slice{Key: d.Key}
 		for i := range d.Wanted {
+			if math.IsInf(x.limit[i], 1) {
+				s.Granted[i] = x.limit[i]
+				continue
+			}
 			s.Granted[i] = x.ledgers[i].Grant(x.timer.Now(), x.limit[i], divider.Demand{Host: x.host, Wanted: d.Wanted[i]})
 		}
 		out = append(out, s)
@@ -97,6 +102,17 @@
 	})
 }
 
+// nested runs a number of requests at once on a daemon.
+func (f *fleet) nested(daemon, n int) error {
+	r := &request.Request{ID: "r", Account: "depot-7", Entry: f.model, Kind: catalogue.KindModel}
+	return f.limiters[daemon].Handle(context.Background(), r, func(context.Context, *request.Request) error {
+		if n == 1 {
+			return nil
+		}
+		return f.nested(daemon, n-1)
+	})
+}
+
 // run sends requests to each daemon at a rate and returns the admitted ones
 // for each daemon.
 func (f *fleet) run(rates [daemons]int, tokens int) (admitted [daemons]int) {
@@ -157,23 +173,24 @@
 func TestConcurrentRequests(t *testing.T) {
 	is := is.New(t)
 	f := newFleet(catalogue.Limits{ConcurrentStreams: 8})
-	r := func() *request.Request {
-		return &request.Request{ID: "r", Account: "depot-7", Entry: f.model, Kind: catalogue.KindModel}
-	}
-	var nested func(depth int) error
-	nested = func(depth int) error {
-		return f.limiters[0].Handle(context.Background(), r(), func(context.Context, *request.Request) error {
-			if depth == 1 {
-				return nil
-			}
-			return nested(depth - 1)
-		})
-	}
-	is.NoErr(nested(2)) // 8 streams over 4 daemons
-	v, ok := verdict.Of(nested(3))
+	is.NoErr(f.nested(0, 2)) // 8 streams over 4 daemons
+	v, ok := verdict.Of(f.nested(0, 3))
 	is.True(ok)
 	is.Equal(v.Verdict, verdict.NotRun)
 	is.Equal(v.Reason, verdict.AccountLimit)
 	is.True(v.RetryAfter > 0)
-	is.NoErr(nested(2))
+	is.NoErr(f.nested(0, 2))
+}
+
+// TestBurstBelowLimit guards against refusals of a burst that the limit has
+// room for, because the slice follows the demand before the burst.
+func TestBurstBelowLimit(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(catalogue.Limits{ConcurrentStreams: 20})
+	for range 10 {
+		is.NoErr(f.nested(0, 1))
+		f.timer.Advance(limiter.RenewInterval)
+		f.limiters[0].Renew(context.Background())
+	}
+	is.NoErr(f.nested(0, 10))
 }
