daemon: return the fault of the peer listener from New

Cause: New kept a fault in the Daemon that Run returned, and half-built daemons needed checks. Change: New returns an error. Behaviour and exit codes are unchanged.

--- a/oleandercove/command/command.go
+++ b/oleandercove/command/command.go
@@ -54,7 +54,11 @@
 			}
 			ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
 			defer stop()
-			return daemon.New(s).Run(ctx)
+			d, err := daemon.New(s)
+			if err != nil {
+				return err
+			}
+			return d.Run(ctx)
 		},
 	}
 	c.Flags().StringVar(&path, "config", "", "settings file")
--- a/oleandercove/daemon/daemon.go
+++ b/oleandercove/daemon/daemon.go
@@ -2,8 +2,8 @@
 //
 // Usage:
 //
-//	d := daemon.New(settings)
-//	err := d.Run(ctx)
+//	d, err := daemon.New(settings)
+//	err = d.Run(ctx)
 package daemon
 
 import (
@@ -70,14 +70,13 @@
 	limiter  *limiter.Limiter
 	sharer   *quarantiner.Sharer
 	parts    *linker.Parts
-	// fault is why the daemon could not be built.
-	fault  error
-	orders *controllers
-	clock  *clock.Clock
+	orders   *controllers
+	clock    *clock.Clock
 }
 
-// New builds a daemon from its settings.
-func New(s *settings.Settings) *Daemon {
+// New builds a daemon from its settings. It fails if the daemon can't listen for
+// the peers that the settings name, or can't read its certificates.
+func New(s *settings.Settings) (*Daemon, error) {
 	l := logger.New(logger.Options{Level: s.Log.Level, Format: s.Log.Format}).With("host", s.Host)
 	t := timer.NewReal()
 	m := meter.New()
@@ -85,13 +84,14 @@
 	d := &Daemon{settings: s, log: l, clock: clock.New(t), drainer: newDrainer(s.Shutdown, t, l), meter: m, timer: t, platform: p}
 	d.recorder = recorder.New(recorder.Options{Host: s.Host, Capacity: journalCapacity, Timer: t, Clock: d.clock})
 	d.tracker = tracker.New()
-	if d.buildParts(p, t); d.fault == nil {
-		d.operator = d.newOperators(p, t)
-		d.operator.metrics = d.Metrics()
-		d.orders = d.newControllers(p, t)
-		d.server = d.newServer(t)
+	if err := d.buildParts(p, t); err != nil {
+		return nil, err
 	}
-	return d
+	d.operator = d.newOperators(p, t)
+	d.operator.metrics = d.Metrics()
+	d.orders = d.newControllers(p, t)
+	d.server = d.newServer(t)
+	return d, nil
 }
 
 func (d *Daemon) newServer(t timer.Service) *server.Server {
@@ -118,9 +118,6 @@
 
 // Run serves until ctx is done, then shuts down gracefully.
 func (d *Daemon) Run(ctx context.Context) error {
-	if d.fault != nil {
-		return d.fault
-	}
 	ln, err := net.Listen("tcp", d.settings.Callers.Listen)
 	if err != nil {
 		return trace.Wrap(err, "listen for callers on %s", d.settings.Callers.Listen)
--- a/oleandercove/daemon/peers.go
+++ b/oleandercove/daemon/peers.go
@@ -11,15 +11,14 @@
 // farewellLimit is the time for the last message to peers to leave.
 const farewellLimit = 100 * time.Millisecond
 
-// buildParts builds the control parts. Run returns the fault, because a daemon
-// must not run without the peers that its settings name.
-func (d *Daemon) buildParts(p platform.Client, t timer.Service) {
+// buildParts builds the control parts.
+func (d *Daemon) buildParts(p platform.Client, t timer.Service) error {
 	parts, err := linker.New(linker.Options{Settings: d.settings, Platform: p, Timer: t, Log: d.log})
 	if err != nil {
-		d.fault = err
-		return
+		return err
 	}
 	d.parts, d.spreader, d.watcher = parts, parts.Spreader, parts.Watcher
+	return nil
 }
 
 // announceDrain tells peers that this daemon is shutting down.
