prover: share the entries of sites and the fake engine of the bench

Cause: two test sites wrote the same entries, and two parts of the bench served the same engine calls. Change: createEntries, serveEngine. No check changed. After: go test -run 'TestEditsInOutage|TestDrainAndDump|TestRacingEdits' ./prover passes, and the relay part of the bench runs.

--- a/prover/bench/relay.go
+++ b/prover/bench/relay.go
@@ -98,13 +98,7 @@
 		return nil, err
 	}
 	e := &emitter{sent: map[string]time.Time{}}
-	mux := http.NewServeMux()
-	mux.HandleFunc("POST /v1/streams", e.stream)
-	mux.HandleFunc("POST /v1/cancel", func(http.ResponseWriter, *http.Request) {})
-	mux.HandleFunc("GET /v1/status", func(w http.ResponseWriter, _ *http.Request) { _ = json.NewEncoder(w).Encode(e.status()) })
-	srv := &http.Server{Handler: mux, ReadHeaderTimeout: time.Second}
-	go func() { _ = srv.Serve(ln) }()
-	defer srv.Close()
+	defer serveEngine(ln, e.stream, func(w http.ResponseWriter, _ *http.Request) { _ = json.NewEncoder(w).Encode(e.status()) }).Close()
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	r, err := newRelayRig(ctx, ln.Addr().String())
@@ -190,3 +184,14 @@
 	r.daemons = append(r.daemons, d)
 	return r.waitServing(ctx, "relay")
 }
+
+// serveEngine serves the calls that a daemon makes to an engine.
+func serveEngine(ln net.Listener, stream, status http.HandlerFunc) *http.Server {
+	mux := http.NewServeMux()
+	mux.HandleFunc("POST /v1/streams", stream)
+	mux.HandleFunc("POST /v1/cancel", func(http.ResponseWriter, *http.Request) {})
+	mux.HandleFunc("GET /v1/status", status)
+	srv := &http.Server{Handler: mux, ReadHeaderTimeout: time.Second}
+	go func() { _ = srv.Serve(ln) }()
+	return srv
+}
--- a/prover/bench/slopes.go
+++ b/prover/bench/slopes.go
@@ -77,13 +77,7 @@
 	}
 	p := &pacer{}
 	p.pause.Store(int64(relayPause))
-	mux := http.NewServeMux()
-	mux.HandleFunc("POST /v1/streams", p.stream)
-	mux.HandleFunc("POST /v1/cancel", func(http.ResponseWriter, *http.Request) {})
-	mux.HandleFunc("GET /v1/status", p.status)
-	srv := &http.Server{Handler: mux, ReadHeaderTimeout: time.Second}
-	go func() { _ = srv.Serve(ln) }()
-	defer srv.Close()
+	defer serveEngine(ln, p.stream, p.status).Close()
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	r, err := newRelayRig(ctx, ln.Addr().String())
--- a/prover/mixed_site_test.go
+++ b/prover/mixed_site_test.go
@@ -76,15 +76,7 @@
 	var err error
 	m.platform, err = m.Platform()
 	is.NoErr(err)
-	is.NoErr(m.Account(t.Context(), account))
-	is.NoErr(m.Put(t.Context(), &catalogue.Entry{
-		Kind: patched.Kind, Name: patched.Name, Owner: "team", Class: catalogue.ClassStandard,
-		Model: &catalogue.Model{Layers: layers, MaxTokens: 4096},
-	}))
-	is.NoErr(m.Put(t.Context(), &catalogue.Entry{
-		Kind: replaced.Kind, Name: replaced.Name, Owner: "team", Class: catalogue.ClassStandard,
-		Service: &catalogue.Service{IdempotentMethods: []string{http.MethodGet}},
-	}))
+	createEntries(t, m.Launcher)
 	for i := range mixedEngines {
 		m.addEngine(i)
 	}
--- a/prover/site_test.go
+++ b/prover/site_test.go
@@ -62,15 +62,7 @@
 	var err error
 	s.platform, err = s.Platform()
 	is.NoErr(err)
-	is.NoErr(s.Account(t.Context(), account))
-	is.NoErr(s.Put(t.Context(), &catalogue.Entry{
-		Kind: patched.Kind, Name: patched.Name, Owner: "team", Class: catalogue.ClassStandard,
-		Model: &catalogue.Model{Layers: layers, MaxTokens: 4096},
-	}))
-	is.NoErr(s.Put(t.Context(), &catalogue.Entry{
-		Kind: replaced.Kind, Name: replaced.Name, Owner: "team", Class: catalogue.ClassStandard,
-		Service: &catalogue.Service{IdempotentMethods: []string{http.MethodGet}},
-	}))
+	createEntries(t, s.Launcher)
 	for i := range daemons {
 		d, err := s.Daemon(fmt.Sprintf("entry-%d", i), "dc-a")
 		is.NoErr(err)
@@ -206,3 +198,19 @@
 	}
 	return true
 }
+
+// createEntries writes an account, a model and a service straight to the
+// platform.
+func createEntries(t *testing.T, l *launcher.Launcher) {
+	t.Helper()
+	is := is.New(t)
+	is.NoErr(l.Account(t.Context(), account))
+	is.NoErr(l.Put(t.Context(), &catalogue.Entry{
+		Kind: patched.Kind, Name: patched.Name, Owner: "team", Class: catalogue.ClassStandard,
+		Model: &catalogue.Model{Layers: layers, MaxTokens: 4096},
+	}))
+	is.NoErr(l.Put(t.Context(), &catalogue.Entry{
+		Kind: replaced.Kind, Name: replaced.Name, Owner: "team", Class: catalogue.ClassStandard,
+		Service: &catalogue.Service{IdempotentMethods: []string{http.MethodGet}},
+	}))
+}
