--- a/oleanderfake/journaler/journaler.go
+++ b/oleanderfake/journaler/journaler.go
@@ -23,6 +23,9 @@
 	file    *os.File
 }
 
+// InMemory returns a journal without a file.
+func InMemory[T any]() *Journal[T] { return &Journal[T]{} }
+
 // New opens a journal; an empty path keeps it in memory only.
 func New[T any](path string) (*Journal[T], error) {
 	j := &Journal[T]{}
--- a/oleanderfake/storer/handler.go
+++ b/oleanderfake/storer/handler.go
@@ -26,6 +26,7 @@
 	r.GET("/v1/watch/:kind", s.handleWatch)
 	r.GET("/v1/hosts", s.handleHosts)
 	r.PUT("/v1/hosts/:id", s.handleRegister)
+	r.Handler(http.MethodGet, "/journal", s.journal)
 	r.POST("/faults", s.handleFaults)
 	r.GET("/calls", func(w http.ResponseWriter, _ *http.Request, _ httprouter.Params) {
 		responder.Write(w, http.StatusOK, s.calls.snapshot())
--- a/oleanderfake/storer/storer.go
+++ b/oleanderfake/storer/storer.go
@@ -19,6 +19,7 @@
 
 	"oleandercove.example/core/platform"
 	"oleandercove.example/core/unit"
+	"oleandercove.example/oleanderfake/journaler"
 )
 
 // Options configures a Store.
@@ -37,9 +38,20 @@
 	name string
 }
 
+// Record is one write that took effect.
+type Record struct {
+	Kind     platform.Kind
+	Name     string
+	Version  unit.Version
+	Revision unit.Revision
+	WriteID  string
+	At       time.Time
+}
+
 // Store keeps the objects and the host list in memory.
 type Store struct {
 	options Options
+	journal *journaler.Journal[Record]
 	faults  *injector
 	calls   *counter
 
@@ -55,6 +67,7 @@
 func New(o Options) *Store {
 	return &Store{
 		options: o,
+		journal: journaler.InMemory[Record](),
 		faults:  newInjector(o),
 		calls:   &counter{},
 		objects: map[key]platform.Object{},
@@ -85,6 +98,7 @@
 		WriteID: writeID, Value: value, Deleted: deleted,
 	}
 	s.objects[k] = o
+	s.journal.Append(Record{Kind: kind, Name: name, Version: o.Version, Revision: o.Revision, WriteID: writeID, At: time.Now()})
 	close(s.changed)
 	s.changed = make(chan struct{})
 	return o, true
