limiter: hash shard keys with xxhash

Cause: the limiter had a hash function of its own beside the library that the module uses elsewhere. Change: xxhash. Behaviour is unchanged.

--- a/oleandercove/limiter/limiter.go
+++ b/oleandercove/limiter/limiter.go
@@ -20,6 +20,8 @@
 	"sync"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"oleandercove.example/core/catalogue"
 	"oleandercove.example/core/timer"
 	"oleandercove.example/core/unit"
@@ -110,11 +112,7 @@
 }
 
 func (l *Limiter) shard(k catalogue.Key) *shard {
-	h := uint32(2166136261) // FNV-1a
-	for i := range len(k.Name) {
-		h = (h ^ uint32(k.Name[i])) * 16777619
-	}
-	return &l.shards[h%shardCount]
+	return &l.shards[xxhash.Sum64String(string(k.Name))%shardCount]
 }
 
 // Handle refuses a request whose account or entry has used up a limit.
