caller: test the progress limit without the machine's speed

Cause: TestServe compared the time of an answer with a deadline that left 20 ms; one row failed once at a load average of 37. Ruled out: a wider margin in the product, which would shorten every booking's time for the sake of the test.

--- a/oleandercove/caller/caller_test.go
+++ b/oleandercove/caller/caller_test.go
@@ -105,7 +105,10 @@
 				first = worker(t, &ran, row.first)
 			}
 			c := newCaller(first, worker(t, &ran, ok))
-			r := newCall(row.method, 2*time.Second)
+			// The entry's timeout ends a silent attempt long before the deadline, so
+			// that the check below does not depend on the speed of the machine.
+			r := newCall(row.method, 30*time.Second)
+			r.Entry.Service.TimeoutMs = 500
 			ctx, cancel := context.WithDeadline(t.Context(), r.Deadline)
 			defer cancel()
 			err := c.Serve(ctx, r)
