quarantiner: withdraw marks on the peers too

Cause: a request that passed the position of its crash lost its marks on the daemon that served it, but not on the others. The same prompt in a second, independent crash on another daemon within an hour was refused as poison. Ruled out: a shorter memory for marks, which forgets real poison requests. Change: withdrawals are shared as newer versions of the marks.

--- a/oleandercove/quarantiner/book.go
+++ b/oleandercove/quarantiner/book.go
@@ -1,6 +1,9 @@
 package quarantiner
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 // Mark says that a request was running on a backend server that crashed.
 type Mark struct {
@@ -10,6 +13,9 @@
 	Progressed  bool
 	Isolated    bool
 	At          time.Time
+	// Cleared withdraws the mark, because the request passed its position on
+	// another backend server.
+	Cleared bool
 }
 
 // record holds the marks of one request.
@@ -105,19 +111,32 @@
 	return false
 }
 
-// passed drops the marks of a request that got beyond all its crashes.
-func (b *book) passed(f Fingerprint, position int) bool {
+// passed drops and returns the marks of a request that got beyond all its
+// crashes.
+func (b *book) passed(f Fingerprint, position int) []Mark {
 	r := b.records[f]
 	if r == nil || !r.poison.IsZero() {
-		return false
+		return nil
 	}
 	for _, m := range r.marks {
 		if position <= m.Position+1 {
-			return false
+			return nil
 		}
 	}
 	delete(b.records, f)
-	return true
+	return r.marks
+}
+
+// clear drops one mark that a peer has withdrawn.
+func (b *book) clear(f Fingerprint, c CrashID) {
+	r := b.records[f]
+	if r == nil {
+		return
+	}
+	r.marks = slices.DeleteFunc(r.marks, func(m Mark) bool { return m.Crash == c })
+	if len(r.marks) == 0 && r.poison.IsZero() {
+		delete(b.records, f)
+	}
 }
 
 // prune drops what is older than the memory, at most once a minute.
--- a/oleandercove/quarantiner/book_test.go
+++ b/oleandercove/quarantiner/book_test.go
@@ -5,6 +5,8 @@
 	"time"
 
 	"github.com/matryer/is"
+
+	"oleandercove.example/core/timer"
 )
 
 func TestConviction(t *testing.T) {
@@ -52,8 +54,8 @@
 	now := time.Unix(1_000_000, 0)
 	b := newBook()
 	b.add(Mark{Fingerprint: 1, Crash: "a", Position: 30, Progressed: true, At: now}, now)
-	is.Equal(b.passed(1, 31), false) // a poison request may crash again at the next token
-	is.Equal(b.passed(1, 32), true)
+	is.Equal(len(b.passed(1, 31)), 0) // a poison request may crash again at the next token
+	is.Equal(len(b.passed(1, 32)), 1)
 	b.add(Mark{Fingerprint: 1, Crash: "b", Position: 60, Progressed: true, At: now}, now)
 	is.Equal(b.convicted(1, now), false)
 }
@@ -83,8 +85,24 @@
 			b.add(Mark{Fingerprint: f, Crash: c, Position: 10, Progressed: true, At: now}, now)
 		}
 	}
-	is.True(b.passed(0, 20))
-	is.True(b.passed(1, 20))
+	is.Equal(len(b.passed(0, 20)), 2)
+	is.Equal(len(b.passed(1, 20)), 2)
 	is.Equal(b.convicted(2, now.Add(settleDelay)), false)
 	is.Equal(b.suspect(2, now), true)
 }
+
+// TestClearedOnPeers guards against a request that is convicted by a second,
+// independent crash on a daemon that was never told that it had passed the first.
+func TestClearedOnPeers(t *testing.T) {
+	is := is.New(t)
+	now := timer.NewManual(time.Unix(1_000_000, 0))
+	peer := New(Options{Timer: now})
+	owner := New(Options{Timer: now, Share: peer.Merge})
+	first := Mark{Fingerprint: 1, Crash: "a", Position: 30, Progressed: true, At: now.Now()}
+	owner.Merge(first)
+	peer.Merge(first)
+	is.True(owner.Passed(1, 40))
+	peer.Merge(Mark{Fingerprint: 1, Crash: "b", Position: 5, Progressed: true, At: now.Now()})
+	now.Advance(settleDelay)
+	is.Equal(peer.convicted(1), false)
+}
--- a/oleandercove/quarantiner/quarantiner.go
+++ b/oleandercove/quarantiner/quarantiner.go
@@ -183,12 +183,23 @@
 }
 
 // Passed tells that the caller has received a number of tokens. It returns true
-// if the request got beyond the positions of its crashes and is cleared; the
-// caller then leaves.
+// if the request got beyond the positions of its crashes and is cleared, on the
+// peers too; the caller then leaves.
 func (q *Quarantiner) Passed(f Fingerprint, position int) bool {
 	q.mu.Lock()
-	defer q.mu.Unlock()
-	return q.marks.passed(f, position)
+	cleared := q.marks.passed(f, position)
+	q.mu.Unlock()
+	for _, m := range cleared {
+		m.Cleared = true
+		q.share(m)
+	}
+	return len(cleared) > 0
+}
+
+func (q *Quarantiner) share(m Mark) {
+	if q.options.Share != nil {
+		q.options.Share(m)
+	}
 }
 
 // Failed marks the request if the process of the backend server has ended. It
@@ -202,9 +213,7 @@
 		Progressed: c.Progressed, Isolated: c.Isolated, At: q.options.Timer.Now(),
 	}
 	q.Merge(m)
-	if q.options.Share != nil {
-		q.options.Share(m)
-	}
+	q.share(m)
 	q.options.Recorder.Record(recorder.Event{Request: r, Part: "quarantiner", Decision: "Mark", Cause: string(c.ID())})
 	if !q.convicted(f) {
 		return nil
@@ -213,9 +222,13 @@
 	return refusal(verdict.MayHaveRun, f)
 }
 
-// Merge takes over a mark of this daemon or a peer.
+// Merge takes over a mark of this daemon or a peer, or its withdrawal.
 func (q *Quarantiner) Merge(m Mark) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
+	if m.Cleared {
+		q.marks.clear(m.Fingerprint, m.Crash)
+		return
+	}
 	q.marks.add(m, q.options.Timer.Now())
 }
--- a/oleandercove/quarantiner/sharer.go
+++ b/oleandercove/quarantiner/sharer.go
@@ -15,6 +15,12 @@
 	"oleandercove.example/wire/peer"
 )
 
+// A withdrawal replaces its mark, in whatever order they arrive.
+const (
+	markVersion    = 1
+	clearedVersion = 2
+)
+
 // ForgetInterval is the time between two calls of Forget.
 const ForgetInterval = time.Minute
 
@@ -38,13 +44,17 @@
 func (s *Sharer) share(m Mark) {
 	v, err := proto.Marshal(&peer.Mark{
 		Fingerprint: uint64(m.Fingerprint), Crash: string(m.Crash), Position: uint32(m.Position),
-		Progressed: m.Progressed, Isolated: m.Isolated, At: m.At.UnixMilli(),
+		Progressed: m.Progressed, Isolated: m.Isolated, At: m.At.UnixMilli(), Cleared: m.Cleared,
 	})
 	if err != nil {
 		s.log.Error("could not encode a mark", "err", err)
 		return
 	}
-	s.table.Set(replicator.Item{Key: fmt.Sprintf("%s/%s", m.Fingerprint, m.Crash), Version: 1, Value: v})
+	version := uint64(markVersion)
+	if m.Cleared {
+		version = clearedVersion
+	}
+	s.table.Set(replicator.Item{Key: fmt.Sprintf("%s/%s", m.Fingerprint, m.Crash), Version: version, Value: v})
 }
 
 func (s *Sharer) receive(q *Quarantiner, items []replicator.Item) {
@@ -56,7 +66,7 @@
 		}
 		q.Merge(Mark{
 			Fingerprint: Fingerprint(m.GetFingerprint()), Crash: CrashID(m.GetCrash()), Position: int(m.GetPosition()),
-			Progressed: m.GetProgressed(), Isolated: m.GetIsolated(), At: time.UnixMilli(m.GetAt()),
+			Progressed: m.GetProgressed(), Isolated: m.GetIsolated(), At: time.UnixMilli(m.GetAt()), Cleared: m.GetCleared(),
 		})
 	}
 }
