allocator: convert limit messages in one place

Cause: four functions of the codec had the same loop. Ruled out: one type for demands and slices, which would hide which is which. Change: a generic convert. After: go test -race ./oleandercove/allocator ./oleandercove/limiter passes, and make lint.

--- a/oleandercove/allocator/codec.go
+++ b/oleandercove/allocator/codec.go
@@ -28,35 +28,36 @@
 }
 
 func encode(demands []limiter.Demand) *peer.LimitReport {
-	m := &peer.LimitReport{}
-	for _, d := range demands {
-		m.Demands = append(m.Demands, encodeAmounts(d.Key, d.Wanted))
-	}
-	return m
+	return &peer.LimitReport{Demands: convert(demands, func(d limiter.Demand) *peer.LimitDemand {
+		return encodeAmounts(d.Key, d.Wanted)
+	})}
 }
 
 func decode(m *peer.LimitReport) []limiter.Demand {
-	var out []limiter.Demand
-	for _, d := range m.GetDemands() {
+	return convert(m.GetDemands(), func(d *peer.LimitDemand) limiter.Demand {
 		k, a := decodeAmounts(d)
-		out = append(out, limiter.Demand{Key: k, Wanted: a})
-	}
-	return out
+		return limiter.Demand{Key: k, Wanted: a}
+	})
 }
 
 func encodeSlices(slices []limiter.Slice) *peer.LimitSlices {
-	m := &peer.LimitSlices{}
-	for _, s := range slices {
-		m.Slices = append(m.Slices, encodeAmounts(s.Key, s.Granted))
-	}
-	return m
+	return &peer.LimitSlices{Slices: convert(slices, func(s limiter.Slice) *peer.LimitDemand {
+		return encodeAmounts(s.Key, s.Granted)
+	})}
 }
 
 func decodeSlices(m *peer.LimitSlices) []limiter.Slice {
-	var out []limiter.Slice
-	for _, s := range m.GetSlices() {
+	return convert(m.GetSlices(), func(s *peer.LimitDemand) limiter.Slice {
 		k, a := decodeAmounts(s)
-		out = append(out, limiter.Slice{Key: k, Granted: a})
+		return limiter.Slice{Key: k, Granted: a}
+	})
+}
+
+// convert applies fn to each item.
+func convert[A, B any](items []A, fn func(A) B) []B {
+	out := make([]B, 0, len(items))
+	for _, i := range items {
+		out = append(out, fn(i))
 	}
 	return out
 }
