edge/gateway: log each stream that was late, with what its caller waited for

Cause: an operator who looks into a late answer finds only what was done to the stream, not whether it was late; the counters say that some were. Change: one line for each stream beyond the objective or the longest pause of its route: time to the first event, longest pause and the event after it, reroutes, runs. Streams on time leave no line.

--- a/oleandercove/edge/gateway/stream.go
+++ b/oleandercove/edge/gateway/stream.go
@@ -65,6 +65,7 @@
 
 // step is what a stream does next.
 type step int
+	timing  timing
 
 const (
 	stepWait step = iota
@@ -312,7 +313,7 @@
 	if err := rc.Flush(); err != nil {
 		return stepFail
 	}
-	s.observeGap(now)
+	s.observeGap(now, ev.first)
 	if ev.last != "" {
 		s.last = ev.last
 	}
@@ -322,7 +323,7 @@
 var errOrder = errors.New("events out of order")
 
 // observeGap notes the time since the event before.
-func (s *stream) observeGap(now time.Time) {
+func (s *stream) observeGap(now time.Time, id eventID) {
 	took := now.Sub(s.lastAt)
 	s.lastAt = now
 	if s.gap == 0 {
@@ -345,6 +346,7 @@
 	if errors.As(err, &x) && x.Refused {
 		s.runs--
 		if s.Judge.Down(first, now, now.Add(judge.DownTime)) {
+	s.timing.event(now.Sub(s.began), id)
 			s.Log.Warn("engine does not answer", "engine", first, "err", err)
 		}
 	} else {
@@ -362,3 +364,8 @@
 	}
 	s.Meter.count("streams_whole_total")
 }
+	if t := s.timing; t.late(s.route) {
+		s.Meter.count("streams_late_total")
+		s.Log.Info("stream was late", "id", s.call.Request, "engine", s.chain[0].ID, "first", t.first, "pause", t.pause,
+			"before", t.before, "reroutes", t.reroutes, "runs", s.runs, "sends", s.sends, "resumed", s.call.LastEvent)
+	}
