edge/observer: notice the end of an engine by its connection

Ruled out: a shorter silence, which asks engines at every slow pass. Change: the holder of the placement lease reads the reports over kept connections. One that ends has its engine asked anew, and all peers are told at once.

--- a/oleandercove/edge/assigner/assigner.go
+++ b/oleandercove/edge/assigner/assigner.go
@@ -28,6 +28,7 @@
 	"oleandercove.example/oleandercove/edge/directory"
 	"oleandercove.example/oleandercove/edge/judge"
 	"oleandercove.example/oleandercove/edge/ledger"
+	"oleandercove.example/oleandercove/edge/observer"
 	"oleandercove.example/oleandercove/edge/partitioner"
 	"oleandercove.example/oleandercove/edge/prober"
 )
@@ -62,6 +63,7 @@
 	Directory *directory.Directory
 	Engines   Engines
 	Prober    *prober.Prober
+	Observer  *observer.Observer
 	Judge     *judge.Judge
 	Ledger    *ledger.Ledger
 	Timer     timer.Service
@@ -147,6 +149,7 @@
 // reset forgets orders of an earlier lease: the next holder may have given
 // others since.
 func (a *Assigner) reset() {
+	a.Observer.Keep(nil)
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	clear(a.orders)
@@ -291,13 +294,14 @@
 	var states []State
 	p := pool.New().WithMaxGoroutines(ordersAtOnce)
 	now := a.Timer.Now()
+	a.Observer.Keep(a.Directory.Servers().All())
 	for _, x := range a.Directory.Servers().All() {
 		s := table.Service(x.Service)
 		if s == nil || s.Engine == nil || a.Judge.IsDown(x.ID, now) {
 			continue
 		}
 		p.Go(func() {
-			r, err := a.Prober.Report(ctx, x.ID, x.Address)
+			r, err := a.Observer.Report(ctx, x.ID, x.Address)
 			if err != nil {
 				return
 			}
--- /dev/null
+++ b/oleandercove/edge/observer/observer.go
@@ -0,0 +1,139 @@
+// Package observer watches engines over kept connections and finds out at once
+// that the process of one has ended.
+//
+// A stream that crosses several engines only becomes silent when one of them
+// ends, and silence takes a quarter of a second to be told from a slow pass. The
+// connection to a process ends with it. An engine whose connection has ended is
+// asked anew before it counts as down, because engines also close connections for
+// other reasons, and then all peers are told.
+//
+// Load pattern: the process of one engine of a copy ends while some hundred
+// streams of several daemons cross it.
+//
+// Usage:
+//
+//	o := observer.New(observer.Options{Open: open, Prober: p, Urge: a.Urge, Log: l})
+//	report, err := o.Report(ctx, server.ID, server.Address)
+//	o.Keep(servers)
+package observer
+
+import (
+	"context"
+	"sync"
+
+	"github.com/charmbracelet/log"
+
+	"oleandercove.example/core/backend"
+	"oleandercove.example/core/unit"
+	"oleandercove.example/oleandercove/edge/prober"
+)
+
+// Link is a kept connection to one engine.
+type Link interface {
+	Report(ctx context.Context) (backend.Report, error)
+	Close()
+}
+
+// Open connects to an engine. The function ended is called if the engine ends
+// the connection.
+type Open func(ctx context.Context, a backend.Address, ended func()) (Link, error)
+
+// Options configures an Observer.
+type Options struct {
+	Open   Open
+	Prober *prober.Prober
+	// Urge tells all peers at once which engines are down.
+	Urge func()
+	Log  *log.Logger
+}
+
+// target is an engine that is watched.
+type target struct {
+	id      unit.BackendID
+	address backend.Address
+}
+
+// Observer holds the connections. It is safe for concurrent use.
+type Observer struct {
+	Options
+	mu    sync.Mutex
+	links map[target]Link
+}
+
+// New returns an Observer without connections.
+func New(o Options) *Observer { return &Observer{Options: o, links: map[target]Link{}} }
+
+// Report reads the report of an engine over its connection, which is opened if
+// there is none. Without an answer the engine is asked over a new connection.
+func (o *Observer) Report(ctx context.Context, id unit.BackendID, a backend.Address) (backend.Report, error) {
+	t := target{id: id, address: a}
+	if l := o.link(ctx, t); l != nil {
+		report, err := l.Report(ctx)
+		if err == nil {
+			return report, nil
+		}
+		o.Log.Debug("no report over the kept connection", "engine", id, "err", err)
+		o.drop(t, l)
+	}
+	return o.Prober.Report(ctx, id, a)
+}
+
+// link returns the connection to an engine, or nil if it can't be opened.
+func (o *Observer) link(ctx context.Context, t target) Link {
+	o.mu.Lock()
+	l := o.links[t]
+	o.mu.Unlock()
+	if l != nil {
+		return l
+	}
+	var opened Link
+	ready := make(chan struct{})
+	opened, err := o.Open(ctx, t.address, func() {
+		<-ready
+		o.ended(t, opened)
+	})
+	if err != nil {
+		o.Log.Debug("connection to an engine not opened", "engine", t.id, "err", err)
+		return nil
+	}
+	o.mu.Lock()
+	o.links[t] = opened
+	o.mu.Unlock()
+	close(ready)
+	return opened
+}
+
+// drop closes a connection and forgets it.
+func (o *Observer) drop(t target, l Link) {
+	l.Close()
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if o.links[t] == l {
+		delete(o.links, t)
+	}
+}
+
+// ended asks an engine whose connection has ended whether it still lives.
+func (o *Observer) ended(t target, l Link) {
+	o.drop(t, l)
+	if _, err := o.Prober.Report(context.Background(), t.id, t.address); err != nil {
+		o.Log.Info("engine ended its connection", "engine", t.id, "err", err)
+		o.Urge()
+	}
+}
+
+// Keep closes the connections to all other engines than these.
+func (o *Observer) Keep(servers []backend.Server) {
+	wanted := make(map[target]bool, len(servers))
+	for _, s := range servers {
+		wanted[target{id: s.ID, address: s.Address}] = true
+	}
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	for t, l := range o.links {
+		if !wanted[t] {
+			l.Close()
+			delete(o.links, t)
+		}
+	}
+}
--- a/oleandercove/edge/runner/runner.go
+++ b/oleandercove/edge/runner/runner.go
@@ -24,6 +24,7 @@
 
 	"github.com/charmbracelet/log"
 	"github.com/sourcegraph/conc"
+	"oleandercove.example/core/backend"
 
 	"oleandercove.example/core/logger"
 	objects "oleandercove.example/core/platform"
@@ -37,6 +38,7 @@
 	"oleandercove.example/oleandercove/edge/follower"
 	"oleandercove.example/oleandercove/edge/gateway"
 	"oleandercove.example/oleandercove/edge/judge"
+	"oleandercove.example/oleandercove/edge/observer"
 	"oleandercove.example/oleandercove/edge/ledger"
 	"oleandercove.example/oleandercove/edge/prober"
 	"oleandercove.example/oleandercove/edge/rationer"
@@ -134,6 +136,12 @@
 	r.follower = follower.New(follower.Options{
 		Host: s.Host, Directory: r.directory, Syncer: syncer, Peers: a.Peers, Timer: r.timer, Log: r.log.WithPrefix("follower"),
 	})
+	o := observer.New(observer.Options{
+		Open: func(ctx context.Context, at backend.Address, ended func()) (observer.Link, error) {
+			return engines.OpenLink(ctx, at, ended)
+		},
+		Prober: p, Urge: a.Urge, Log: r.log.WithPrefix("observer"),
+	})
 	r.leaser = r.newLeaser(store)
 	r.assigner = assigner.New(assigner.Options{
 		Directory: r.directory, Engines: engines, Prober: p, Judge: j, Ledger: l, Timer: r.timer,
