edge/gateway: spread the recovery of streams, across the link last

Change: a stream keeps to the data centres of its chain, else it is resumed along a chain of another one, and crosses the link last. Also: a response is not cut while its first engine answers or has been silent only for a moment. TestSilence fails without it.

--- a/oleandercove/edge/gateway/stream.go
+++ b/oleandercove/edge/gateway/stream.go
@@ -43,7 +43,12 @@
 	mu    sync.Mutex
 	chain backend.Chain
 
-	path     pathfinder.Path
+	path pathfinder.Path
+	// replaceAt is when the engines that are down are taken out of the chain; it is
+	// nil while none is known to be.
+	replaceAt <-chan time.Time
+	// reserved is the chain of the next attempt, paid for from the retry budget.
+	reserved *pathfinder.Path
 	ticket   *ledger.Ticket
 	cancel   context.CancelFunc
 	messages <-chan message
@@ -60,12 +65,12 @@
 	last    eventID
 	lastAt  time.Time
 	gap     time.Duration
+	timing  timing
 	failure error
 }
 
 // step is what a stream does next.
 type step int
-	timing  timing
 
 const (
 	stepWait step = iota
@@ -131,17 +136,12 @@
 	if err := s.checkKeys(); err != nil {
 		return err
 	}
-	p, err := s.choose("")
+	p, err := s.nextPath()
 	if err != nil {
 		return err
 	}
-	if s.sends > 0 && !s.Budgeter.Again(s.service.Name) {
-		return verdict.New(verdict.NotRun, verdict.Overloaded, "retry budget is used up").After(capacityPause)
-	}
-	if s.sends == 0 {
-		s.Budgeter.First(s.service.Name)
-	}
 	s.takePath(p)
+	s.replaceAt = nil
 	ctx, cancel := context.WithCancel(s.ctx)
 	s.cancel = cancel
 	s.sends++
@@ -160,6 +160,24 @@
 	return nil
 }
 
+// nextPath returns the chain of the next attempt.
+func (s *stream) nextPath() (pathfinder.Path, *verdict.Error) {
+	if p := s.reserved; p != nil {
+		s.reserved = nil
+		return *p, nil
+	}
+	p, err := s.choose("")
+	if err != nil {
+		return p, err
+	}
+	if s.sends == 0 {
+		s.Budgeter.First(s.service.Name)
+	} else if !s.Budgeter.Again(s.service.Name) {
+		return p, verdict.New(verdict.NotRun, verdict.Overloaded, "retry budget is used up").After(capacityPause)
+	}
+	return p, nil
+}
+
 func (s *stream) endAttempt() {
 	if s.cancel != nil {
 		s.cancel()
@@ -197,6 +215,8 @@
 			next = s.lookInto()
 			timer.Reset(s.stallTime())
 		case <-s.lost:
+			next = s.replaceSoon()
+		case <-s.replaceAt:
 			next = s.replace()
 		case <-s.ctx.Done():
 			return stepFail
@@ -326,6 +346,7 @@
 func (s *stream) observeGap(now time.Time, id eventID) {
 	took := now.Sub(s.lastAt)
 	s.lastAt = now
+	s.timing.event(now.Sub(s.began), id)
 	if s.gap == 0 {
 		s.Meter.firstEvent.RecordDuration(now.Sub(s.began))
 		s.gap = max(time.Millisecond, s.path.Pass.Duration())
@@ -346,14 +367,17 @@
 	if errors.As(err, &x) && x.Refused {
 		s.runs--
 		if s.Judge.Down(first, now, now.Add(judge.DownTime)) {
-	s.timing.event(now.Sub(s.began), id)
 			s.Log.Warn("engine does not answer", "engine", first, "err", err)
 		}
 	} else {
 		s.Judge.Failed(first, now)
 	}
 	s.Log.Info("stream broke off", "id", s.call.Request, "engine", first, "last", s.last, "runs", s.runs, "err", err)
-	return s.again()
+	next := s.again()
+	if next == stepAgain {
+		s.awaitTurn()
+	}
+	return next
 }
 
 // ended notes a whole stream.
@@ -363,9 +387,9 @@
 		s.Judge.Succeeded(h.ID, now.Sub(s.lastAt))
 	}
 	s.Meter.count("streams_whole_total")
-}
 	if t := s.timing; t.late(s.route) {
 		s.Meter.count("streams_late_total")
 		s.Log.Info("stream was late", "id", s.call.Request, "engine", s.chain[0].ID, "first", t.first, "pause", t.pause,
 			"before", t.before, "reroutes", t.reroutes, "runs", s.runs, "sends", s.sends, "resumed", s.call.LastEvent)
 	}
+}
--- a/oleandercove/edge/gateway/stream_test.go
+++ b/oleandercove/edge/gateway/stream_test.go
@@ -8,9 +8,13 @@
 	"github.com/matryer/is"
 
 	"oleandercove.example/core/backend"
+	"oleandercove.example/core/logger"
 	"oleandercove.example/core/routing"
 	"oleandercove.example/core/timer"
+	"oleandercove.example/core/unit"
+	"oleandercove.example/oleandercove/edge/directory"
 	"oleandercove.example/oleandercove/edge/judge"
+	"oleandercove.example/oleandercove/edge/ledger"
 	"oleandercove.example/oleandercove/edge/pathfinder"
 )
 
@@ -29,6 +33,22 @@
 	}
 }
 
+// newLostStream returns a stream whose engines are an open first one, "head", and
+// "tail", and which may not be sent again.
+func newLostStream(t *testing.T, silent time.Duration) (*stream, *judge.Judge) {
+	clock, j := timer.NewReal(), judge.New()
+	g := &Gateway{Options: Options{Judge: j, Timer: clock, Directory: directory.New(logger.Discard()), Ledger: ledger.New()}}
+	s := &stream{
+		job: &job{
+			Gateway: g, route: &routing.Route{Attempts: 2, Repeat: routing.Resumable}, deadline: time.Now().Add(time.Minute),
+			service: &routing.Service{Engine: &routing.Engine{}},
+		},
+		ctx: t.Context(), lost: make(chan struct{}, 1), runs: 2, sends: 2, lastAt: time.Now().Add(-silent),
+	}
+	s.setChain(pathfinder.Path{Chain: backend.Chain{{ID: "head"}, {ID: "tail"}}})
+	return s, j
+}
+
 // TestLossyLink replays a stream whose first engine is silent behind a link that
 // loses packets, while it goes on to run. It guards against a request that runs on
 // more engines than its route allows.
@@ -44,22 +64,37 @@
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
 			is := is.New(t)
-			clock := timer.NewReal()
-			j := judge.New()
-			now := clock.Now()
-			j.Down("e", now, now.Add(time.Minute))
+			s, j := newLostStream(t, 2*resumePatience)
+			now := s.Timer.Now()
+			j.Down("head", now, now.Add(time.Minute))
 			if tt.ended {
-				j.Ended("e", now)
-			}
-			g := &Gateway{Options: Options{Judge: j, Timer: clock}}
-			s := &stream{
-				job: &job{
-					Gateway: g, route: &routing.Route{Attempts: 2, Repeat: routing.Resumable}, deadline: time.Now().Add(time.Minute),
-					service: &routing.Service{Engine: &routing.Engine{}},
-				},
-				ctx: t.Context(), lost: make(chan struct{}, 1), runs: 2, sends: 2,
+				j.Ended("head", now)
 			}
-			s.setChain(pathfinder.Path{Chain: backend.Chain{{ID: "e"}}})
+			is.Equal(s.replace(), tt.want)
+		})
+	}
+}
+
+// TestSilence replays servers that are replaced one after the other while a stream
+// may not be sent again. It guards against a response that is cut although its
+// first engine still runs it.
+func TestSilence(t *testing.T) {
+	tests := []struct {
+		name   string
+		down   unit.BackendID
+		silent time.Duration
+		want   step
+	}{
+		{"later engine is down, first one answers", "tail", 2 * resumePatience, stepWait},
+		{"first engine is silent for a moment", "head", resumePatience / 2, stepWait},
+		{"first engine is silent for long", "head", 2 * resumePatience, stepFail},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			s, j := newLostStream(t, tt.silent)
+			now := s.Timer.Now()
+			j.Down(tt.down, now, now.Add(time.Minute))
 			is.Equal(s.replace(), tt.want)
 		})
 	}
--- a/oleandercove/edge/pathfinder/pathfinder.go
+++ b/oleandercove/edge/pathfinder/pathfinder.go
@@ -68,6 +68,9 @@
 	First unit.BackendID
 	// Stay forbids chains that cross between data centres.
 	Stay bool
+	// Hurry counts the prompts that engines still have to read, for a request
+	// whose caller already waits.
+	Hurry bool
 	// Random returns a number in [0, 1).
 	Random func() float64
 }
@@ -147,6 +150,7 @@
 	crossing float64
 	first    unit.BackendID
 	stay     bool
+	hurry    bool
 }
 
 // Find returns the chain with the lowest cost, or false if no engines with room
@@ -170,7 +174,7 @@
 }
 
 func newSearch(m *routing.Engine, engines []Engine, r Request, excluded map[unit.BackendID]bool) *search {
-	s := &search{model: m, first: r.First, stay: r.Stay}
+	s := &search{model: m, first: r.First, stay: r.Stay, hurry: r.Hurry}
 	s.cuts = append(s.cuts, 0, m.Layers)
 	for _, e := range engines {
 		if excluded[e.ID] || e.Layers.Len() <= 0 || !e.Layers.Within(m.Layers) {
@@ -218,6 +222,9 @@
 			continue
 		}
 		cost := st.cost + hopCost
+		if s.hurry {
+			cost += c.wait
+		}
 		if i > 0 && dc != c.DataCentre {
 			if s.stay {
 				continue
--- a/oleandercove/edge/pathfinder/pathfinder_test.go
+++ b/oleandercove/edge/pathfinder/pathfinder_test.go
@@ -155,3 +155,21 @@
 	is.True(ok)
 	is.Equal(p.Crossings, 0)
 }
+
+// TestHurry replays the streams of a lost copy that are resumed at the same
+// moment. It guards against all of them waiting behind each other in one data
+// centre while another one has nothing to read.
+func TestHurry(t *testing.T) {
+	is := is.New(t)
+	reading := func(e Engine) Engine {
+		e.Load = ledger.Load{Running: 20, Reading: 20 * 800 * 40}
+		return e
+	}
+	engines := []Engine{
+		reading(engine("a", "x", 0, 40)), reading(engine("b", "x", 40, 80)),
+		slow(engine("c", "y", 0, 40), 1.2), slow(engine("d", "y", 40, 80), 1.2),
+	}
+	p, ok := Find(model(), engines, Request{Prompt: 760, Output: 200, Stay: true, Hurry: true})
+	is.True(ok)
+	is.Equal(names(p.Chain), "c:0-40 d:40-80 ")
+}
