edge/announcer: check an engine once for each mark of a peer

Cause: a daemon on a weak host (0.192 of a core) misses two answers and holds a sound engine to be down for four seconds. Change: a mark is checked when the beacon before did not have it.

--- a/oleandercove/edge/announcer/announcer.go
+++ b/oleandercove/edge/announcer/announcer.go
@@ -102,6 +102,28 @@
 	number      uint64
 	heard       time.Time
 	leaving     bool
+	// marks holds the servers that the last beacon said to be down.
+	marks map[unit.BackendID]bool
+}
+
+// newMarks takes over the servers that a beacon says to be down, and returns those
+// that the beacon before did not name.
+//
+// Load pattern: one daemon on a weak host holds a sound server to be down for
+// seconds and says so four times a second to a large fleet. Each daemon checks
+// that once and not at every beacon.
+func (p *remote) newMarks(list []*peer.DownMark) []unit.BackendID {
+	marks := make(map[unit.BackendID]bool, len(list))
+	var news []unit.BackendID
+	for _, m := range list {
+		id := unit.BackendID(m.Server)
+		marks[id] = true
+		if !p.marks[id] {
+			news = append(news, id)
+		}
+	}
+	p.marks = marks
+	return news
 	served      bool
 }
 
--- a/oleandercove/edge/announcer/receive.go
+++ b/oleandercove/edge/announcer/receive.go
@@ -22,12 +22,13 @@
 		return
 	}
 	now := a.Timer.Now()
-	if !a.note(&b, from, now) {
+	news, ok := a.note(&b, from, now)
+	if !ok {
 		return
 	}
 	a.takeLoads(&b, now)
-	for _, m := range b.Marks {
-		a.Suspect(unit.BackendID(m.Server))
+	for _, id := range news {
+		a.Suspect(id)
 	}
 	for _, e := range b.Engines {
 		a.takeState(e, now)
@@ -50,8 +51,9 @@
 	return backend.Layers{From: unit.Layer(from), To: unit.Layer(to)}
 }
 
-// note records a peer and tells whether the beacon is newer than the last one.
-func (a *Announcer) note(b *peer.Beacon, from *net.UDPAddr, now time.Time) bool {
+// note records a peer and tells whether the beacon is newer than the last one. It
+// returns the servers that the peer newly holds to be down.
+func (a *Announcer) note(b *peer.Beacon, from *net.UDPAddr, now time.Time) ([]unit.BackendID, bool) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	p := a.peers[from.String()]
@@ -63,10 +65,10 @@
 		a.Log.Info("peer found", "peer", b.Host, "address", from)
 	}
 	if p.incarnation == b.Incarnation && b.Number <= p.number {
-		return false
+		return nil, false
 	}
 	p.host, p.incarnation, p.number, p.heard = unit.HostID(b.Host), b.Incarnation, b.Number, now
 	p.dataCentre = unit.DataCentre(b.DataCentre)
 	p.address, p.leaving, p.served = b.Address, b.Leaving, b.Served
-	return true
+	return p.newMarks(b.Marks), true
 }
--- /dev/null
+++ b/oleandercove/edge/announcer/receive_test.go
@@ -0,0 +1,44 @@
+package announcer
+
+import (
+	"testing"
+
+	"github.com/matryer/is"
+
+	"oleandercove.example/core/unit"
+	"oleandercove.example/wire/peer"
+)
+
+func marks(ids ...string) []*peer.DownMark {
+	var out []*peer.DownMark
+	for _, id := range ids {
+		out = append(out, &peer.DownMark{Server: id, LeftMs: 4000})
+	}
+	return out
+}
+
+// TestNewMarks replays a daemon on a weak host that holds a sound server to be
+// down for some beacons. It guards against a fleet that asks the server at each
+// beacon, and against a later mark that is not checked.
+func TestNewMarks(t *testing.T) {
+	tests := []struct {
+		name    string
+		beacons [][]*peer.DownMark
+		want    []unit.BackendID
+	}{
+		{"a mark that is repeated", [][]*peer.DownMark{marks("a"), marks("a"), marks("a")}, []unit.BackendID{"a"}},
+		{"a second server", [][]*peer.DownMark{marks("a"), marks("a", "b")}, []unit.BackendID{"a", "b"}},
+		{"a server that is marked again", [][]*peer.DownMark{marks("a"), nil, marks("a")}, []unit.BackendID{"a", "a"}},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			var p remote
+			var got []unit.BackendID
+			for _, b := range tt.beacons {
+				got = append(got, p.newMarks(b)...)
+			}
+			is.Equal(got, tt.want)
+		})
+	}
+}
