edge/directory: let changes of servers gather between two watches

Cause: each answer of a watch is a paid call, and a repair of layers changes some dozen entries, each of which ended the watch of both daemons that follow the store. Change: 100 ms between an answer with changes and the next watch of servers. Conclusion: kept for the calls alone; TestChangesGather fails without it.

--- a/oleandercove/edge/directory/syncer.go
+++ b/oleandercove/edge/directory/syncer.go
@@ -18,6 +18,10 @@
 	// watchWait is how long a watch waits. A connection that has gone silent is
 	// noticed after it, and removals of servers must be known within two seconds.
 	watchWait = 600 * time.Millisecond
+	// serversRest lets changes of servers gather. Each call to the store is paid,
+	// and a repair of layers changes some dozen entries within a second. It is far
+	// below the two seconds within which a leaving server must be known.
+	serversRest = 100 * time.Millisecond
 	// retryPause is the time before a failed call is repeated, with up to as
 	// much again so that hosts don't call together.
 	retryPause = 150 * time.Millisecond
@@ -70,6 +74,9 @@
 	dep  *dependency
 	// whole takes over a list, changes what a watch returned.
 	whole, changes func(l objects.List, sent, answered time.Time)
+	// rest is the time between an answer with changes and the next watch, so that
+	// changes that follow each other come in one answer.
+	rest time.Duration
 }
 
 // RunConfiguration follows the configuration until ctx is done.
@@ -101,6 +108,7 @@
 		changes: func(l objects.List, sent, answered time.Time) {
 			s.directory.Apply(l.Objects, confirmedAt(sent, answered), answered)
 		},
+		rest: serversRest,
 	})
 }
 
@@ -142,6 +150,9 @@
 		f.dep.answered()
 		from, heard = max(from, l.Revision), true
 		f.changes(l, sent, s.timer.Now())
+		if f.rest > 0 && len(l.Objects) > 0 {
+			_ = s.timer.Sleep(ctx, f.rest)
+		}
 	}
 }
 
--- a/oleandercove/edge/directory/syncer_test.go
+++ b/oleandercove/edge/directory/syncer_test.go
@@ -81,3 +81,49 @@
 		})
 	}
 }
+
+// busyStore is a store in which a server changes every few milliseconds.
+type busyStore struct {
+	objects.Client
+	began time.Time
+	calls atomic.Int64
+}
+
+const changeInterval = 5 * time.Millisecond
+
+func (s *busyStore) revision() unit.Revision {
+	return unit.Revision(1 + time.Since(s.began)/changeInterval)
+}
+
+func (s *busyStore) List(context.Context, objects.Kind) (objects.List, error) {
+	s.calls.Add(1)
+	return objects.List{Revision: s.revision()}, nil
+}
+
+func (s *busyStore) Watch(ctx context.Context, _ objects.Kind, after unit.Revision, _ time.Duration) (objects.List, error) {
+	s.calls.Add(1)
+	for s.revision() <= after {
+		select {
+		case <-time.After(changeInterval):
+		case <-ctx.Done():
+			return objects.List{}, ctx.Err()
+		}
+	}
+	o := objects.Object{Name: "i-1", Revision: s.revision(), Value: json.RawMessage(`{}`)}
+	return objects.List{Objects: []objects.Object{o}, Revision: o.Revision}, nil
+}
+
+// TestChangesGather replays a repair of layers, in which the entries of many
+// servers change one after the other. It guards against a call to the store for
+// each change.
+func TestChangesGather(t *testing.T) {
+	const span = 5 * serversRest
+	is := is.New(t)
+	store := &busyStore{began: time.Now()}
+	s := NewSyncer(store, New(logger.Discard()), timer.NewReal(), logger.Discard())
+	ctx, cancel := context.WithTimeout(t.Context(), span)
+	defer cancel()
+	s.RunServers(ctx)
+	// One list, and one watch for each rest.
+	is.True(store.calls.Load() <= 2+int64(span/serversRest))
+}
