--- a/oleandercove/edge/gateway/recover.go
+++ b/oleandercove/edge/gateway/recover.go
@@ -154,9 +154,10 @@
 
 // mayGoOn tells whether a stream that may not be sent again can still be
 // answered by its running attempt: later engines may be replaced in a moment, and
-// silence alone does not show that the first one has ended.
+// silence alone does not show that the first one has ended. A request that has no
+// event yet fails at once instead, because its caller can ask again.
 func (s *stream) mayGoOn(now time.Time) bool {
-	return s.left() >= minAttempt && !s.Judge.HasEnded(s.chain[0].ID, now) &&
+	return s.started && s.left() >= minAttempt && !s.Judge.HasEnded(s.chain[0].ID, now) &&
 		(!s.Judge.IsDown(s.chain[0].ID, now) || time.Since(s.lastAt) < resumePatience)
 }
 
--- a/oleandercove/edge/gateway/stream_test.go
+++ b/oleandercove/edge/gateway/stream_test.go
@@ -43,7 +43,7 @@
 			Gateway: g, route: &routing.Route{Attempts: 2, Repeat: routing.Resumable}, deadline: time.Now().Add(time.Minute),
 			service: &routing.Service{Engine: &routing.Engine{}},
 		},
-		ctx: t.Context(), lost: make(chan struct{}, 1), runs: 2, sends: 2, lastAt: time.Now().Add(-silent),
+		ctx: t.Context(), lost: make(chan struct{}, 1), runs: 2, sends: 2, started: true, lastAt: time.Now().Add(-silent),
 	}
 	s.setChain(pathfinder.Path{Chain: backend.Chain{{ID: "head"}, {ID: "tail"}}})
 	return s, j
@@ -77,22 +77,25 @@
 
 // TestSilence replays servers that are replaced one after the other while a stream
 // may not be sent again. It guards against a response that is cut although its
-// first engine still runs it.
+// first engine still runs it, and against a request that is held in vain.
 func TestSilence(t *testing.T) {
 	tests := []struct {
-		name   string
-		down   unit.BackendID
-		silent time.Duration
-		want   step
+		name    string
+		down    unit.BackendID
+		silent  time.Duration
+		started bool
+		want    step
 	}{
-		{"later engine is down, first one answers", "tail", 2 * resumePatience, stepWait},
-		{"first engine is silent for a moment", "head", resumePatience / 2, stepWait},
-		{"first engine is silent for long", "head", 2 * resumePatience, stepFail},
+		{"later engine is down, first one answers", "tail", 2 * resumePatience, true, stepWait},
+		{"first engine is silent for a moment", "head", resumePatience / 2, true, stepWait},
+		{"first engine is silent for long", "head", 2 * resumePatience, true, stepFail},
+		{"no event yet, the caller can ask again", "tail", resumePatience / 2, false, stepFail},
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
 			is := is.New(t)
 			s, j := newLostStream(t, tt.silent)
+			s.started = tt.started
 			now := s.Timer.Now()
 			j.Down(tt.down, now, now.Add(time.Minute))
 			is.Equal(s.replace(), tt.want)
