core/receiver: bound the heads of responses

Cause: the library's decoder keeps a head whole in memory. Ruled out: a limit at each call, which the next new call would lack. Change: core/receiver reads responses with bounds on heads, interim responses and discarded bodies, and is used by the exchanger, the links to engines and the sender of orders. Clients of the library get the same bound as a setting. Not run: separate processes on a small host.

--- a/core/platform/client.go
+++ b/core/platform/client.go
@@ -14,6 +14,7 @@
 
 	"github.com/google/uuid"
 
+	"oleandercove.example/core/receiver"
 	"oleandercove.example/core/unit"
 )
 
@@ -75,7 +76,7 @@
 	h := o.HTTP
 	if h == nil {
 		d := net.Dialer{Timeout: tryTimeout}
-		h = &http.Client{Transport: &http.Transport{DialContext: d.DialContext, MaxIdleConnsPerHost: 8}}
+		h = &http.Client{Transport: &http.Transport{DialContext: d.DialContext, MaxIdleConnsPerHost: 8, MaxResponseHeaderBytes: receiver.MaxHead}}
 	}
 	return &client{base: "http://" + o.Address, http: h, budget: newBudget(o), breaker: newBreaker()}
 }
--- /dev/null
+++ b/core/receiver/receiver_test.go
@@ -0,0 +1,88 @@
+package receiver
+
+import (
+	"errors"
+	"io"
+	"net/http"
+	"strings"
+	"testing"
+
+	"github.com/matryer/is"
+)
+
+// repeater repeats a text without end and counts what was read of it.
+type repeater struct {
+	text string
+	read int
+}
+
+func (r *repeater) Read(p []byte) (int, error) {
+	n := copy(p, r.text[r.read%len(r.text):])
+	r.read += n
+	return n, nil
+}
+
+// TestBounds guards against a head that is kept in memory without end.
+func TestBounds(t *testing.T) {
+	const buffer = 4 << 10
+	tests := []struct {
+		name      string
+		beginning string
+		piece     string
+		err       error
+	}{
+		{"a header line without end", "HTTP/1.1 200 OK\r\nX: ", "x", ErrHeadTooLarge},
+		{"a continued header line without end", "HTTP/1.1 200 OK\r\nX: 1\r\n", " x\r\n", ErrHeadTooLarge},
+		{"header fields without end", "HTTP/1.1 200 OK\r\n", "X: 1\r\n", ErrHeadTooLarge},
+		{"interim responses without end", "", "HTTP/1.1 100 Continue\r\n\r\n", ErrInterim},
+		{"large interim responses", "", "HTTP/1.1 100 Continue\r\nX: " + strings.Repeat("x", MaxHead/2) + "\r\n\r\n", ErrInterim},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			rest := &repeater{text: tt.piece}
+			_, err := New(io.MultiReader(strings.NewReader(tt.beginning), rest), buffer).Next(http.MethodGet)
+			is.True(errors.Is(err, tt.err))
+			is.True(rest.read <= maxInterim*MaxHead+buffer) // what was read
+		})
+	}
+}
+
+// TestBodies guards against a bound on heads that cuts bodies or the heads of
+// later responses, and against the discarding of a body without end.
+func TestBodies(t *testing.T) {
+	is := is.New(t)
+	body := strings.Repeat("b", 4*MaxHead)
+	one := "HTTP/1.1 103 Early Hints\r\n\r\nHTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n20000\r\n" + body + "\r\n0\r\n\r\n"
+	r := New(strings.NewReader(one+one+one), 4<<10)
+	for range 3 {
+		resp, err := r.Next(http.MethodGet)
+		is.NoErr(err)
+		data, err := io.ReadAll(resp.Body)
+		is.NoErr(err)
+		is.Equal(string(data), body)
+	}
+	is.True(!r.Pending())
+	resp, err := New(io.MultiReader(strings.NewReader("HTTP/1.1 200 OK\r\n\r\n"), &repeater{text: "x"}), 4<<10).Next(http.MethodGet)
+	is.NoErr(err)
+	is.Equal(Discard(resp), ErrDiscard)
+}
+
+// FuzzNext guards against input that ends the process or passes the bounds.
+func FuzzNext(f *testing.F) {
+	f.Add("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok")
+	f.Add("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2;x=y\r\nok\r\n0\r\nT: 1\r\n\r\n")
+	f.Add("HTTP/1.1 100 Continue\r\n\r\nHTTP/1.0 204 No\r\n\r\n")
+	f.Fuzz(func(t *testing.T, text string) {
+		r := New(strings.NewReader(text), 64)
+		for range 4 {
+			resp, err := r.Next(http.MethodGet)
+			if err != nil {
+				return
+			}
+			if Discard(resp) != nil {
+				return
+			}
+		}
+	})
+}
--- a/oleandercove/caller/caller.go
+++ b/oleandercove/caller/caller.go
@@ -25,6 +25,7 @@
 
 	"oleandercove.example/core/catalogue"
 	"oleandercove.example/core/platform"
+	"oleandercove.example/core/receiver"
 	"oleandercove.example/core/unit"
 	"oleandercove.example/core/verdict"
 	"oleandercove.example/oleandercove/classifier"
@@ -69,8 +70,8 @@
 	return &Caller{
 		options: o,
 		budget:  retrier.NewBudget(o.Retry),
-		reuse:   &http.Client{Transport: &http.Transport{DialContext: d, MaxIdleConnsPerHost: 64}, CheckRedirect: noRedirect},
-		fresh:   &http.Client{Transport: &http.Transport{DialContext: d, DisableKeepAlives: true}, CheckRedirect: noRedirect},
+		reuse:   &http.Client{Transport: &http.Transport{DialContext: d, MaxIdleConnsPerHost: 64, MaxResponseHeaderBytes: receiver.MaxHead}, CheckRedirect: noRedirect},
+		fresh:   &http.Client{Transport: &http.Transport{DialContext: d, DisableKeepAlives: true, MaxResponseHeaderBytes: receiver.MaxHead}, CheckRedirect: noRedirect},
 	}
 }
 
--- a/oleandercove/commander/reader.go
+++ b/oleandercove/commander/reader.go
@@ -11,6 +11,7 @@
 
 	"oleandercove.example/core/engine"
 	"oleandercove.example/core/platform"
+	"oleandercove.example/core/receiver"
 	"oleandercove.example/core/timer"
 	"oleandercove.example/oleandercove/watcher"
 )
@@ -36,7 +37,9 @@
 
 // NewReader returns a Reader over HTTP.
 func NewReader(t timer.Service) Reader {
-	return &httpReader{timer: t, http: &http.Client{Timeout: readTimeout}}
+	return &httpReader{timer: t, http: &http.Client{
+		Timeout: readTimeout, Transport: &http.Transport{IdleConnTimeout: time.Minute, MaxResponseHeaderBytes: receiver.MaxHead},
+	}}
 }
 
 func (r *httpReader) Read(ctx context.Context, backends []watcher.Backend) []watcher.Backend {
--- a/oleandercove/commander/sender.go
+++ b/oleandercove/commander/sender.go
@@ -1,7 +1,6 @@
 package commander
 
 import (
-	"bufio"
 	"bytes"
 	"context"
 	"encoding/json"
@@ -12,6 +11,7 @@
 	"time"
 
 	"oleandercove.example/core/engine"
+	"oleandercove.example/core/receiver"
 	"oleandercove.example/oleandercove/leaser"
 )
 
@@ -25,6 +25,9 @@
 	Send(ctx context.Context, address string, o engine.Order, check func() (leaser.Grant, error)) error
 }
 
+// answerBuffer is the size of the buffer for the answer to an order, in bytes.
+const answerBuffer = 4 << 10
+
 type sender struct{ limit time.Duration }
 
 // NewSender returns a Sender with a connection of its own for each order, so
@@ -66,11 +69,10 @@
 	if err := req.Write(conn); err != nil {
 		return err
 	}
-	res, err := http.ReadResponse(bufio.NewReader(conn), req)
+	res, err := receiver.New(conn, answerBuffer).Next(req.Method)
 	if err != nil {
 		return err
 	}
-	defer res.Body.Close()
 	switch {
 	case res.StatusCode == http.StatusPreconditionFailed:
 		return errStale
--- a/oleandercove/dispatcher/dispatcher.go
+++ b/oleandercove/dispatcher/dispatcher.go
@@ -22,6 +22,7 @@
 	"time"
 
 	"oleandercove.example/core/engine"
+	"oleandercove.example/core/receiver"
 	"oleandercove.example/oleandercove/classifier"
 	"oleandercove.example/oleandercove/tracer"
 )
@@ -97,7 +98,7 @@
 	}
 	d := tracer.Dial(&net.Dialer{Timeout: dialTimeout})
 	return &httpDispatcher{options: o, http: &http.Client{Transport: &http.Transport{
-		DialContext: d, MaxIdleConnsPerHost: 512, IdleConnTimeout: 30 * time.Second,
+		DialContext: d, MaxIdleConnsPerHost: 512, IdleConnTimeout: 30 * time.Second, MaxResponseHeaderBytes: receiver.MaxHead,
 	}}}
 }
 
--- a/oleandercove/edge/exchanger/exchanger.go
+++ b/oleandercove/edge/exchanger/exchanger.go
@@ -15,7 +15,6 @@
 package exchanger
 
 import (
-	"bufio"
 	"bytes"
 	"context"
 	"errors"
@@ -28,6 +27,7 @@
 	"time"
 
 	"oleandercove.example/core/backend"
+	"oleandercove.example/core/receiver"
 	"oleandercove.example/core/unit"
 )
 
@@ -146,7 +146,7 @@
 		return nil, err
 	}
 	setSilenceTimeout(nc, silenceTimeout)
-	return &conn{Conn: nc, br: bufio.NewReaderSize(nc, readBuffer)}, nil
+	return &conn{Conn: nc, receiver: receiver.New(nc, readBuffer)}, nil
 }
 
 // write sends the request. A large body is written beside reading, because a
@@ -185,23 +185,20 @@
 
 var errStray = errors.New("only responses to other requests")
 
-// readHead reads heads until one belongs to the request. Interim responses and
-// late responses to earlier requests are skipped.
+// readHead reads heads until one belongs to the request. Late responses to
+// earlier requests are skipped.
 func (e *Exchange) readHead(r *Request) error {
 	for range maxStray {
-		resp, err := http.ReadResponse(e.conn.br, &http.Request{Method: r.Method})
+		resp, err := e.conn.receiver.Next(r.Method)
 		if err != nil {
 			return err
 		}
-		if resp.StatusCode < http.StatusOK {
-			continue
-		}
 		if !e.owner.stray(r, resp) {
 			e.Response = resp
 			resp.Body = &body{ReadCloser: resp.Body, exchange: e}
 			return nil
 		}
-		if _, err := io.Copy(io.Discard, resp.Body); err != nil {
+		if err := receiver.Discard(resp); err != nil {
 			return fmt.Errorf("response to another request: %w", err)
 		}
 	}
@@ -236,7 +233,7 @@
 // reusable tells whether the next response on the connection will belong to
 // the next request.
 func (e *Exchange) reusable() bool {
-	if e.Response.Close || e.conn.br.Buffered() > 0 {
+	if e.Response.Close || e.conn.receiver.Pending() {
 		return false
 	}
 	if e.writing != nil {
--- a/oleandercove/edge/exchanger/pool.go
+++ b/oleandercove/edge/exchanger/pool.go
@@ -1,7 +1,6 @@
 package exchanger
 
 import (
-	"bufio"
 	"net"
 	"strconv"
 	"strings"
@@ -12,6 +11,7 @@
 	"golang.org/x/sys/unix"
 
 	"oleandercove.example/core/backend"
+	"oleandercove.example/core/receiver"
 )
 
 const (
@@ -26,7 +26,7 @@
 // conn is a connection to a backend server.
 type conn struct {
 	net.Conn
-	br *bufio.Reader
+	receiver *receiver.Receiver
 	// until is when the server may close the idle connection.
 	until time.Time
 }
--- a/oleandercove/edge/gateway/events.go
+++ b/oleandercove/edge/gateway/events.go
@@ -15,8 +15,9 @@
 const (
 	// streamBuffer is the first size of the buffer for events, in bytes.
 	streamBuffer = 4 << 10
-	// maxEvent bounds one event, in bytes.
-	maxEvent = 1 << 20
+	// maxEvent bounds one event, in bytes. An event holds a few tokens; some dozen
+	// engines that send without end must not fill the memory of a small host.
+	maxEvent = 64 << 10
 	// messageBacklog is how many pieces of a stream wait for a slow caller.
 	messageBacklog = 4
 )
--- a/oleandercove/edge/gateway/events_test.go
+++ b/oleandercove/edge/gateway/events_test.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"bytes"
 	"context"
 	"errors"
 	"io"
@@ -26,6 +27,7 @@
 		{"an event that breaks off", io.MultiReader(strings.NewReader("id: 1\ndata: a\n\nid: 2\nda"), iotest.ErrReader(errReset)), "id: 1\ndata: a\n\n", "1", errReset},
 		{"an event without its end", strings.NewReader("id: 1\ndata: a\n\nid: 2\ndata: b\n"), "id: 1\ndata: a\n\n", "1", io.ErrUnexpectedEOF},
 		{"line ends of the other kind", strings.NewReader("id: 7\r\ndata: a\r\n\r\n"), "id: 7\r\ndata: a\r\n\r\n", "7", io.EOF},
+		{"an event without end", &endlessReader{}, "", "", errEventSize},
 		{"an event larger than the buffer", strings.NewReader("id: 1\ndata: " + strings.Repeat("x", 3*streamBuffer) + "\n\n"), "id: 1\ndata: " + strings.Repeat("x", 3*streamBuffer) + "\n\n", "1", io.EOF},
 	}
 	for _, tt := range tests {
@@ -70,3 +72,15 @@
 	is.Equal(retryAfter(time.Second, 600*time.Millisecond, 0), "0.20")
 	is.Equal(retryAfter(time.Second, -time.Second, 0), "0.00")
 }
+
+// endlessReader is a body whose first event has no end. It fails the read after
+// eight times the bound of an event, so that a missing bound shows.
+type endlessReader struct{ read int }
+
+func (r *endlessReader) Read(p []byte) (int, error) {
+	if r.read > 8*(64<<10) {
+		return 0, errors.New("event was read without a bound")
+	}
+	r.read += len(p)
+	return copy(p, bytes.Repeat([]byte("x"), len(p))), nil
+}
--- a/oleandercove/quarantiner/prober.go
+++ b/oleandercove/quarantiner/prober.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"oleandercove.example/core/engine"
+	"oleandercove.example/core/receiver"
 )
 
 // probeTimeout bounds the check of a backend server after a failure.
@@ -20,7 +21,7 @@
 // NewProber returns a Prober over HTTP.
 func NewProber() Prober {
 	return &httpProber{http: &http.Client{
-		Timeout: probeTimeout, Transport: &http.Transport{DisableKeepAlives: true},
+		Timeout: probeTimeout, Transport: &http.Transport{DisableKeepAlives: true, MaxResponseHeaderBytes: receiver.MaxHead},
 	}}
 }
 
--- a/oleandercove/watcher/watcher.go
+++ b/oleandercove/watcher/watcher.go
@@ -26,6 +26,7 @@
 
 	"oleandercove.example/core/engine"
 	"oleandercove.example/core/platform"
+	"oleandercove.example/core/receiver"
 	"oleandercove.example/core/timer"
 	"oleandercove.example/core/unit"
 	"oleandercove.example/oleandercove/connector"
@@ -151,7 +152,7 @@
 // one address would get a new connection for most calls.
 func newHTTP() *http.Client {
 	return &http.Client{Timeout: statusTimeout, Transport: &http.Transport{
-		MaxIdleConnsPerHost: maxParallelCalls, IdleConnTimeout: idleLimit, DisableCompression: true,
+		MaxIdleConnsPerHost: maxParallelCalls, IdleConnTimeout: idleLimit, DisableCompression: true, MaxResponseHeaderBytes: receiver.MaxHead,
 	}}
 }
 
