edge/follower, edge/announcer: calls to the store that don't grow with the fleet

While the store is away all daemons go to it together and repeat each feed four times a second. Ruled out: watches of the two watchers and the lease; they don't grow with hosts. Change: a daemon that does not know its peers yet asks the seeds, which go to the store; it watches no lease until it knows its peers. The list of hosts is read with stale answers, at a rate for the whole fleet. While all knowledge is old, six to 24 daemons go to the store and the others ask them; failed calls pause longer. TestStart, TestStoreAway, TestTurnedAway and TestAlone replay these loads on fleets of up to 195 hosts; with the earlier choice the first two don't hold by its construction (all daemons go).

--- a/oleandercove/edge/announcer/announcer.go
+++ b/oleandercove/edge/announcer/announcer.go
@@ -22,6 +22,7 @@
 	"context"
 	"math/rand/v2"
 	"net"
+	"slices"
 	"sync"
 	"time"
 
@@ -29,7 +30,6 @@
 	"google.golang.org/protobuf/proto"
 
 	"oleandercove.example/core/backend"
-	objects "oleandercove.example/core/platform"
 	"oleandercove.example/core/timer"
 	"oleandercove.example/core/unit"
 	"oleandercove.example/oleandercove/edge/budgeter"
@@ -50,6 +50,9 @@
 	silence = 3 * time.Second
 	// forgetAfter is when a silent peer is no longer sent beacons.
 	forgetAfter = 60 * time.Second
+	// settleTime is the time after its start from which a daemon knows most of its
+	// peers: the second read of the registered hosts, and one round of beacons.
+	settleTime = firstRead + 2*interval
 	// maxDatagram bounds a beacon that is read, in bytes.
 	maxDatagram = 64 << 10
 )
@@ -74,7 +77,7 @@
 	PeerAddress string
 	// Seeds are beacon addresses that may belong to daemons.
 	Seeds     []string
-	Store     objects.Client
+	Store     Registry
 	Directory *directory.Directory
 	Judge     *judge.Judge
 	Ledger    *ledger.Ledger
@@ -135,6 +138,7 @@
 type Announcer struct {
 	Options
 	incarnation uint64
+	began       time.Time
 	conn        *net.UDPConn
 
 	mu     sync.Mutex
@@ -157,13 +161,23 @@
 	if err != nil {
 		return nil, err
 	}
-	a := &Announcer{Options: o, incarnation: rand.Uint64() | 1, conn: conn, peers: map[string]*remote{}, foreign: map[unit.DataCentre]*foreign{}, fetches: make(chan fetch, 1)}
+	a := &Announcer{
+		Options: o, incarnation: rand.Uint64() | 1, began: o.Timer.Now(), conn: conn,
+		peers: map[string]*remote{}, foreign: map[unit.DataCentre]*foreign{}, fetches: make(chan fetch, 1),
+	}
 	for _, s := range o.Seeds {
 		a.know(s)
 	}
 	return a, nil
 }
 
+// Seed tells whether this daemon is one of the seeds, which all daemons of a fleet
+// know from their start.
+func (a *Announcer) Seed() bool { return slices.Contains(a.Seeds, a.Address) }
+
+// Settled tells whether this daemon has run long enough to know its peers.
+func (a *Announcer) Settled() bool { return a.Timer.Now().Sub(a.began) >= settleTime }
+
 // Hosts returns the number of live daemons, this one included.
 func (a *Announcer) Hosts() int { return len(a.Live()) }
 
--- a/oleandercove/edge/announcer/hosts.go
+++ b/oleandercove/edge/announcer/hosts.go
@@ -8,15 +8,28 @@
 	"time"
 
 	objects "oleandercove.example/core/platform"
+	"oleandercove.example/core/unit"
 )
 
 const (
-	// listInterval is the time between two reads of the registered hosts.
-	listInterval = 20 * time.Second
-	// listPause is the time before a failed read is repeated.
-	listPause = time.Second
+	// firstRead is the time between the first two reads of the registered hosts. Most
+	// hosts of a fleet that starts as a whole have registered by then.
+	firstRead = 2 * time.Second
+	// readsPerSecond is how often all daemons together read the registered hosts. They
+	// find each other by beacons, and need the list only after a long partition.
+	readsPerSecond = 2
+	// longestRead is the least time between two reads once all is settled.
+	longestRead = 20 * time.Second
 )
 
+// Registry is the part of the store at which hosts register.
+type Registry interface {
+	// ListStale reads all objects of a kind, as they were up to some seconds ago.
+	ListStale(ctx context.Context, kind objects.Kind) (objects.List, error)
+	// Put writes an object if its version is still expected; 0 creates it.
+	Put(ctx context.Context, kind objects.Kind, name string, expected unit.Version, value json.RawMessage) (objects.Object, error)
+}
+
 // KindHost is the kind of the objects by which daemons find each other.
 const KindHost objects.Kind = "oleandercove-host"
 
@@ -25,46 +38,66 @@
 	Address string
 }
 
-// know adds an address to which beacons are sent.
-func (a *Announcer) know(address string) {
+// know adds an address to which beacons are sent, and tells whether it is new.
+func (a *Announcer) know(address string) bool {
 	if address == a.Address {
-		return
+		return false
 	}
 	udp, err := net.ResolveUDPAddr("udp4", address)
 	if err != nil {
 		a.Log.Warn("address of a peer can't be read", "address", address, "err", err)
-		return
+		return false
 	}
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	if a.peers[address] == nil {
-		a.peers[address] = &remote{udp: udp, heard: a.Timer.Now().Add(-silence)}
+	if a.peers[address] != nil {
+		return false
 	}
+	a.peers[address] = &remote{udp: udp, heard: a.Timer.Now().Add(-silence)}
+	return true
 }
 
 // register writes the own address to the store and reads those of others, so
 // that daemons find each other.
 func (a *Announcer) register(ctx context.Context) {
 	registered := false
+	wait := firstRead
 	for ctx.Err() == nil {
-		if !registered {
-			registered = a.write(ctx)
-		}
-		wait := listInterval
-		l, err := a.Store.List(ctx, KindHost)
-		if err != nil || !registered {
-			wait = listPause
-		}
-		for _, o := range l.Objects {
-			var r registration
-			if err := json.Unmarshal(o.Value, &r); err != nil {
-				a.Log.Warn("registration can't be read", "host", o.Name, "err", err)
-				continue
-			}
-			a.know(r.Address)
+		l, err := a.Store.ListStale(ctx, KindHost)
+		if err != nil {
+			a.Log.Warn("registered hosts not read", "err", err)
 		}
+		registered = a.knowAll(l.Objects) || registered || a.write(ctx)
 		_ = a.Timer.Sleep(ctx, wait)
+		wait = nextRead(wait, a.Hosts())
+	}
+}
+
+// nextRead returns the time until the read after the next one. It grows to a time
+// in proportion to the number of hosts, so that the rate of calls does not grow with
+// the fleet.
+func nextRead(wait time.Duration, hosts int) time.Duration {
+	settled := max(longestRead, time.Duration(hosts)*time.Second/readsPerSecond)
+	return min(2*wait, settled)
+}
+
+// knowAll adds the addresses of registered hosts and tells them at once of this
+// daemon. It returns whether this daemon is among them.
+func (a *Announcer) knowAll(list []objects.Object) bool {
+	registered, grown := false, false
+	for _, o := range list {
+		var r registration
+		if err := json.Unmarshal(o.Value, &r); err != nil {
+			a.Log.Warn("registration can't be read", "host", o.Name, "err", err)
+			continue
+		}
+		registered = registered || (o.Name == string(a.Host) && r.Address == a.Address)
+		grown = a.know(r.Address) || grown
+	}
+	if grown {
+		a.Urge()
 	}
+	return registered
 }
 
 // write registers the own address and tells whether that is done.
--- a/oleandercove/edge/directory/syncer.go
+++ b/oleandercove/edge/directory/syncer.go
@@ -23,8 +23,10 @@
 	// below the two seconds within which a leaving server must be known.
 	serversRest = 100 * time.Millisecond
 	// retryPause is the time before a failed call is repeated, with up to as
-	// much again so that hosts don't call together.
-	retryPause = 150 * time.Millisecond
+	// much again so that hosts don't call together. It doubles with each failure up
+	// to longestPause, because calls that fail are paid too.
+	retryPause   = 150 * time.Millisecond
+	longestPause = 600 * time.Millisecond
 )
 
 // Syncer keeps a Directory up to date from the store.
@@ -45,6 +47,8 @@
 	name string
 	log  *log.Logger
 	lost bool
+	// pause is the time before the next call if the last one failed.
+	pause time.Duration
 }
 
 func (p *dependency) failed(err error) {
@@ -55,17 +59,19 @@
 		p.log.Warn("store lost", "call", p.name, "err", err)
 	}
 	p.lost = true
+	p.pause = min(max(retryPause, 2*p.pause), longestPause)
 }
 
 func (p *dependency) answered() {
 	if p.lost {
 		p.log.Info("store regained", "call", p.name)
 	}
-	p.lost = false
+	p.lost, p.pause = false, retryPause
 }
 
-func (s *Syncer) pause(ctx context.Context) {
-	_ = s.timer.Sleep(ctx, retryPause+rand.N(retryPause))
+func (s *Syncer) pause(ctx context.Context, p *dependency) {
+	d := max(retryPause, p.pause)
+	_ = s.timer.Sleep(ctx, d+rand.N(d))
 }
 
 // feed is one kind of objects that is followed.
@@ -121,7 +127,7 @@
 		l, err := s.store.List(ctx, f.kind)
 		if err != nil {
 			f.dep.failed(err)
-			s.pause(ctx)
+			s.pause(ctx, f.dep)
 			continue
 		}
 		f.dep.answered()
@@ -138,13 +144,13 @@
 		if errors.Is(err, objects.ErrHistoryGone) {
 			if !heard {
 				// The list lags behind the history that is gone.
-				s.pause(ctx)
+				s.pause(ctx, f.dep)
 			}
 			return
 		}
 		if err != nil {
 			f.dep.failed(err)
-			s.pause(ctx)
+			s.pause(ctx, f.dep)
 			continue
 		}
 		f.dep.answered()
--- a/oleandercove/edge/follower/follower.go
+++ b/oleandercove/edge/follower/follower.go
@@ -4,9 +4,9 @@
 // Load pattern: each call to the store is paid, and each change of a server
 // answers the watch of each daemon that has one. A few daemons, chosen by
 // rendezvous hashing, therefore watch the store; the others ask one of them and
-// wait for its answer. A daemon goes to the store itself when its peers have
-// told it nothing fresh for some time, and to its peers when the store turns it
-// away.
+// wait for its answer. While knowledge is old everywhere, a few more daemons go to
+// the store, and the others keep asking them. A daemon goes to the store itself when no
+// peer answers, and to its peers when the store turns it away.
 //
 // Usage:
 //
@@ -23,18 +23,16 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
-	"slices"
 	"strconv"
+	"sync/atomic"
 	"time"
 
 	"github.com/charmbracelet/log"
 	"github.com/sourcegraph/conc"
 	"google.golang.org/protobuf/proto"
 
-	objects "oleandercove.example/core/platform"
 	"oleandercove.example/core/timer"
 	"oleandercove.example/core/unit"
-	"oleandercove.example/oleandercove/chooser"
 	"oleandercove.example/oleandercove/edge/directory"
 	"oleandercove.example/wire/peer"
 )
@@ -42,42 +40,27 @@
 const (
 	// Path is where daemons answer followers.
 	Path = "/changes"
-	// watchers is the number of daemons that follow the store. One of them may be
-	// lost at any time.
-	watchers = 2
-	// watchersKey is hashed with the hosts to choose the watchers.
-	watchersKey = "store"
 	// wait is how long a peer holds a question without news.
 	wait = 400 * time.Millisecond
-	// substitutes is the number of daemons, watchers included, that go to the store
-	// first when the watchers tell nothing; the others ask them.
-	substitutes = 6
-	// longPatience is the age at which all daemons go to the store.
-	longPatience = 1800 * time.Millisecond
-	// patience is the age of knowledge at which a daemon goes to the store itself.
-	// Removals of servers must be known within two seconds.
-	patience = 1300 * time.Millisecond
+	// answerTime is how long the answer of a peer shows that peers can be asked.
+	answerTime = time.Second
 	// callSlack is how long an answer may take beyond the wait.
 	callSlack = 300 * time.Millisecond
 	// decideInterval is the time between two looks at which way to take.
 	decideInterval = 100 * time.Millisecond
 	// retryPause is the time before another peer is asked after a failure.
 	retryPause = 50 * time.Millisecond
-	// maxAge stands for all ages beyond it.
-	maxAge = time.Hour
 	// maxAnswer bounds the answer of a peer, in bytes.
 	maxAnswer = 32 << 20
 )
 
-// Peer is another daemon.
-type Peer struct {
-	Host    unit.HostID
-	Address string
-}
-
 // Options configures a Follower.
 type Options struct {
-	Host      unit.HostID
+	Host unit.HostID
+	// Seed is true for a daemon that all others know from their start.
+	Seed bool
+	// Settled tells whether the daemon has run long enough to know its peers.
+	Settled   func() bool
 	Directory *directory.Directory
 	Syncer    *directory.Syncer
 	// Peers returns the live peers.
@@ -89,63 +72,26 @@
 // Follower keeps a Directory up to date.
 type Follower struct {
 	Options
-	http *http.Client
+	http  *http.Client
+	began time.Time
+	// answered is when a peer last answered, in nanoseconds of the timer's clock.
+	answered atomic.Int64
 }
 
 // New returns a Follower.
 func New(o Options) *Follower {
 	d := &net.Dialer{Timeout: callSlack}
-	return &Follower{Options: o, http: &http.Client{Transport: &http.Transport{DialContext: d.DialContext, MaxIdleConnsPerHost: 1}}}
-}
-
-// View is what the choice of the way depends on.
-type View struct {
-	Self  unit.HostID
-	Peers []Peer
-	// Age is the age of the knowledge of the servers.
-	Age time.Duration
-}
-
-// Way says where knowledge comes from.
-type Way struct {
-	Store bool
-	// Ask lists the peers to ask, if any.
-	Ask []Peer
-}
-
-// Choose returns the way that fits a view.
-func Choose(v View) Way {
-	hosts := []unit.HostID{v.Self}
-	for _, p := range v.Peers {
-		hosts = append(hosts, p.Host)
-	}
-	chosen := chooser.Top(watchersKey, hosts, substitutes)
-	rank := slices.Index(chosen, v.Self)
-	watches, stale := rank >= 0 && rank < watchers, v.Age > patience
-	switch {
-	case watches && !stale:
-		return Way{Store: true}
-	case stale:
-		// Watchers may be the ones that the store turns away.
-		return Way{Store: rank >= 0 || v.Age > longPatience, Ask: among(v.Peers, chosen)}
-	default:
-		return Way{Ask: among(v.Peers, chosen[:min(watchers, len(chosen))])}
-	}
-}
-
-// among returns the peers whose hosts are listed.
-func among(peers []Peer, hosts []unit.HostID) []Peer {
-	var out []Peer
-	for _, p := range peers {
-		if slices.Contains(hosts, p.Host) {
-			out = append(out, p)
-		}
-	}
-	return out
+	return &Follower{Options: o, began: o.Timer.Now(), http: &http.Client{Transport: &http.Transport{DialContext: d.DialContext, MaxIdleConnsPerHost: 1}}}
 }
 
 func (f *Follower) way() Way {
-	return Choose(View{Self: f.Host, Peers: f.Peers(), Age: f.Directory.ServersAge(f.Timer.Now())})
+	now := f.Timer.Now()
+	v := View{
+		Self: f.Host, Peers: f.Peers(), Seed: f.Seed, Settled: f.Settled(),
+		Age: min(now.Sub(f.began), f.Directory.ServersAge(now)),
+	}
+	v.Answered = now.Sub(time.Unix(0, f.answered.Load())) < answerTime
+	return Choose(v)
 }
 
 // Run follows until ctx is done.
@@ -238,6 +184,7 @@
 	if err != nil {
 		return at, err
 	}
+	f.answered.Store(f.Timer.Now().UnixNano())
 	u := decode(reply)
 	if u.ServersAge > patience {
 		return at, errStale
@@ -266,21 +213,6 @@
 	return &reply, proto.Unmarshal(data, &reply)
 }
 
-func decode(r *peer.ChangesReply) directory.Update {
-	u := directory.Update{
-		Cursor: directory.Cursor{Incarnation: r.Incarnation, Position: r.Position, Revision: unit.Revision(r.Revision)},
-		Full:   r.Full, ServersAge: time.Duration(r.ServersAgeMs) * time.Millisecond,
-		ConfirmedAge: time.Duration(r.ConfigurationAgeMs) * time.Millisecond, Packed: r.Configuration,
-		Held: time.Duration(r.HeldMs) * time.Millisecond,
-	}
-	for _, s := range r.Servers {
-		u.Servers = append(u.Servers, objects.Object{
-			Name: s.Name, Revision: unit.Revision(s.Revision), Version: unit.Version(s.Revision), Value: s.Value, Deleted: s.Removed,
-		})
-	}
-	return u
-}
-
 // ServeHTTP answers a follower.
 func (f *Follower) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	q := r.URL.Query()
@@ -304,19 +236,3 @@
 		f.Log.Debug("changes not delivered", "err", err)
 	}
 }
-
-func encode(u directory.Update) *peer.ChangesReply {
-	r := &peer.ChangesReply{
-		Incarnation: u.Cursor.Incarnation, Position: u.Cursor.Position, Full: u.Full, Revision: uint64(u.Cursor.Revision),
-		ServersAgeMs: roundUp(u.ServersAge), ConfigurationAgeMs: roundUp(u.ConfirmedAge), Configuration: u.Packed,
-		HeldMs: uint64(u.Held.Milliseconds()),
-	}
-	for _, o := range u.Servers {
-		r.Servers = append(r.Servers, &peer.StoredServer{Name: o.Name, Revision: uint64(o.Revision), Value: o.Value, Removed: o.Deleted})
-	}
-	return r
-}
-
-// roundUp returns an age in whole milliseconds that is never too young. Ages of
-// what is not known at all are cut to one that any receiver can represent.
-func roundUp(d time.Duration) uint64 { return uint64(min(max(0, d), maxAge).Milliseconds() + 1) }
--- /dev/null
+++ b/oleandercove/edge/follower/reply.go
@@ -0,0 +1,44 @@
+package follower
+
+import (
+	"time"
+
+	objects "oleandercove.example/core/platform"
+	"oleandercove.example/core/unit"
+	"oleandercove.example/oleandercove/edge/directory"
+	"oleandercove.example/wire/peer"
+)
+
+// maxAge stands for all ages beyond it.
+const maxAge = time.Hour
+
+func decode(r *peer.ChangesReply) directory.Update {
+	u := directory.Update{
+		Cursor: directory.Cursor{Incarnation: r.Incarnation, Position: r.Position, Revision: unit.Revision(r.Revision)},
+		Full:   r.Full, ServersAge: time.Duration(r.ServersAgeMs) * time.Millisecond,
+		ConfirmedAge: time.Duration(r.ConfigurationAgeMs) * time.Millisecond, Packed: r.Configuration,
+		Held: time.Duration(r.HeldMs) * time.Millisecond,
+	}
+	for _, s := range r.Servers {
+		u.Servers = append(u.Servers, objects.Object{
+			Name: s.Name, Revision: unit.Revision(s.Revision), Version: unit.Version(s.Revision), Value: s.Value, Deleted: s.Removed,
+		})
+	}
+	return u
+}
+
+func encode(u directory.Update) *peer.ChangesReply {
+	r := &peer.ChangesReply{
+		Incarnation: u.Cursor.Incarnation, Position: u.Cursor.Position, Full: u.Full, Revision: uint64(u.Cursor.Revision),
+		ServersAgeMs: roundUp(u.ServersAge), ConfigurationAgeMs: roundUp(u.ConfirmedAge), Configuration: u.Packed,
+		HeldMs: uint64(u.Held.Milliseconds()),
+	}
+	for _, o := range u.Servers {
+		r.Servers = append(r.Servers, &peer.StoredServer{Name: o.Name, Revision: uint64(o.Revision), Value: o.Value, Removed: o.Deleted})
+	}
+	return r
+}
+
+// roundUp returns an age in whole milliseconds that is never too young. Ages of
+// what is not known at all are cut to one that any receiver can represent.
+func roundUp(d time.Duration) uint64 { return uint64(min(max(0, d), maxAge).Milliseconds() + 1) }
--- a/oleandercove/edge/runner/runner.go
+++ b/oleandercove/edge/runner/runner.go
@@ -133,7 +133,7 @@
 	}
 	r.announcer = a
 	r.follower = follower.New(follower.Options{
-		Host: s.Host, Directory: r.directory, Syncer: syncer, Peers: a.Peers, Timer: r.timer, Log: r.log.WithPrefix("follower"),
+		Host: s.Host, Seed: a.Seed(), Settled: a.Settled, Directory: r.directory, Syncer: syncer, Peers: a.Peers, Timer: r.timer, Log: r.log.WithPrefix("follower"),
 	})
 	r.leaser = r.newLeaser(store)
 	o := observer.New(observer.Options{
@@ -153,11 +153,22 @@
 func (r *Runner) newLeaser(store objects.Client) *leaser.Leaser {
 	return leaser.New(leaser.Options{
 		Platform: store, Timer: r.timer, Log: r.log.WithPrefix("leaser"), Self: r.settings.Host,
-		Hosts:  func(context.Context) ([]unit.HostID, error) { return r.announcer.Live(), nil },
+		Hosts:  r.members,
 		Shards: 1, ShardsPerObject: 1, Term: leaseTerm, OrderLimit: orderLimit,
 	})
 }
 
+var errUnsettled = errors.New("peers are not known yet")
+
+// members returns the live daemons, once this daemon has run long enough to know
+// them.
+func (r *Runner) members(context.Context) ([]unit.HostID, error) {
+	if !r.announcer.Settled() {
+		return nil, errUnsettled
+	}
+	return r.announcer.Live(), nil
+}
+
 // held tells whether this daemon may place layers now.
 func (r *Runner) held() bool {
 	_, err := r.leaser.Check(0)
--- a/oleandercove/leaser/leaser.go
+++ b/oleandercove/leaser/leaser.go
@@ -94,7 +94,8 @@
 	Timer    timer.Service
 	Log      *log.Logger
 	Self     unit.HostID
-	// Hosts lists the live entry hosts; it may lag.
+	// Hosts lists the live entry hosts; it may lag. Until it has returned a list, no
+	// lease is watched: a daemon that knows only itself would watch every lease.
 	Hosts           func(ctx context.Context) ([]unit.HostID, error)
 	Shards          int
 	ShardsPerObject int
@@ -130,7 +131,8 @@
 	options Options
 	// holder identifies this run of the process; a restarted daemon must wait
 	// for the lease of its earlier run.
-	holder  string
+	holder string
+	// members is empty until it was read.
 	members []unit.HostID
 	// membersAt is when the members were read; zero means never. The wait for
 	// the next time grows, because the first lists of a starting site are short
@@ -145,7 +147,7 @@
 // New returns a Leaser that holds nothing.
 func New(o Options) *Leaser {
 	o.setDefaults()
-	l := &Leaser{options: o, holder: string(o.Self) + "/" + uuid.NewString(), members: []unit.HostID{o.Self}}
+	l := &Leaser{options: o, holder: string(o.Self) + "/" + uuid.NewString()}
 	for i := range (o.Shards + o.ShardsPerObject - 1) / o.ShardsPerObject {
 		l.objects = append(l.objects, &lease{index: i})
 	}
@@ -190,6 +192,9 @@
 func (l *Leaser) Step(ctx context.Context) {
 	l.readHosts(ctx)
 	held := l.renewAll(ctx)
+	if len(l.members) == 0 {
+		return
+	}
 	limit := max(l.options.MaxHeld, (len(l.objects)+len(l.members)-1)/len(l.members))
 	for _, c := range l.objects {
 		rank := Rank(l.members, objectName(c.index), l.options.Self)
