edge/prober, edge/announcer: all daemons learn at once which engines are silent

Each daemon took from the report of a chain's first engine only the engine that stalls its own stream, and told peers with the regular beacons. Ruled out: order numbers and lost orders; no placement order was refused. Change: all engines that a report names are marked; what a daemon finds out by itself goes to all peers at once, unless one of them has told it; an engine that a refused reroute names is asked. TestStalled, TestMarked.

--- a/oleandercove/edge/announcer/announcer.go
+++ b/oleandercove/edge/announcer/announcer.go
@@ -250,6 +250,31 @@
 	}
 }
 
+// Found tells all peers at once that a server is down, unless one of them has told
+// that already.
+//
+// Load pattern: some engines of one copy fall silent together. Each daemon finds out
+// by its own streams and chooses chains over the others meanwhile; regular beacons
+// reach a large fleet within a second only.
+func (a *Announcer) Found(id unit.BackendID) {
+	if !a.marked(id) {
+		a.Urge()
+	}
+}
+
+// marked tells whether a live peer holds a server to be down.
+func (a *Announcer) marked(id unit.BackendID) bool {
+	now := a.Timer.Now()
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	for _, p := range a.peers {
+		if p.marks[id] && p.live(now) {
+			return true
+		}
+	}
+	return false
+}
+
 // Urge tells all peers at once, beside the regular beacons.
 func (a *Announcer) Urge() {
 	now := a.Timer.Now()
--- a/oleandercove/edge/announcer/receive_test.go
+++ b/oleandercove/edge/announcer/receive_test.go
@@ -2,9 +2,11 @@
 
 import (
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
 
+	"oleandercove.example/core/timer"
 	"oleandercove.example/core/unit"
 	"oleandercove.example/wire/peer"
 )
@@ -42,3 +44,20 @@
 		})
 	}
 }
+
+// TestMarked replays a fleet in which each daemon finds out by its own streams that
+// an engine is silent. It guards against all of them telling all others, and against
+// the word of a peer that has left.
+func TestMarked(t *testing.T) {
+	is := is.New(t)
+	clock := timer.NewManual(time.Unix(1000, 0))
+	a := &Announcer{Options: Options{Timer: clock}, peers: map[string]*remote{}}
+	is.True(!a.marked("a"))
+	p := &remote{host: "entry-2", heard: clock.Now()}
+	p.newMarks(marks("a"))
+	a.peers["10.1.0.41:7340"] = p
+	is.True(a.marked("a"))
+	is.True(!a.marked("b"))
+	clock.Advance(silence)
+	is.True(!a.marked("a"))
+}
--- a/oleandercove/edge/gateway/recover.go
+++ b/oleandercove/edge/gateway/recover.go
@@ -34,14 +34,15 @@
 		return s.replaceSoon()
 	}
 	for _, x := range report.Stalled {
-		if x.Request != s.call.Request {
-			continue
-		}
-		if id, ok := s.hopAt(x.Engine); ok {
+		// The engine of the chain may have started anew at its address.
+		if id, ok := s.hopAt(x.Engine); ok && x.Request == s.call.Request {
 			s.Prober.Down(id, "named by the first engine of a chain")
-			return s.replaceSoon()
 		}
 	}
+	s.Prober.Stalled(report.Stalled)
+	if s.anyDown(s.Timer.Now()) {
+		return s.replaceSoon()
+	}
 	if s.slowHop(now) && s.reroute(across) {
 		return stepWait
 	}
@@ -204,6 +205,8 @@
 	if result != backend.OrderBegun && result != backend.OrderDone {
 		if id, ok := s.Directory.Servers().At(fault); ok {
 			s.refused(id)
+			// The engine may have no room, or it may be gone.
+			s.Prober.Suspect(id)
 		}
 		return false
 	}
--- a/oleandercove/edge/gateway/relay.go
+++ b/oleandercove/edge/gateway/relay.go
@@ -9,7 +9,6 @@
 	"oleandercove.example/core/backend"
 	"oleandercove.example/core/unit"
 	"oleandercove.example/oleandercove/edge/exchanger"
-	"oleandercove.example/oleandercove/edge/judge"
 	"oleandercove.example/platform"
 )
 
@@ -203,9 +202,7 @@
 	var x *exchanger.Error
 	if errors.As(err, &x) && x.Refused {
 		s.runs--
-		if s.Judge.Down(first, now, now.Add(judge.DownTime)) {
-			s.Log.Warn("engine does not answer", "engine", first, "err", err)
-		}
+		s.Prober.Down(first, err.Error())
 	} else {
 		s.Judge.Failed(first, now)
 	}
--- a/oleandercove/edge/prober/prober.go
+++ b/oleandercove/edge/prober/prober.go
@@ -47,6 +47,8 @@
 	Judge     *judge.Judge
 	Timer     timer.Service
 	Log       *log.Logger
+	// Found is called when this daemon finds out by itself that an engine is down.
+	Found func(unit.BackendID)
 }
 
 // probe is one report of an engine, shared by all that ask meanwhile.
@@ -123,11 +125,32 @@
 	}
 }
 
-// Down marks an engine as down for its usual time.
+// Down marks an engine as down for its usual time, and tells peers if that is news.
 func (p *Prober) Down(id unit.BackendID, why string) {
 	now := p.Timer.Now()
-	if p.Judge.Down(id, now, now.Add(judge.DownTime)) {
-		p.Log.Warn("engine does not answer", "engine", id, "why", why)
+	if !p.Judge.Down(id, now, now.Add(judge.DownTime)) {
+		return
+	}
+	p.Log.Warn("engine does not answer", "engine", id, "why", why)
+	if p.Found != nil {
+		p.Found(id)
+	}
+}
+
+// Stalled marks the engines down that an engine names as the cause of stalls. A
+// chain that begins at this engine stalls on any later one that does not answer, so
+// one report can name several. An engine without layers has started anew since.
+func (p *Prober) Stalled(list []backend.Stalled) {
+	servers := p.Directory.Servers()
+	now := p.Timer.Now()
+	for _, x := range list {
+		id, ok := servers.At(x.Engine)
+		if !ok || p.Judge.IsDown(id, now) {
+			continue
+		}
+		if s, ok := servers.Get(id); ok && s.Layers.Len() > 0 {
+			p.Down(id, "named by the first engine of a chain")
+		}
 	}
 }
 
--- a/oleandercove/edge/prober/prober_test.go
+++ b/oleandercove/edge/prober/prober_test.go
@@ -15,6 +15,7 @@
 	"oleandercove.example/core/logger"
 	objects "oleandercove.example/core/platform"
 	"oleandercove.example/core/timer"
+	"oleandercove.example/core/unit"
 	"oleandercove.example/oleandercove/edge/directory"
 	"oleandercove.example/oleandercove/edge/judge"
 )
@@ -112,3 +113,33 @@
 	is.True(!j.IsDown("a", m.Now()))
 	is.Equal(e.asked.Load(), int64(1))
 }
+
+// TestStalled replays engines of one copy that fall silent together, while the
+// streams of a daemon begin at one sound engine. It guards against a daemon that
+// learns of them one after the other, and against the marking of an engine that has
+// started anew at its address.
+func TestStalled(t *testing.T) {
+	is := is.New(t)
+	p, j, m := newProber(&engines{answer: func(int64) error { return nil }})
+	entry := func(name, address, layers string) objects.Object {
+		return objects.Object{Name: name, Revision: 7, Value: json.RawMessage(`{"service":"model","address":"` + address + `","state":"ready","layers":` + layers + `}`)}
+	}
+	p.Directory.Replace([]objects.Object{
+		entry("a", "10.0.0.1:1", `{"from":0,"to":2}`), entry("c", "10.0.0.3:1", `{"from":2,"to":3}`),
+		entry("d", "10.0.0.4:1", `{"from":3,"to":4}`), entry("e", "10.0.0.5:1", `{"from":0,"to":0}`),
+	}, m.Now(), m.Now())
+	var found []unit.BackendID
+	p.Found = func(id unit.BackendID) { found = append(found, id) }
+	stalled := []backend.Stalled{
+		{Request: "1", Engine: "10.0.0.3:1"},
+		{Request: "2", Engine: "10.0.0.4:1"},
+		{Request: "3", Engine: "10.0.0.3:1"},
+		{Request: "4", Engine: "10.0.0.5:1"},
+		{Request: "5", Engine: "10.0.0.9:1"},
+	}
+	p.Stalled(stalled)
+	p.Stalled(stalled)
+	is.Equal(found, []unit.BackendID{"c", "d"}) // each one is told once
+	is.True(!j.IsDown("a", m.Now()))
+	is.True(!j.IsDown("e", m.Now())) // started anew
+}
--- a/oleandercove/edge/runner/runner.go
+++ b/oleandercove/edge/runner/runner.go
@@ -113,8 +113,11 @@
 	x := exchanger.New(exchanger.Options{MaxIdle: maxIdle, Identify: func(status int, h http.Header) unit.RequestID {
 		return platform.DecodeAnswer(status, h).Request
 	}})
-	p := prober.New(prober.Options{Engines: engines, Directory: r.directory, Judge: j, Timer: r.timer, Log: r.log.WithPrefix("prober")})
 	var a *announcer.Announcer
+	p := prober.New(prober.Options{
+		Engines: engines, Directory: r.directory, Judge: j, Timer: r.timer, Log: r.log.WithPrefix("prober"),
+		Found: func(id unit.BackendID) { a.Found(id) },
+	})
 	b := budgeter.New(budgeter.Options{
 		Share: s.Bounds.RetryShare, Reserve: s.Bounds.RetryReserve, Hosts: func() int { return a.Hosts() }, Timer: r.timer,
 	})
