edge/follower, leaser: a quick start, and candidates for the lease that are live

A daemon that started waited 1.3 s for peers before it went to the store. On a rolling restart the lease was taken 2.5 s after its release: the candidates were those of a look at the hosts up to 15 s ago. Change: each daemon reads the store once at its start; a whole list between daemons is compressed; a daemon that was registered before knows its peers after 0.75 s; the leaser looks at the live hosts at each step, which are in memory here. TestRollingRestart (red with the interval of 15 s), TestUnknownHosts.

--- a/oleandercove/edge/announcer/announcer.go
+++ b/oleandercove/edge/announcer/announcer.go
@@ -50,9 +50,6 @@
 	silence = 3 * time.Second
 	// forgetAfter is when a silent peer is no longer sent beacons.
 	forgetAfter = 60 * time.Second
-	// settleTime is the time after its start from which a daemon knows most of its
-	// peers: the second read of the registered hosts, and one round of beacons.
-	settleTime = firstRead + 2*interval
 	// maxDatagram bounds a beacon that is read, in bytes.
 	maxDatagram = 64 << 10
 )
@@ -141,8 +138,10 @@
 	began       time.Time
 	conn        *net.UDPConn
 
-	mu     sync.Mutex
-	number uint64
+	mu sync.Mutex
+	// settled is when the peers count as known.
+	settled time.Time
+	number  uint64
 	// sent holds when the last beacons were sent, by number.
 	sent    [64]time.Time
 	peers   map[string]*remote
@@ -165,6 +164,7 @@
 		Options: o, incarnation: rand.Uint64() | 1, began: o.Timer.Now(), conn: conn,
 		peers: map[string]*remote{}, foreign: map[unit.DataCentre]*foreign{}, fetches: make(chan fetch, 1),
 	}
+	a.settleAfter(startTime)
 	for _, s := range o.Seeds {
 		a.know(s)
 	}
@@ -175,9 +175,6 @@
 // know from their start.
 func (a *Announcer) Seed() bool { return slices.Contains(a.Seeds, a.Address) }
 
-// Settled tells whether this daemon has run long enough to know its peers.
-func (a *Announcer) Settled() bool { return a.Timer.Now().Sub(a.began) >= settleTime }
-
 // Hosts returns the number of live daemons, this one included.
 func (a *Announcer) Hosts() int { return len(a.Live()) }
 
--- a/oleandercove/edge/announcer/hosts.go
+++ b/oleandercove/edge/announcer/hosts.go
@@ -22,6 +22,30 @@
 	longestRead = 20 * time.Second
 )
 
+const (
+	// startTime is the time after which a daemon of a fleet that starts as a whole
+	// knows most of its peers: the second read of the registered hosts, and one round
+	// of beacons.
+	startTime = firstRead + 2*interval
+	// restartTime is the same for a daemon that was registered before its start, so
+	// that its first read has named the others.
+	restartTime = 3 * interval
+)
+
+// settleAfter shortens the time until this daemon counts its peers as known.
+func (a *Announcer) settleAfter(d time.Duration) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.settled = a.began.Add(d)
+}
+
+// Settled tells whether this daemon has run long enough to know its peers.
+func (a *Announcer) Settled() bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return !a.Timer.Now().Before(a.settled)
+}
+
 // Registry is the part of the store at which hosts register.
 type Registry interface {
 	// ListStale reads all objects of a kind, as they were up to some seconds ago.
@@ -67,7 +91,11 @@
 		if err != nil {
 			a.Log.Warn("registered hosts not read", "err", err)
 		}
-		registered = a.knowAll(l.Objects) || registered || a.write(ctx)
+		known := a.knowAll(l.Objects)
+		if known && !registered {
+			a.settleAfter(restartTime)
+		}
+		registered = known || registered || a.write(ctx)
 		_ = a.Timer.Sleep(ctx, wait)
 		wait = nextRead(wait, a.Hosts())
 	}
--- a/oleandercove/edge/directory/syncer.go
+++ b/oleandercove/edge/directory/syncer.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/charmbracelet/log"
+	"github.com/sourcegraph/conc"
 
 	objects "oleandercove.example/core/platform"
 	"oleandercove.example/core/timer"
@@ -85,8 +86,27 @@
 	rest time.Duration
 }
 
+// Read reads the configuration and the registry once, each of them at most once. It is
+// the quickest way to knowledge for a daemon that has just started.
+func (s *Syncer) Read(ctx context.Context) {
+	var wg conc.WaitGroup
+	for _, f := range []feed{s.configuration(), s.servers()} {
+		wg.Go(func() {
+			if _, err := s.list(ctx, f); err != nil {
+				f.dep.failed(err)
+			}
+		})
+	}
+	wg.Wait()
+}
+
 // RunConfiguration follows the configuration until ctx is done.
-func (s *Syncer) RunConfiguration(ctx context.Context) {
+func (s *Syncer) RunConfiguration(ctx context.Context) { s.run(ctx, s.configuration()) }
+
+// RunServers follows the registry until ctx is done.
+func (s *Syncer) RunServers(ctx context.Context) { s.run(ctx, s.servers()) }
+
+func (s *Syncer) configuration() feed {
 	var current unit.Revision
 	install := func(l objects.List, sent, _ time.Time) {
 		for _, o := range l.Objects {
@@ -95,7 +115,7 @@
 			}
 		}
 	}
-	s.run(ctx, feed{
+	return feed{
 		kind: platform.KindConfiguration, dep: &dependency{name: "configuration", log: s.log}, whole: install,
 		changes: func(l objects.List, sent, answered time.Time) {
 			install(l, sent, answered)
@@ -103,19 +123,18 @@
 				s.directory.Confirm(current, confirmedAt(sent, answered))
 			}
 		},
-	})
+	}
 }
 
-// RunServers follows the registry until ctx is done.
-func (s *Syncer) RunServers(ctx context.Context) {
-	s.run(ctx, feed{
+func (s *Syncer) servers() feed {
+	return feed{
 		kind: platform.KindServers, dep: &dependency{name: "servers", log: s.log},
 		whole: func(l objects.List, sent, answered time.Time) { s.directory.Replace(l.Objects, sent, answered) },
 		changes: func(l objects.List, sent, answered time.Time) {
 			s.directory.Apply(l.Objects, confirmedAt(sent, answered), answered)
 		},
 		rest: serversRest,
-	})
+	}
 }
 
 // run lists the objects and watches from the revision of the list, and lists them
@@ -123,17 +142,26 @@
 // may be older than the history.
 func (s *Syncer) run(ctx context.Context, f feed) {
 	for ctx.Err() == nil {
-		sent := s.timer.Now()
-		l, err := s.store.List(ctx, f.kind)
+		from, err := s.list(ctx, f)
 		if err != nil {
 			f.dep.failed(err)
 			s.pause(ctx, f.dep)
 			continue
 		}
 		f.dep.answered()
-		f.whole(l, sent, s.timer.Now())
-		s.watch(ctx, l.Revision, f)
+		s.watch(ctx, from, f)
+	}
+}
+
+// list takes over all objects and returns the revision to watch from.
+func (s *Syncer) list(ctx context.Context, f feed) (unit.Revision, error) {
+	sent := s.timer.Now()
+	l, err := s.store.List(ctx, f.kind)
+	if err != nil {
+		return 0, err
 	}
+	f.whole(l, sent, s.timer.Now())
+	return l.Revision, nil
 }
 
 func (s *Syncer) watch(ctx context.Context, from unit.Revision, f feed) {
--- a/oleandercove/edge/follower/choice.go
+++ b/oleandercove/edge/follower/choice.go
@@ -78,11 +78,11 @@
 	return Way{Store: rank < n || alone || v.Age > longestPatience, Ask: among(v.Peers, ranked[:n], true)}
 }
 
-// starting is the way of a daemon that does not know its peers yet, and so can't tell
-// who watches the store. In a fleet that starts as a whole the seeds do, because they
-// are the peers that all daemons know first.
+// starting is the way of a daemon that has read the store once and does not know its
+// peers yet, so that it can't tell who watches the store. In a fleet that starts as a
+// whole the seeds do, because they are the peers that all daemons know first.
 func starting(v View) Way {
-	return Way{Store: v.Seed || v.Age > longPatience, Ask: v.Peers}
+	return Way{Store: v.Seed || (v.Age > longPatience && !v.Answered), Ask: v.Peers}
 }
 
 // byRank returns all hosts in the order in which they go to the store.
--- a/oleandercove/edge/follower/follower.go
+++ b/oleandercove/edge/follower/follower.go
@@ -34,6 +34,7 @@
 	"oleandercove.example/core/timer"
 	"oleandercove.example/core/unit"
 	"oleandercove.example/oleandercove/edge/directory"
+	"oleandercove.example/oleandercove/edge/packer"
 	"oleandercove.example/wire/peer"
 )
 
@@ -102,8 +103,9 @@
 	wg.Wait()
 }
 
-// runStore watches the store while the way leads there.
+// runStore reads the store once, and watches it while the way leads there.
 func (f *Follower) runStore(ctx context.Context) {
+	f.Syncer.Read(ctx)
 	for ctx.Err() == nil {
 		if !f.way().Store {
 			_ = f.Timer.Sleep(ctx, decideInterval)
@@ -232,6 +234,17 @@
 		w.WriteHeader(http.StatusInternalServerError)
 		return
 	}
+	if u.Full {
+		// The library unpacks it for the follower.
+		packed, err := packer.Pack(data)
+		if err != nil {
+			f.Log.Error("changes can't be compressed", "err", err)
+			w.WriteHeader(http.StatusInternalServerError)
+			return
+		}
+		w.Header().Set("Content-Encoding", "gzip")
+		data = packed
+	}
 	if _, err := w.Write(data); err != nil {
 		f.Log.Debug("changes not delivered", "err", err)
 	}
--- a/oleandercove/edge/follower/follower_test.go
+++ b/oleandercove/edge/follower/follower_test.go
@@ -78,6 +78,10 @@
 				list[i].Seed, list[i].Age = false, longPatience+time.Millisecond
 			}
 			is.Equal(len(toStore(list)), n)
+			for i := range list {
+				list[i].Answered = true
+			}
+			is.Equal(len(toStore(list)), 0)
 		})
 	}
 }
--- a/oleandercove/edge/runner/runner.go
+++ b/oleandercove/edge/runner/runner.go
@@ -53,6 +53,9 @@
 	// orderLimit is the longest time of an order, for which a new holder waits. An
 	// order that arrives later than that meets another sequence.
 	orderLimit = 200 * time.Millisecond
+	// membersInterval is the time between two looks at which daemons are live. They are
+	// in memory, and a rolling restart stops all candidates for the lease in turn.
+	membersInterval = 500 * time.Millisecond
 	// maxIdle bounds the idle connections to one backend server.
 	maxIdle = 16
 	// memoryShare is the part of the memory limit, in percent, up to which the
@@ -156,8 +159,9 @@
 func (r *Runner) newLeaser(store objects.Client) *leaser.Leaser {
 	return leaser.New(leaser.Options{
 		Platform: store, Timer: r.timer, Log: r.log.WithPrefix("leaser"), Self: r.settings.Host,
-		Hosts:  r.members,
-		Shards: 1, ShardsPerObject: 1, Term: leaseTerm, OrderLimit: orderLimit,
+		Hosts:         r.members,
+		HostsInterval: membersInterval,
+		Shards:        1, ShardsPerObject: 1, Term: leaseTerm, OrderLimit: orderLimit,
 	})
 }
 
--- a/oleandercove/leaser/leaser.go
+++ b/oleandercove/leaser/leaser.go
@@ -54,10 +54,10 @@
 	// candidates is how many daemons watch one object. The number of calls
 	// therefore does not depend on the number of daemons.
 	candidates = 3
-	// hostsInterval is the time between two reads of the host list, the only call
-	// whose number grows with the number of daemons. A change of the list matters
-	// only when all daemons that watch a lease have died.
-	hostsInterval = 15 * time.Second
+	// DefaultHostsInterval is the time between two reads of the host list where that
+	// is a call whose number grows with the number of daemons. A change of the list
+	// matters only when all daemons that watch a lease have gone.
+	DefaultHostsInterval = 15 * time.Second
 	// releaseLimit bounds the release of all leases in a graceful shutdown.
 	releaseLimit = 2 * time.Second
 	// driftDivisor is the inverse of the allowed difference in speed between
@@ -96,7 +96,9 @@
 	Self     unit.HostID
 	// Hosts lists the live entry hosts; it may lag. Until it has returned a list, no
 	// lease is watched: a daemon that knows only itself would watch every lease.
-	Hosts           func(ctx context.Context) ([]unit.HostID, error)
+	Hosts func(ctx context.Context) ([]unit.HostID, error)
+	// HostsInterval is the longest time between two calls of Hosts.
+	HostsInterval   time.Duration
 	Shards          int
 	ShardsPerObject int
 	Term            time.Duration
@@ -112,6 +114,7 @@
 	setDefault(&o.Term, DefaultTerm)
 	setDefault(&o.OrderLimit, DefaultOrderLimit)
 	setDefault(&o.MaxHeld, DefaultMaxHeld)
+	setDefault(&o.HostsInterval, DefaultHostsInterval)
 	if o.Timer == nil {
 		o.Timer = timer.NewReal()
 	}
@@ -214,7 +217,7 @@
 	}
 	if hosts, err := l.options.Hosts(ctx); err == nil {
 		l.members, l.membersAt = withSelf(hosts, l.options.Self), now
-		l.membersWait = min(hostsInterval, max(l.interval(), 2*l.membersWait))
+		l.membersWait = min(l.options.HostsInterval, max(l.interval(), 2*l.membersWait))
 	}
 }
 
--- a/oleandercove/leaser/leaser_test.go
+++ b/oleandercove/leaser/leaser_test.go
@@ -3,8 +3,10 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"io"
+	"slices"
 	"testing"
 	"time"
 
@@ -246,3 +248,65 @@
 	is.True(now-last >= orderLimit)
 	is.True(now-last < orderLimit+time.Second)
 }
+
+// TestRollingRestart replays daemons that stop one after the other, each with the
+// lease. It guards against a lease that waits for a look at the hosts long after all
+// daemons that watched it have gone.
+func TestRollingRestart(t *testing.T) {
+	is := is.New(t)
+	const step = time.Second
+	s, clock := &store{}, timer.NewManual(time.Unix(1000, 0))
+	var live []unit.HostID
+	holders := map[unit.HostID]*leaser.Leaser{}
+	for i := range 9 {
+		host := unit.HostID(fmt.Sprint("entry-", i))
+		live = append(live, host)
+		holders[host] = leaser.New(leaser.Options{
+			Platform: s, Timer: clock, Log: log.New(io.Discard), Self: host, Shards: 1, ShardsPerObject: 1, Term: 3 * step, OrderLimit: orderLimit,
+			HostsInterval: step, Hosts: func(context.Context) ([]unit.HostID, error) { return slices.Clone(live), nil },
+		})
+	}
+	holder := func() unit.HostID {
+		for _, host := range live {
+			if _, err := holders[host].Check(0); err == nil {
+				return host
+			}
+		}
+		return ""
+	}
+	for len(live) > 1 {
+		for range 4 {
+			for _, host := range slices.Clone(live) {
+				holders[host].Step(t.Context())
+			}
+			clock.Advance(step)
+		}
+		last := holder()
+		is.True(last != "") // the lease is taken within four steps
+		live = slices.DeleteFunc(live, func(h unit.HostID) bool { return h == last })
+		holders[last].Release(t.Context())
+	}
+}
+
+// TestUnknownHosts guards against a daemon that watches each lease because it knows
+// no other host yet.
+func TestUnknownHosts(t *testing.T) {
+	is := is.New(t)
+	s, clock := &store{}, timer.NewManual(time.Unix(1000, 0))
+	err := errors.New("not known yet")
+	l := leaser.New(leaser.Options{
+		Platform: s, Timer: clock, Log: log.New(io.Discard), Self: "entry-1", Shards: 1, ShardsPerObject: 1, Term: term,
+		Hosts: func(context.Context) ([]unit.HostID, error) { return []unit.HostID{"entry-1"}, err },
+	})
+	steps := func() {
+		for range 3 {
+			l.Step(t.Context())
+			clock.Advance(term)
+		}
+	}
+	steps()
+	is.Equal(s.object.Version, unit.Version(0))
+	err = nil
+	steps()
+	is.True(s.object.Version > 0)
+}
