edge/ledger: guess what others have begun since their last word

These requests came within a tenth of a second, 1.5 s after the daemons had started: all loads were told by then, and each daemon put its six requests on the same engines. Ruled out: silent daemons; none is left at that time. Change: what a daemon has begun in the last two rounds of beacons, times the number of others, is taken for what others have begun and not told. That replaces the guess for daemons that have just started.

--- a/oleandercove/edge/announcer/announcer.go
+++ b/oleandercove/edge/announcer/announcer.go
@@ -175,11 +175,11 @@
 	}
 	a := &Announcer{
 		Options: o, incarnation: rand.Uint64() | 1, began: o.Timer.Now(), conn: conn,
-		peers: map[string]*remote{}, foreign: map[unit.DataCentre]*foreign{}, summed: map[unit.DataCentre]bool{}, fetches: make(chan fetch, 1),
+		peers: map[string]*remote{}, foreign: map[unit.DataCentre]*foreign{}, fetches: make(chan fetch, 1),
 	}
 	a.settleAfter(startTime)
 	for _, s := range o.Seeds {
-		a.know(s, "")
+		a.know(s)
 	}
 	return a, nil
 }
@@ -214,6 +214,20 @@
 	return out
 }
 
+// known returns the number of peers that are not known to have left, live or not: in
+// the moment of a start none has been heard of.
+func (a *Announcer) known() int {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	n := 0
+	for _, p := range a.peers {
+		if !p.leaving {
+			n++
+		}
+	}
+	return n
+}
+
 // AnyServed tells whether any daemon has passed on a model request.
 func (a *Announcer) AnyServed() bool {
 	if a.Options.Served() {
@@ -300,7 +314,7 @@
 // send tells a bounded number of peers what this daemon believes.
 func (a *Announcer) send(now time.Time) {
 	a.Ledger.Expire(now)
-	a.Ledger.Expect(a.silentPeers(now))
+	a.Ledger.Round(a.known())
 	a.sendTo(a.targets(now), now)
 }
 
--- a/oleandercove/edge/announcer/hosts.go
+++ b/oleandercove/edge/announcer/hosts.go
@@ -60,12 +60,11 @@
 // registration is the value of a host object.
 type registration struct {
 	// Address is where beacons are received.
-	Address    string
-	DataCentre unit.DataCentre
+	Address string
 }
 
 // know adds an address to which beacons are sent, and tells whether it is new.
-func (a *Announcer) know(address string, dc unit.DataCentre) bool {
+func (a *Announcer) know(address string) bool {
 	if address == a.Address {
 		return false
 	}
@@ -79,36 +78,10 @@
 	if a.peers[address] != nil {
 		return false
 	}
-	a.peers[address] = &remote{udp: udp, dataCentre: dc, heard: a.Timer.Now().Add(-silence)}
+	a.peers[address] = &remote{udp: udp, heard: a.Timer.Now().Add(-silence)}
 	return true
 }
 
-// silentPeers returns the number of registered daemons whose load is not known yet:
-// those of the own data centre that have told nothing, and all of a data centre whose
-// sum has not come. One that is silent for long is not there.
-func (a *Announcer) silentPeers(now time.Time) int {
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	if now.Sub(a.began) > startTime {
-		return 0
-	}
-	n := 0
-	for _, p := range a.peers {
-		switch p.dataCentre {
-		case "":
-		case a.DataCentre:
-			if p.host == "" {
-				n++
-			}
-		default:
-			if !a.summed[p.dataCentre] {
-				n++
-			}
-		}
-	}
-	return n
-}
-
 // register writes the own address to the store and reads those of others, so
 // that daemons find each other.
 func (a *Announcer) register(ctx context.Context) {
@@ -148,10 +121,9 @@
 			continue
 		}
 		registered = registered || (o.Name == string(a.Host) && r.Address == a.Address)
-		grown = a.know(r.Address, r.DataCentre) || grown
+		grown = a.know(r.Address) || grown
 	}
 	if grown {
-		a.Ledger.Expect(a.silentPeers(a.Timer.Now()))
 		a.Urge()
 	}
 	return registered
@@ -159,7 +131,7 @@
 
 // write registers the own address and tells whether that is done.
 func (a *Announcer) write(ctx context.Context) bool {
-	value, err := json.Marshal(registration{Address: a.Address, DataCentre: a.DataCentre})
+	value, err := json.Marshal(registration{Address: a.Address})
 	if err != nil {
 		a.Log.Error("registration can't be encoded", "err", err)
 		return true
--- a/oleandercove/edge/announcer/loads.go
+++ b/oleandercove/edge/announcer/loads.go
@@ -107,18 +107,11 @@
 		}
 		a.Ledger.Tell(unit.HostID(centrePrefix+c.DataCentre), decodeLoads(c.Loads), now)
 		a.Budgeter.Tell(unit.HostID(centrePrefix+c.DataCentre), decodeUses(c.Uses), now)
-		a.takeSum(c, !near, now)
-	}
-}
-
-// takeSum notes the load of another data centre, to pass it on if it comes from there.
-func (a *Announcer) takeSum(c *peer.CentreLoads, passOn bool, now time.Time) {
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	dc := unit.DataCentre(c.DataCentre)
-	a.summed[dc] = true
-	if passOn {
-		a.foreign[dc] = &foreign{at: now, loads: c}
+		if !near {
+			a.mu.Lock()
+			a.foreign[unit.DataCentre(c.DataCentre)] = &foreign{at: now, loads: c}
+			a.mu.Unlock()
+		}
 	}
 }
 
--- a/oleandercove/edge/ledger/ledger.go
+++ b/oleandercove/edge/ledger/ledger.go
@@ -1,9 +1,9 @@
 // Package ledger counts the work in flight on backend servers: the own work at
-// once, that of other daemons as they last told. Daemons that have told nothing yet
-// are taken to do what this one does.
+// once, that of other daemons as they last told. What they have begun since is taken
+// to be what this daemon has begun since.
 //
-// Load pattern: a whole fleet starts anew, and the callers of all broken streams come
-// back within a second. Each daemon of a data centre knows only its own work, and all
+// Load pattern: power comes back, and the callers of all broken streams come back
+// within a tenth of a second. Each daemon knows only its own work of that time, and all
 // would choose the same engines.
 //
 // Usage:
@@ -81,13 +81,19 @@
 	own   map[unit.BackendID]*Load
 	total map[unit.BackendID]*Load
 	peers map[unit.HostID]peer
-	// silent is the number of daemons whose work is not known.
-	silent int
+	// others is the number of other daemons, and recent the own work that was begun
+	// since the last round of beacons and in the round before, which they may not know.
+	others int
+	recent [2]map[unit.BackendID]*Load
 }
 
 // New returns an empty Ledger.
 func New() *Ledger {
-	return &Ledger{own: map[unit.BackendID]*Load{}, total: map[unit.BackendID]*Load{}, peers: map[unit.HostID]peer{}}
+	l := &Ledger{own: map[unit.BackendID]*Load{}, total: map[unit.BackendID]*Load{}, peers: map[unit.HostID]peer{}}
+	for i := range l.recent {
+		l.recent[i] = map[unit.BackendID]*Load{}
+	}
+	return l
 }
 
 func bump(m map[unit.BackendID]*Load, id unit.BackendID, d Load, sign int) {
@@ -120,6 +126,7 @@
 		d.Reading = it.Reading
 		bump(l.own, it.Server, d, 1)
 		bump(l.total, it.Server, d, 1)
+		bump(l.recent[0], it.Server, d, 1)
 	}
 	return &Ticket{ledger: l, items: items}
 }
@@ -224,11 +231,13 @@
 	}
 }
 
-// Expect sets the number of daemons of the data centre that have told nothing yet.
-func (l *Ledger) Expect(silent int) {
+// Round notes a round of beacons among this daemon and a number of others.
+func (l *Ledger) Round(others int) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.silent = silent
+	l.others = others
+	l.recent[1] = l.recent[0]
+	l.recent[0] = map[unit.BackendID]*Load{}
 }
 
 // Load returns the load of a server from all daemons that have told it.
@@ -241,14 +250,16 @@
 	return Load{}
 }
 
-// Guess returns the load that daemons put on a server that have told nothing yet, if
-// they do what this one does.
+// Guess returns the load that others have put on a server and not told yet, if they
+// do what this daemon does.
 func (l *Ledger) Guess(id unit.BackendID) Load {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	var guess Load
-	if x := l.own[id]; x != nil {
-		guess.add(*x, l.silent)
+	for _, recent := range l.recent {
+		if x := recent[id]; x != nil {
+			guess.add(*x, l.others)
+		}
 	}
 	return guess
 }
