--- a/oleandercove/edge/announcer/announcer.go
+++ b/oleandercove/edge/announcer/announcer.go
@@ -157,8 +157,6 @@
 	sent    [64]time.Time
 	peers   map[string]*remote
 	foreign map[unit.DataCentre]*foreign
-	// summed holds the other data centres whose load was told once.
-	summed  map[unit.DataCentre]bool
 	leaving bool
 	fetches chan fetch
 }
--- a/oleandercove/edge/announcer/hosts.go
+++ b/oleandercove/edge/announcer/hosts.go
@@ -18,8 +18,9 @@
 	// readsPerSecond is how often all daemons together read the registered hosts. They
 	// find each other by beacons, and need the list only after a long partition.
 	readsPerSecond = 2
-	// longestRead is the least time between two reads once all is settled.
-	longestRead = 20 * time.Second
+	// settledRead is the time that the pause between two reads grows to in a small
+	// fleet.
+	settledRead = 20 * time.Second
 )
 
 const (
@@ -106,8 +107,8 @@
 // in proportion to the number of hosts, so that the rate of calls does not grow with
 // the fleet.
 func nextRead(wait time.Duration, hosts int) time.Duration {
-	settled := max(longestRead, time.Duration(hosts)*time.Second/readsPerSecond)
-	return min(2*wait, settled)
+	most := max(settledRead, time.Duration(hosts)*time.Second/readsPerSecond)
+	return min(2*wait, most)
 }
 
 // knowAll adds the addresses of registered hosts and tells them at once of this
--- a/oleandercove/edge/follower/choice.go
+++ b/oleandercove/edge/follower/choice.go
@@ -70,12 +70,15 @@
 	ranked := byRank(v)
 	rank := slices.Index(ranked, v.Self)
 	if v.Age <= patience {
-		return Way{Store: rank < watchers, Ask: among(v.Peers, ranked[:min(watchers, len(ranked))], rank >= watchers)}
+		if rank < watchers {
+			return Way{Store: true}
+		}
+		return Way{Ask: among(v.Peers, ranked[:min(watchers, len(ranked))])}
 	}
 	// The watchers may be those that the store turns away.
 	n := min(substitutesAt(v.Age), len(ranked))
 	alone := !v.Answered && v.Age > longPatience
-	return Way{Store: rank < n || alone || v.Age > longestPatience, Ask: among(v.Peers, ranked[:n], true)}
+	return Way{Store: rank < n || alone || v.Age > longestPatience, Ask: among(v.Peers, ranked[:n])}
 }
 
 // starting is the way of a daemon that has read the store once and does not know its
@@ -104,11 +107,8 @@
 	return n
 }
 
-// among returns the peers whose hosts are listed, or nothing unless they are wanted.
-func among(peers []Peer, hosts []unit.HostID, wanted bool) []Peer {
-	if !wanted {
-		return nil
-	}
+// among returns the peers whose hosts are listed.
+func among(peers []Peer, hosts []unit.HostID) []Peer {
 	var out []Peer
 	for _, p := range peers {
 		if slices.Contains(hosts, p.Host) {
