--- a/oleanderfake/imitator/server.go
+++ b/oleanderfake/imitator/server.go
@@ -77,7 +77,29 @@
 	// Failing lets requests end with a reset after they ran; Full lets them be
 	// rejected before.
 	Failing, Full atomic.Bool
-	leaving       atomic.Bool
+	// Endless replaces the responses to requests that run, if it is set.
+	Endless atomic.Pointer[Endless]
+	leaving atomic.Bool
+}
+
+// Endless is a response in raw bytes that never ends: the piece follows the beginning
+// again and again until the caller closes.
+type Endless struct {
+	Beginning, Piece string
+}
+
+// send writes the response to the connection of a request.
+func (e *Endless) send(w http.ResponseWriter) {
+	conn, _, err := http.NewResponseController(w).Hijack()
+	if err != nil {
+		panic(http.ErrAbortHandler)
+	}
+	_, err = io.WriteString(conn, e.Beginning)
+	piece := []byte(e.Piece)
+	for err == nil {
+		_, err = conn.Write(piece)
+	}
+	_ = conn.Close()
 }
 
 type serverSpec struct {
@@ -152,6 +174,10 @@
 	if p.Failing.Load() {
 		panic(http.ErrAbortHandler)
 	}
+	if e := p.Endless.Load(); e != nil {
+		e.send(w)
+		return
+	}
 	w.Header().Set(headerStamp, stampPrefix+p.ID)
 	// A caller that has gone sees that by itself.
 	_, _ = io.WriteString(w, "answer of "+p.ID)
--- a/prover/launcher/process.go
+++ b/prover/launcher/process.go
@@ -1,12 +1,15 @@
 package launcher
 
 import (
+	"errors"
 	"fmt"
 	"math/rand/v2"
 	"net"
 	"os"
 	"os/exec"
 	"path/filepath"
+	"strconv"
+	"strings"
 	"sync"
 	"syscall"
 	"time"
@@ -67,6 +70,24 @@
 	return string(b[max(0, len(b)-maxTail):])
 }
 
+// PeakMemory returns the largest resident memory of the process so far, in bytes.
+func (p *Process) PeakMemory() (int64, error) {
+	p.mu.Lock()
+	pid := p.cmd.Process.Pid
+	p.mu.Unlock()
+	status, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", pid))
+	if err != nil {
+		return 0, err
+	}
+	for line := range strings.Lines(string(status)) {
+		if text, ok := strings.CutPrefix(line, "VmHWM:"); ok {
+			n, err := strconv.ParseInt(strings.Fields(text)[0], 10, 64)
+			return n << 10, err
+		}
+	}
+	return 0, errors.New("status of the process names no peak")
+}
+
 func (p *Process) signal(s syscall.Signal) error {
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/prover/moves_test.go
+++ b/prover/moves_test.go
@@ -151,6 +151,11 @@
 	}
 }
 
+// patientAdmission lets requests wait as long as their engines take. Tests that check
+// streams under faults count each refusal as a violation, and on a busy machine engines
+// take longer than the usual bound on the wait.
+const patientAdmission = "\n[Admission]\nMaxWait = \"60s\"\n"
+
 // newRigWith is newRig with settings for the daemons.
 func newRigWith(t *testing.T, settings string, n int, engineFlags ...string) *rig {
 	t.Helper()
