--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,7 @@
 MODULES := core oleandercove oleanderctl oleanderfake oleanderload platform prover wire
 GO_FILES := $(shell git ls-files --cached --others --exclude-standard '*.go' | grep -v '\.pb\.go$$')
 
-.PHONY: build tools generate format lint test unit prove soak demo day score bench capacity clean
+.PHONY: build tools generate format lint test unit prove soak demo day score regression bench capacity clean
 
 build:
 	mkdir -p bin
@@ -61,6 +61,16 @@
 score:
 	$(FLEETBENCH) score $(SITE) --jobs 3 --why "$(WHY)"
 
+# The standard days with trouble of the sites of the users' bench that SITES names, one
+# after the other: make regression FLEETBENCH=path SITES="path path".
+DAYS ?= trouble-1 trouble-2 trouble-3 scale-1 scale-2
+WHY ?= regression
+
+regression:
+	@for site in $(SITES); do for day in $(DAYS); do \
+	$(FLEETBENCH) run $$site $$day --no-cpu --why "$(WHY)" | grep "^$$day " | sed "s|^|$$(basename $$site .toml) |"; \
+	done; done
+
 demo: build
 	go run ./prover/demo
 
--- a/oleandercove/edge/announcer/announcer.go
+++ b/oleandercove/edge/announcer/announcer.go
@@ -45,9 +45,11 @@
 	interval = 250 * time.Millisecond
 	// fanOut bounds the peers that get a beacon at each interval.
 	fanOut = 16
-	// silence is how long a peer counts as live without a beacon. With fanOut
+	// silence is how long a peer counts as live without a beacon, and beaconsMissed
+	// the number of beacons that may be missed where that takes longer. With fanOut
 	// peers out of a large fleet, beacons of one peer come seldom.
-	silence = 3 * time.Second
+	silence       = 3 * time.Second
+	beaconsMissed = 4
 	// forgetAfter is when a silent peer is no longer sent beacons.
 	forgetAfter = 60 * time.Second
 	// maxDatagram bounds a beacon that is read, in bytes.
@@ -102,6 +104,8 @@
 	heard       time.Time
 	leaving     bool
 	served      bool
+	// silence is how long the peer counts as live without a beacon.
+	silence time.Duration
 	// marks holds the servers that the last beacon said to be down.
 	marks map[unit.BackendID]bool
 }
@@ -128,7 +132,14 @@
 
 // live tells whether the peer may be relied on.
 func (p *remote) live(now time.Time) bool {
-	return p.host != "" && !p.leaving && now.Sub(p.heard) < silence
+	return p.host != "" && !p.leaving && now.Sub(p.heard) < max(silence, p.silence)
+}
+
+// silenceOf returns how long each one of a number of peers that send to each other
+// counts as live without a beacon.
+func silenceOf(peers int) time.Duration {
+	expected := interval * time.Duration(max(1, peers)) / fanOut
+	return max(silence, beaconsMissed*expected)
 }
 
 // Announcer exchanges beacons with peers.
@@ -146,6 +157,8 @@
 	sent    [64]time.Time
 	peers   map[string]*remote
 	foreign map[unit.DataCentre]*foreign
+	// summed holds the other data centres whose load was told once.
+	summed  map[unit.DataCentre]bool
 	leaving bool
 	fetches chan fetch
 }
@@ -162,11 +175,11 @@
 	}
 	a := &Announcer{
 		Options: o, incarnation: rand.Uint64() | 1, began: o.Timer.Now(), conn: conn,
-		peers: map[string]*remote{}, foreign: map[unit.DataCentre]*foreign{}, fetches: make(chan fetch, 1),
+		peers: map[string]*remote{}, foreign: map[unit.DataCentre]*foreign{}, summed: map[unit.DataCentre]bool{}, fetches: make(chan fetch, 1),
 	}
 	a.settleAfter(startTime)
 	for _, s := range o.Seeds {
-		a.know(s)
+		a.know(s, "")
 	}
 	return a, nil
 }
@@ -216,12 +229,12 @@
 	return false
 }
 
-// Leave tells peers with the next beacons that this daemon shuts down.
+// Leave tells all peers that this daemon shuts down.
 func (a *Announcer) Leave() {
 	a.mu.Lock()
 	a.leaving = true
 	a.mu.Unlock()
-	a.send(a.Timer.Now())
+	a.Urge()
 }
 
 // Run sends and receives beacons until ctx is done.
@@ -287,6 +300,7 @@
 // send tells a bounded number of peers what this daemon believes.
 func (a *Announcer) send(now time.Time) {
 	a.Ledger.Expire(now)
+	a.Ledger.Expect(a.silentPeers(now))
 	a.sendTo(a.targets(now), now)
 }
 
@@ -317,27 +331,32 @@
 func (a *Announcer) targets(now time.Time) []remote {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	var near, far []remote
+	var near, far []*remote
 	for address, p := range a.peers {
 		switch {
 		case now.Sub(p.heard) > forgetAfter:
 			delete(a.peers, address)
 		case p.dataCentre == a.DataCentre:
-			near = append(near, *p)
+			near = append(near, p)
 		default:
-			far = append(far, *p)
+			far = append(far, p)
 		}
 	}
 	return append(sample(near), sample(far)...)
 }
 
-// sample returns a random part of a list that is too long.
-func sample(list []remote) []remote {
-	if len(list) <= fanOut {
-		return list
+// sample returns copies of a random part of a list, and notes how often peers of such
+// a list are heard of.
+func sample(list []*remote) []remote {
+	for _, p := range list {
+		p.silence = silenceOf(len(list))
 	}
 	rand.Shuffle(len(list), func(i, j int) { list[i], list[j] = list[j], list[i] })
-	return list[:fanOut]
+	out := make([]remote, 0, fanOut)
+	for _, p := range list[:min(fanOut, len(list))] {
+		out = append(out, *p)
+	}
+	return out
 }
 
 func (a *Announcer) beacon(now time.Time) *peer.Beacon {
--- a/oleandercove/edge/gateway/path.go
+++ b/oleandercove/edge/gateway/path.go
@@ -2,12 +2,9 @@
 
 import (
 	"math/rand/v2"
-	"time"
 
-	"oleandercove.example/core/backend"
 	"oleandercove.example/core/unit"
 	"oleandercove.example/core/verdict"
-	"oleandercove.example/oleandercove/edge/ledger"
 	"oleandercove.example/oleandercove/edge/pathfinder"
 	"oleandercove.example/oleandercove/edge/rationer"
 )
@@ -74,14 +71,10 @@
 		if x.Draining || s.refusedBy[x.ID] || (chained && x.Layers.Len() == 0) || !s.Judge.MayServe(x.ID, now) {
 			continue
 		}
-		out = append(out, engineOf(s.job, x, s.Ledger.Load(x.ID), now))
+		out = append(out, pathfinder.Engine{
+			ID: x.ID, Address: x.Address, DataCentre: x.DataCentre, Layers: x.Layers, Card: s.service.Engine.Card(x.Card),
+			Load: s.Ledger.Load(x.ID), Guess: s.Ledger.Guess(x.ID), Slowdown: s.Judge.Rate(x.ID, now).Factor,
+		})
 	}
 	return out
 }
-
-func engineOf(j *job, x backend.Server, l ledger.Load, now time.Time) pathfinder.Engine {
-	return pathfinder.Engine{
-		ID: x.ID, Address: x.Address, DataCentre: x.DataCentre, Layers: x.Layers,
-		Card: j.service.Engine.Card(x.Card), Load: l, Slowdown: j.Judge.Rate(x.ID, now).Factor,
-	}
-}
--- a/oleandercove/edge/ledger/ledger.go
+++ b/oleandercove/edge/ledger/ledger.go
@@ -1,5 +1,10 @@
 // Package ledger counts the work in flight on backend servers: the own work at
-// once, that of other daemons as they last told.
+// once, that of other daemons as they last told. Daemons that have told nothing yet
+// are taken to do what this one does.
+//
+// Load pattern: a whole fleet starts anew, and the callers of all broken streams come
+// back within a second. Each daemon of a data centre knows only its own work, and all
+// would choose the same engines.
 //
 // Usage:
 //
@@ -33,11 +38,11 @@
 	Reading TokenLayers
 }
 
-func (l *Load) add(o Load, sign int) {
-	l.Running += sign * o.Running
-	l.Heads += sign * o.Heads
-	l.Tokens += TokenLayers(sign) * o.Tokens
-	l.Reading += TokenLayers(sign) * o.Reading
+func (l *Load) add(o Load, times int) {
+	l.Running += times * o.Running
+	l.Heads += times * o.Heads
+	l.Tokens += TokenLayers(times) * o.Tokens
+	l.Reading += TokenLayers(times) * o.Reading
 }
 
 // Item is the load that one request puts on one backend server.
@@ -76,6 +81,8 @@
 	own   map[unit.BackendID]*Load
 	total map[unit.BackendID]*Load
 	peers map[unit.HostID]peer
+	// silent is the number of daemons whose work is not known.
+	silent int
 }
 
 // New returns an empty Ledger.
@@ -217,7 +224,14 @@
 	}
 }
 
-// Load returns the load of a server from all daemons.
+// Expect sets the number of daemons of the data centre that have told nothing yet.
+func (l *Ledger) Expect(silent int) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.silent = silent
+}
+
+// Load returns the load of a server from all daemons that have told it.
 func (l *Ledger) Load(id unit.BackendID) Load {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -227,6 +241,18 @@
 	return Load{}
 }
 
+// Guess returns the load that daemons put on a server that have told nothing yet, if
+// they do what this one does.
+func (l *Ledger) Guess(id unit.BackendID) Load {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	var guess Load
+	if x := l.own[id]; x != nil {
+		guess.add(*x, l.silent)
+	}
+	return guess
+}
+
 // Running returns the number of own requests in flight on all servers.
 func (l *Ledger) Running() int {
 	l.mu.Lock()
--- a/oleandercove/edge/ledger/ledger_test.go
+++ b/oleandercove/edge/ledger/ledger_test.go
@@ -26,3 +26,18 @@
 	l.Expire(now.Add(expiry + time.Millisecond))
 	is.Equal(l.Load("a"), Load{})
 }
+
+// TestGuess guards against engines that look idle to a daemon whose peers have told
+// nothing yet, and against a guess that remains once they have.
+func TestGuess(t *testing.T) {
+	is := is.New(t)
+	l := New()
+	l.Begin([]Item{{Server: "a", Tokens: 100}})
+	is.Equal(l.Guess("a"), Load{})
+	l.Expect(3)
+	is.Equal(l.Guess("a"), Load{Running: 3, Tokens: 300})
+	is.Equal(l.Guess("b"), Load{})
+	is.Equal(l.Load("a"), Load{Running: 1, Tokens: 100})
+	l.Expect(0)
+	is.Equal(l.Guess("a"), Load{})
+}
--- a/oleandercove/edge/pathfinder/pathfinder.go
+++ b/oleandercove/edge/pathfinder/pathfinder.go
@@ -56,6 +56,9 @@
 	Layers     backend.Layers
 	Card       routing.Card
 	Load       ledger.Load
+	// Guess is load that is not known but likely. It raises the cost of the engine and
+	// takes no room, because a request must not be refused for a guess.
+	Guess ledger.Load
 	// Slowdown is how many times slower than usual the engine runs, at least 1.
 	Slowdown float64
 }
@@ -117,13 +120,13 @@
 	perToken := e.Card.ReadFactor * e.Slowdown / (m.ReadRate * layers)
 	c.read = float64(r.Prompt) * perToken
 	c.wait = float64(e.Load.Reading) * perToken / 2
-	batch := 1 + float64(e.Load.Running)*share
+	batch := 1 + float64(e.Load.Running+e.Guess.Running)*share
 	context := r.tokens() / 1000
 	step := float64(m.StepTime) + batch*(float64(m.RequestTime)+context*float64(m.ContextTime))
 	c.pass = float64(m.StepsPerPass) * e.Card.StepFactor * e.Slowdown * step / layers
 	free := memoryShare*float64(Capacity(m, e)) - float64(e.Load.Tokens)
 	c.room = int(free / max(1, r.tokens()))
-	fill := 1 - free/max(1, memoryShare*float64(Capacity(m, e)))
+	fill := 1 - (free-float64(e.Guess.Tokens))/max(1, memoryShare*float64(Capacity(m, e)))
 	c.cost = (c.read + passWeight*c.pass) * (1 + 4*math.Pow(max(0, fill), 4))
 	if r.Random != nil {
 		c.cost *= 1 + noise*r.Random()
--- a/oleandercove/edge/pathfinder/pathfinder_test.go
+++ b/oleandercove/edge/pathfinder/pathfinder_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"testing"
 
 	"github.com/matryer/is"
@@ -173,3 +174,45 @@
 	is.True(ok)
 	is.Equal(names(p.Chain), "c:0-40 d:40-80 ")
 }
+
+// TestWholeFleetStarts replays the return of all callers to daemons that have just
+// started and know only their own work. It guards against daemons that all choose the
+// same copy of the model until its engines have no memory left.
+func TestWholeFleetStarts(t *testing.T) {
+	const daemons, requests, copies = 40, 8, 4
+	tests := []struct {
+		name   string
+		silent int
+		// most is the largest part of the requests on one engine.
+		most float64
+	}{
+		// An even spread puts a quarter on each copy.
+		{"all daemons choose the same engines", daemons - 1, 0.35},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			random := rand.New(rand.NewPCG(14, 14))
+			load := map[unit.BackendID]int{}
+			for range daemons {
+				l := ledger.New()
+				l.Expect(tt.silent)
+				for range requests {
+					var engines []Engine
+					for i := range copies {
+						e := slow(engine(fmt.Sprint("a", i), "x", 0, 40), 1+0.2*float64(i))
+						e.Load, e.Guess = l.Load(e.ID), l.Guess(e.ID)
+						engines = append(engines, e, engine(fmt.Sprint("b", i), "x", 40, 80))
+					}
+					p, ok := Find(model(), engines, Request{Prompt: 760, Output: 200, Random: random.Float64})
+					is.True(ok)
+					l.Begin(p.Items)
+					load[p.Chain[0].ID]++
+				}
+			}
+			for _, n := range load {
+				is.True(float64(n) <= tt.most*daemons*requests)
+			}
+		})
+	}
+}
