prover/edge: a request that ends each backend server under which it runs (known red)

The stand-in ends the process of a server, or of the first or the last engine of a chain, that begins to run a marked request, and starts it again under another id 2 s later.

--- a/Makefile
+++ b/Makefile
@@ -36,7 +36,7 @@
 unit:
 	go test -race -count=1 -timeout $(TEST_TIMEOUT) $(if $(KNOWN_RED),-skip '^($(KNOWN_RED))$$') $(MODULES:%=./%/...)
 	@if [ -n "$(KNOWN_RED)" ]; then cat KNOWN-RED.txt; \
-	go test -race -count=1 -timeout $(TEST_TIMEOUT) -run '^($(KNOWN_RED))$$' ./prover || echo "known red tests failed"; fi
+	go test -race -count=1 -timeout $(TEST_TIMEOUT) -run '^($(KNOWN_RED))$$' ./prover/... || echo "known red tests failed"; fi
 
 test: lint build unit
 
--- a/oleanderfake/imitator/engine.go
+++ b/oleanderfake/imitator/engine.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"fmt"
+	"io"
 	"net/http"
 	"strconv"
 	"strings"
@@ -47,10 +48,10 @@
 	stalled string
 }
 
-func (s *Site) startEngine(id, dataCentre string) error {
+func (s *Site) startEngine(id, dataCentre, address string) error {
 	e := &Engine{ID: id, site: s, dataCentre: dataCentre, born: time.Now().UnixMilli(), streams: map[string]*stream{}}
 	var err error
-	if e.address, err = s.serve(anyPort, e); err != nil {
+	if e.address, err = s.serve(address, e); err != nil {
 		return err
 	}
 	s.mu.Lock()
@@ -247,7 +248,17 @@
 		defer e.mu.Unlock()
 		delete(e.streams, id)
 	}()
-	e.site.Runs.add(id, Run{Server: e.ID, Method: r.Method, Target: r.RequestURI, Header: r.Header.Clone(), At: time.Now()})
+	body, err := io.ReadAll(r.Body)
+	if err != nil {
+		return
+	}
+	e.site.Runs.add(id, Run{Server: e.ID, Method: r.Method, Target: r.RequestURI, Body: string(body), Header: r.Header.Clone(), At: time.Now()})
+	if x := e.endedBy(body, path); x != nil {
+		x.crash(id)
+		if x == e {
+			panic(http.ErrAbortHandler)
+		}
+	}
 	w.Header().Set(headerStamp, stampPrefix+e.ID)
 	w.Header().Set("Content-Type", "text/event-stream")
 	e.stream(w, r, s)
--- a/oleanderfake/imitator/server.go
+++ b/oleanderfake/imitator/server.go
@@ -42,6 +42,18 @@
 	byID map[string][]Run
 }
 
+// All returns all runs in order of time.
+func (r *Runs) All() []Run {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	var out []Run
+	for _, list := range r.byID {
+		out = append(out, list...)
+	}
+	slices.SortFunc(out, func(a, b Run) int { return a.At.Compare(b.At) })
+	return out
+}
+
 func (r *Runs) add(id string, x Run) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -114,10 +126,10 @@
 	Layers    *layersSpec `json:"layers,omitempty"`
 }
 
-func (s *Site) startServer(id string) error {
+func (s *Site) startServer(id, address string) error {
 	p := &Server{ID: id, site: s}
 	var err error
-	if p.address, err = s.serve(anyPort, p); err != nil {
+	if p.address, err = s.serve(address, p); err != nil {
 		return err
 	}
 	p.Register()
@@ -178,6 +190,11 @@
 		e.send(w)
 		return
 	}
+	if endsServer(body, r.RequestURI) {
+		p.crash(id)
+		panic(http.ErrAbortHandler)
+	}
+	time.Sleep(p.site.options.Work)
 	w.Header().Set(headerStamp, stampPrefix+p.ID)
 	// A caller that has gone sees that by itself.
 	_, _ = io.WriteString(w, "answer of "+p.ID)
--- a/oleanderfake/imitator/site.go
+++ b/oleanderfake/imitator/site.go
@@ -47,6 +47,8 @@
 	Engines int
 	// Servers is the number of servers of the plain service.
 	Servers int
+	// Work is how long a request to the plain service takes.
+	Work time.Duration
 }
 
 // Site is a platform with backend servers.
@@ -54,28 +56,30 @@
 	Store *Store
 	Runs  *Runs
 
+	options   Options
 	mu        sync.Mutex
 	engines   []*Engine
 	servers   []*Server
+	crashes   []Crash
 	faults    []string
 	version   int
-	listeners []*http.Server
+	listeners map[string]*http.Server
 	stop      chan struct{}
 	ended     sync.Once
 }
 
 // New starts the store and the backend servers of a site, which register there.
 func New(o Options) (*Site, error) {
-	s := &Site{Store: newStore(), Runs: &Runs{byID: map[string][]Run{}}, stop: make(chan struct{})}
+	s := &Site{Store: newStore(), Runs: &Runs{byID: map[string][]Run{}}, options: o, listeners: map[string]*http.Server{}, stop: make(chan struct{})}
 	for _, dc := range o.DataCentres {
 		for i := range o.Engines {
-			if err := s.startEngine(fmt.Sprintf("engine-%s%d", dc, i), dc); err != nil {
+			if err := s.startEngine(fmt.Sprintf("engine-%s%d", dc, i), dc, anyPort); err != nil {
 				return nil, errors.Join(err, s.Close())
 			}
 		}
 	}
 	for i := range o.Servers {
-		if err := s.startServer(fmt.Sprintf("plain-%d", i+1)); err != nil {
+		if err := s.startServer(fmt.Sprintf("plain-%d", i+1), anyPort); err != nil {
 			return nil, errors.Join(err, s.Close())
 		}
 	}
@@ -117,7 +121,7 @@
 	for _, l := range s.listeners {
 		err = errors.Join(err, l.Close())
 	}
-	s.listeners = nil
+	clear(s.listeners)
 	return err
 }
 
@@ -129,7 +133,7 @@
 	}
 	srv := &http.Server{Handler: h}
 	s.mu.Lock()
-	s.listeners = append(s.listeners, srv)
+	s.listeners[l.Addr().String()] = srv
 	s.mu.Unlock()
 	go func() {
 		if err := srv.Serve(l); !errors.Is(err, http.ErrServerClosed) {
--- a/prover/edge/site_test.go
+++ b/prover/edge/site_test.go
@@ -33,7 +33,13 @@
 // newSite starts daemons over two copies of a model and two plain servers.
 func newSite(t *testing.T, daemons int) *site {
 	t.Helper()
-	stand, err := imitator.New(imitator.Options{DataCentres: []string{"x", "y"}, Engines: 4, Servers: 2})
+	return newSiteOf(t, daemons, imitator.Options{DataCentres: []string{"x", "y"}, Engines: 4, Servers: 2})
+}
+
+// newSiteOf starts daemons over the stand-ins that the options describe.
+func newSiteOf(t *testing.T, daemons int, o imitator.Options) *site {
+	t.Helper()
+	stand, err := imitator.New(o)
 	if err != nil {
 		t.Fatal(err)
 	}
