edge: logs name the content of requests under which backend servers end

Cause: logs knew a request by the id of its attempt only, so two arrivals of one request could not be told from two requests, and a server that ended not from one that dropped a connection.

Change: a fingerprint of the content in the lines of failed attempts and refusals; when a connection breaks under a request, the daemon asks whether the server still takes connections (a new one is kept for the next request); edge/screener holds the marks and peers hear of them in beacons. The marks are those of quarantiner.Book, which the daemons of run use too; it is bounded now, three crashes convict in any case, and a request that passes all its crashes is cleared also after a conviction.

--- a/oleandercove/edge/announcer/announcer.go
+++ b/oleandercove/edge/announcer/announcer.go
@@ -37,6 +37,7 @@
 	"oleandercove.example/oleandercove/edge/follower"
 	"oleandercove.example/oleandercove/edge/judge"
 	"oleandercove.example/oleandercove/edge/ledger"
+	"oleandercove.example/oleandercove/edge/screener"
 	"oleandercove.example/wire/peer"
 )
 
@@ -81,6 +82,7 @@
 	Judge     *judge.Judge
 	Ledger    *ledger.Ledger
 	Budgeter  *budgeter.Budgeter
+	Screener  *screener.Screener
 	Timer     timer.Service
 	Log       *log.Logger
 	// Served tells whether this daemon has passed on a model request.
@@ -385,6 +387,7 @@
 			From: int32(e.Held.From), To: int32(e.Held.To), KeepFrom: int32(e.Kept.From), KeepTo: int32(e.Kept.To),
 		})
 	}
+	b.Crashes = encodeCrashes(a.Screener.Marks(now), now)
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	a.number++
--- /dev/null
+++ b/oleandercove/edge/announcer/crashes.go
@@ -0,0 +1,31 @@
+package announcer
+
+import (
+	"time"
+
+	"oleandercove.example/oleandercove/quarantiner"
+	"oleandercove.example/wire/peer"
+)
+
+// encodeCrashes tells the age of marks, because clocks of hosts are not compared.
+func encodeCrashes(marks []quarantiner.Mark, now time.Time) []*peer.CrashMark {
+	out := make([]*peer.CrashMark, 0, len(marks))
+	for _, m := range marks {
+		out = append(out, &peer.CrashMark{
+			Fingerprint: uint64(m.Fingerprint), Crash: string(m.Crash), Position: uint32(max(0, m.Position)),
+			Progressed: m.Progressed, Cleared: m.Cleared, AgeMs: uint32(max(0, now.Sub(m.At).Milliseconds())),
+		})
+	}
+	return out
+}
+
+func decodeCrashes(list []*peer.CrashMark, now time.Time) []quarantiner.Mark {
+	out := make([]quarantiner.Mark, 0, len(list))
+	for _, c := range list {
+		out = append(out, quarantiner.Mark{
+			Fingerprint: quarantiner.Fingerprint(c.Fingerprint), Crash: quarantiner.CrashID(c.Crash), Position: int(c.Position),
+			Progressed: c.Progressed, Cleared: c.Cleared, At: now.Add(-time.Duration(c.AgeMs) * time.Millisecond),
+		})
+	}
+	return out
+}
--- /dev/null
+++ b/oleandercove/edge/announcer/crashes_test.go
@@ -0,0 +1,29 @@
+package announcer
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"oleandercove.example/oleandercove/quarantiner"
+)
+
+// TestCrashes guards against marks that change on their way to a peer, and against
+// ages that are lost where the clocks of two hosts differ.
+func TestCrashes(t *testing.T) {
+	is := is.New(t)
+	sent, received := time.Unix(1000, 0), time.Unix(5000, 0)
+	give := []quarantiner.Mark{
+		{Fingerprint: 1 << 63, Crash: "i-1/17", Position: 12, Progressed: true, At: sent.Add(-90 * time.Second)},
+		{Fingerprint: 2, Crash: "i-2/18", Cleared: true, At: sent},
+	}
+	got := decodeCrashes(encodeCrashes(give, sent), received)
+	is.Equal(len(got), 2)
+	is.Equal(got[0].At, received.Add(-90*time.Second))
+	is.Equal(got[1].At, received)
+	for i := range got {
+		got[i].At = give[i].At
+	}
+	is.Equal(got, give)
+}
--- a/oleandercove/edge/announcer/receive.go
+++ b/oleandercove/edge/announcer/receive.go
@@ -27,6 +27,9 @@
 		return
 	}
 	a.takeLoads(&b, now)
+	if len(b.Crashes) > 0 {
+		a.Screener.Merge(decodeCrashes(b.Crashes, now))
+	}
 	for _, id := range news {
 		a.Suspect(id)
 	}
--- a/oleandercove/edge/exchanger/exchanger.go
+++ b/oleandercove/edge/exchanger/exchanger.go
@@ -24,6 +24,7 @@
 	"net/http"
 	"strconv"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"oleandercove.example/core/backend"
@@ -139,6 +140,11 @@
 	if c := x.pool.take(a, time.Now()); c != nil {
 		return c, nil
 	}
+	return x.dial(ctx, a)
+}
+
+// dial opens a new connection.
+func (x *Exchanger) dial(ctx context.Context, a backend.Address) (*conn, error) {
 	x.dials.Add(1)
 	d := net.Dialer{Timeout: dialTimeout}
 	nc, err := d.DialContext(ctx, "tcp", string(a))
@@ -149,6 +155,18 @@
 	return &conn{Conn: nc, receiver: receiver.New(nc, readBuffer)}, nil
 }
 
+// Refuses tells whether a server refuses connections: the process at its address has
+// ended. A new connection is kept for the next request.
+func (x *Exchanger) Refuses(ctx context.Context, a backend.Address) bool {
+	c, err := x.dial(ctx, a)
+	if err != nil {
+		return errors.Is(err, syscall.ECONNREFUSED)
+	}
+	c.keep("", time.Now())
+	x.pool.put(a, c)
+	return false
+}
+
 // write sends the request. A large body is written beside reading, because a
 // server may respond before it has read all of it.
 func (e *Exchange) write(r *Request) error {
--- a/oleandercove/edge/exchanger/exchanger_test.go
+++ b/oleandercove/edge/exchanger/exchanger_test.go
@@ -151,3 +151,24 @@
 		is.True(x.pool.pop(a) == nil)
 	})
 }
+
+// TestRefuses guards against a server that is taken to have ended because one of its
+// connections broke, and against a check that wastes a connection.
+func TestRefuses(t *testing.T) {
+	is := is.New(t)
+	x := newExchanger()
+	a, _ := server(t, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok")
+	is.True(!x.Refuses(t.Context(), a))
+	e, err := x.Send(t.Context(), a, &Request{Method: http.MethodGet, Target: "/", Host: "h"})
+	is.NoErr(err)
+	e.Close()
+	is.Equal(x.Dials(), int64(1))
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	gone := backend.Address(l.Addr().String())
+	is.NoErr(l.Close())
+	is.True(x.Refuses(t.Context(), gone))
+	ended, cancel := context.WithCancel(t.Context())
+	cancel()
+	is.True(!x.Refuses(ended, gone)) // nothing is known
+}
--- a/oleandercove/edge/gateway/call.go
+++ b/oleandercove/edge/gateway/call.go
@@ -85,7 +85,7 @@
 		if ctx.Err() != nil || !last.failed() || !j.mayRepeat(last) || j.left() < minAttempt {
 			break
 		}
-		j.Log.Info("attempt failed", "id", j.call.Request, "server", s.ID, "verdict", last.verdict, "err", last.err, "left", j.left())
+		j.Log.Info("attempt failed", "id", j.call.Request, "content", j.content, "server", s.ID, "verdict", last.verdict, "err", last.err, "left", j.left())
 	}
 	j.finishCall(ctx, last, ran)
 }
@@ -170,11 +170,13 @@
 	began := time.Now()
 	e, err := j.send(actx, s.Address, backend.Send{Server: s.ID})
 	if err != nil {
+		j.checkEnd(actx, s, err)
 		cancel()
 		return j.unsent(s, err)
 	}
 	o := j.readResponse(e)
 	o.cancel = cancel
+	j.checkResponse(actx, s, o)
 	j.rate(s, o, time.Since(began))
 	return o
 }
--- a/oleandercove/edge/gateway/gateway.go
+++ b/oleandercove/edge/gateway/gateway.go
@@ -32,6 +32,8 @@
 	"oleandercove.example/oleandercove/edge/ledger"
 	"oleandercove.example/oleandercove/edge/prober"
 	"oleandercove.example/oleandercove/edge/rationer"
+	"oleandercove.example/oleandercove/edge/screener"
+	"oleandercove.example/oleandercove/quarantiner"
 	"oleandercove.example/platform"
 )
 
@@ -63,6 +65,7 @@
 	Meter     *Meter
 	Budgeter  *budgeter.Budgeter
 	Rationer  *rationer.Rationer
+	Screener  *screener.Screener
 	// DataCentre is where this daemon runs.
 	DataCentre unit.DataCentre
 	// KeyRevocation is the time after which a revoked key must not work.
@@ -110,6 +113,9 @@
 	route   *routing.Route
 	service *routing.Service
 	account unit.AccountID
+	// content is the same for all attempts of one request, from whatever caller's
+	// retry they come.
+	content quarantiner.Fingerprint
 	// keyed requests depend on fresh knowledge of keys.
 	keyed    bool
 	began    time.Time
@@ -154,7 +160,13 @@
 		return err
 	}
 	j.deadline = j.began.Add(j.allowed())
-	return j.readBody(limits)
+	if err := j.readBody(limits); err != nil {
+		return err
+	}
+	j.content = screener.Content{
+		Method: j.r.Method, Host: j.r.Host, Target: j.r.RequestURI, Account: j.account, Body: j.body,
+	}.Fingerprint()
+	return nil
 }
 
 // headerSize is the size of the head of a request, in bytes.
--- a/oleandercove/edge/gateway/recover.go
+++ b/oleandercove/edge/gateway/recover.go
@@ -16,7 +16,7 @@
 const slowFactor = 2.5
 
 // confirmTime is how long after the end of a connection it is known whether the
-// engine itself has ended: peers find out and tell within some milliseconds.
+// engine itself has ended: a host in the region answers within some milliseconds.
 const confirmTime = 10 * time.Millisecond
 
 var errEngineDown = errors.New("engine of the chain does not answer")
@@ -88,14 +88,15 @@
 // awaitTurn lets the streams that break off with their first engine start again
 // one after the other. A stream that broke off alone goes on at once.
 func (s *stream) awaitTurn() {
-	s.sleep(confirmTime)
 	if s.anyDown(s.Timer.Now()) {
-		s.sleep(s.recoveryPause())
+		s.waitFor(nil, s.recoveryPause())
 	}
 }
 
-func (s *stream) sleep(d time.Duration) {
+// waitFor waits until the channel is closed, for no longer than a time.
+func (s *stream) waitFor(done <-chan struct{}, d time.Duration) {
 	select {
+	case <-done:
 	case <-time.After(d):
 	case <-s.ctx.Done():
 	}
@@ -135,7 +136,8 @@
 		return stepWait
 	}
 	s.failure = errEngineDown
-	s.lostFirst = s.lostFirst || s.Judge.HasEnded(s.chain[0].ID, now)
+	s.accuseDown(now)
+	s.countEnded(now)
 	reroutable := !s.Judge.IsDown(s.chain[0].ID, now) && s.service.Engine.Chained()
 	if reroutable && s.reroute(within) {
 		return stepWait
--- a/oleandercove/edge/gateway/refusal.go
+++ b/oleandercove/edge/gateway/refusal.go
@@ -52,12 +52,12 @@
 // refuse answers the caller with a failure of the router.
 func (j *job) refuse(err *verdict.Error) {
 	j.Meter.refused(err.Reason)
-	j.Log.Info("request refused", "id", j.call.Request, "route", j.routeName(), "verdict", err.Verdict,
+	j.Log.Info("request refused", "id", j.call.Request, "content", j.content, "route", j.routeName(), "verdict", err.Verdict,
 		"reason", err.Reason, "detail", err.Detail, "after", time.Since(j.began), "left", j.left())
 	h := j.w.Header()
 	platform.SetRequest(h, j.call.Request)
 	h.Set("Content-Type", jsonType)
-	status := err.Reason.Status()
+	status := statusOf(err.Reason)
 	if status == http.StatusServiceUnavailable || status == http.StatusTooManyRequests {
 		h.Set("Retry-After", retryAfter(err.RetryAfter, j.left(), rand.Float64()))
 	}
@@ -76,6 +76,16 @@
 	j.discardBody()
 }
 
+// statusOf returns the status for a reason. Callers take only some statuses as the
+// promise that a request has not run, and the one for content that ends backend
+// servers is not among them.
+func statusOf(r verdict.Reason) int {
+	if r == verdict.Quarantined {
+		return http.StatusServiceUnavailable
+	}
+	return r.Status()
+}
+
 // discardBody reads what a refused caller still sends. A connection that is
 // closed with unread data is reset, and the caller can lose the refusal.
 func (j *job) discardBody() {
--- a/oleandercove/edge/gateway/relay.go
+++ b/oleandercove/edge/gateway/relay.go
@@ -9,6 +9,7 @@
 	"oleandercove.example/core/backend"
 	"oleandercove.example/core/unit"
 	"oleandercove.example/oleandercove/edge/exchanger"
+	"oleandercove.example/oleandercove/edge/screener"
 	"oleandercove.example/platform"
 )
 
@@ -137,11 +138,8 @@
 
 // again tells whether the request may be sent along another chain.
 func (s *stream) again() step {
-	limit := s.route.Attempts
-	if s.lostFirst {
-		// An engine that ended does not count as one that ran the request.
-		limit++
-	}
+	// An engine that ended does not count as one that ran the request.
+	limit := s.route.Attempts + s.endedRuns
 	if s.sends >= maxSends || s.runs >= limit || s.left() < minAttempt {
 		return stepFail
 	}
@@ -173,6 +171,7 @@
 	if ev.last != "" {
 		s.last = ev.last
 	}
+	s.passed()
 	return stepWait
 }
 
@@ -205,8 +204,10 @@
 		s.Prober.Down(first, err.Error())
 	} else {
 		s.Judge.Failed(first, now)
+		s.waitFor(s.accuse(first), confirmTime)
+		s.countEnded(now)
 	}
-	s.Log.Info("stream broke off", "id", s.call.Request, "engine", first, "last", s.last, "runs", s.runs, "err", err)
+	s.Log.Info("stream broke off", "id", s.call.Request, "content", s.content, "engine", first, "last", s.last, "runs", s.runs, "err", err)
 	next := s.again()
 	if next == stepAgain {
 		s.awaitTurn()
@@ -220,6 +221,7 @@
 	for _, h := range s.chain {
 		s.Judge.Succeeded(h.ID, now.Sub(s.lastAt))
 	}
+	s.Screener.Passed(s.content, screener.Whole)
 	s.Meter.count("streams_whole_total")
 	if t := s.timing; t.late(s.route) {
 		s.Meter.count("streams_late_total")
--- a/oleandercove/edge/gateway/stream.go
+++ b/oleandercove/edge/gateway/stream.go
@@ -40,8 +40,13 @@
 
 	// sends counts the offers, runs those that may have begun to run.
 	sends, runs int
-	// lostFirst is set once a run ended because its first engine ended.
-	lostFirst bool
+	// progressed is set once the running attempt has sent an event, and accused once a
+	// backend server ended under the request.
+	progressed, accused bool
+	// firstEnded is set once the process of the running attempt's first engine is
+	// known to have ended, and endedRuns counts such attempts.
+	firstEnded bool
+	endedRuns  int
 	// started is set once the head has gone to the caller.
 	started bool
 	last    eventID
@@ -122,6 +127,7 @@
 	if err != nil {
 		return err
 	}
+	s.progressed, s.firstEnded = false, false
 	s.takePath(p)
 	s.replaceAt = nil
 	ctx, cancel := context.WithCancel(s.ctx)
--- a/oleandercove/edge/runner/metrics.go
+++ b/oleandercove/edge/runner/metrics.go
@@ -15,6 +15,7 @@
 	"oleandercove.example/core/backend"
 	"oleandercove.example/core/routing"
 	"oleandercove.example/core/unit"
+	"oleandercove.example/oleandercove/edge/screener"
 	"oleandercove.example/oleandercove/leaser"
 )
 
@@ -52,6 +53,8 @@
 	Peers     []unit.HostID
 	Leases    []leaser.State
 	Servers   []backend.Server
+	// Refused are the requests that are kept from backend servers.
+	Refused []screener.Case
 }
 
 // dump answers with what the daemon believes now.
@@ -59,6 +62,7 @@
 	s := state{
 		Host: r.settings.Host, Active: r.gateway.Active(), Peers: r.announcer.Live(),
 		Leases: r.leaser.States(), Servers: r.directory.Servers().All(),
+		Refused: r.screener.Cases(),
 	}
 	if k := r.directory.Knowledge(); k != nil {
 		s.Version, s.Revision, s.Confirmed = k.Table.Configuration.Version, k.Revision, r.timer.Now().Sub(k.Confirmed)
--- a/oleandercove/edge/runner/runner.go
+++ b/oleandercove/edge/runner/runner.go
@@ -41,6 +41,7 @@
 	"oleandercove.example/oleandercove/edge/observer"
 	"oleandercove.example/oleandercove/edge/prober"
 	"oleandercove.example/oleandercove/edge/rationer"
+	"oleandercove.example/oleandercove/edge/screener"
 	"oleandercove.example/oleandercove/edge/settings"
 	"oleandercove.example/oleandercove/leaser"
 	"oleandercove.example/platform"
@@ -84,6 +85,7 @@
 	leaser    *leaser.Leaser
 	assigner  *assigner.Assigner
 	gateway   *gateway.Gateway
+	screener  *screener.Screener
 	metrics   *metrics
 	output    *logger.Bounded
 
@@ -124,14 +126,16 @@
 	b := budgeter.New(budgeter.Options{
 		Share: s.Bounds.RetryShare, Reserve: s.Bounds.RetryReserve, Hosts: func() int { return a.Hosts() }, Timer: r.timer,
 	})
+	r.screener = screener.New(screener.Options{Timer: r.timer, Log: r.log.WithPrefix("screener"), Urge: func() { a.Urge() }})
 	r.gateway = gateway.New(gateway.Options{
 		Directory: r.directory, Exchanger: x, Judge: j, Ledger: l, Engines: engines, Prober: p, Timer: r.timer,
 		Log: r.log.WithPrefix("gateway"), Meter: gateway.NewMeter(r.metrics.scope),
-		Budgeter: b, Rationer: rationer.New(rationer.Options{Hosts: func() int { return a.Hosts() }, Timer: r.timer}), DataCentre: s.DataCentre, KeyRevocation: s.Bounds.KeyRevocation.Std(),
+		Budgeter: b, Rationer: rationer.New(rationer.Options{Hosts: func() int { return a.Hosts() }, Timer: r.timer}),
+		Screener: r.screener, DataCentre: s.DataCentre, KeyRevocation: s.Bounds.KeyRevocation.Std(),
 	})
 	a, err := announcer.New(announcer.Options{
 		Host: s.Host, DataCentre: s.DataCentre, Address: s.BeaconAddress(), PeerAddress: s.PeerAddress(), Seeds: r.seeds(), Store: store,
-		Directory: r.directory, Judge: j, Ledger: l, Budgeter: b, Timer: r.timer, Log: r.log.WithPrefix("announcer"),
+		Directory: r.directory, Judge: j, Ledger: l, Budgeter: b, Screener: r.screener, Timer: r.timer, Log: r.log.WithPrefix("announcer"),
 		Served: r.gateway.Served, Engines: r.engineStates, Suspect: p.Suspect, Fetch: fetchConfiguration,
 	})
 	if err != nil {
--- /dev/null
+++ b/oleandercove/edge/screener/ruling.go
@@ -0,0 +1,76 @@
+package screener
+
+import (
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"oleandercove.example/core/unit"
+	"oleandercove.example/oleandercove/quarantiner"
+)
+
+// ruling is what holds for a request.
+type ruling int
+
+const (
+	// free requests may run at any time.
+	free ruling = iota
+	// aloneOfCopies lets one copy of the request run at a time.
+	aloneOfCopies
+	// aloneOfSuspects lets one request with the marks of several crashes run at a time.
+	aloneOfSuspects
+	// undecided waits for the marks of other requests of the same crash.
+	undecided
+	// refuse keeps the request from all backend servers.
+	refuse
+)
+
+// rule decides what holds for a request from its marks alone.
+func rule(b *quarantiner.Book, f quarantiner.Fingerprint, now time.Time) ruling {
+	if b.Convicted(f, now) {
+		return refuse
+	}
+	marks := b.Marks(f)
+	switch {
+	case len(marks) >= 2 && now.Sub(marks[len(marks)-1].At) < quarantiner.SettleDelay:
+		return undecided
+	case len(marks) >= 2:
+		return aloneOfSuspects
+	case b.Suspect(f, now):
+		return aloneOfCopies
+	default:
+		return free
+	}
+}
+
+// trial returns what the request excludes while it runs, if it may run at all.
+func (r ruling) trial(f quarantiner.Fingerprint) (trial, bool) {
+	switch r {
+	case aloneOfCopies:
+		return trial(f), true
+	case aloneOfSuspects:
+		return 0, true
+	default:
+		return 0, false
+	}
+}
+
+// Content is what two requests that are the same have in common.
+type Content struct {
+	Method, Host, Target string
+	Account              unit.AccountID
+	Body                 []byte
+}
+
+// Fingerprint returns the fingerprint of the content.
+func (c Content) Fingerprint() quarantiner.Fingerprint {
+	const separator = "\x00"
+	d := xxhash.New()
+	for _, part := range []string{c.Method, c.Host, c.Target, string(c.Account)} {
+		// A digest accepts all writes.
+		_, _ = d.WriteString(part)
+		_, _ = d.WriteString(separator)
+	}
+	_, _ = d.Write(c.Body)
+	return quarantiner.Fingerprint(d.Sum64())
+}
--- a/oleandercove/quarantiner/book.go
+++ b/oleandercove/quarantiner/book.go
@@ -18,10 +18,20 @@
 	Cleared bool
 }
 
+const (
+	// enoughCrashes convicts a request that has passed none of them, whoever else ran
+	// there: no request may end more backend servers than that.
+	enoughCrashes = 3
+	// maxRecords bounds the requests that are remembered. The crash of a large engine
+	// leaves some hundred.
+	maxRecords = 4096
+)
+
 // record holds the marks of one request.
 type record struct {
 	marks []Mark
-	// poison stays once it is set, also after the marks have expired.
+	// poison is the time of the crash that convicted the request; it stays also after
+	// the marks have expired.
 	poison time.Time
 }
 
@@ -33,35 +43,37 @@
 	at       time.Time
 }
 
-// book holds the marks by request. It decides without clocks or locks of its
+// Book holds the marks by request. It decides without clocks or locks of its
 // own.
-type book struct {
+type Book struct {
 	records map[Fingerprint]*record
 	tallies map[CrashID]*tally
 	pruned  time.Time
 }
 
-func newBook() *book {
-	return &book{records: map[Fingerprint]*record{}, tallies: map[CrashID]*tally{}}
+// NewBook returns a Book without marks.
+func NewBook() *Book {
+	return &Book{records: map[Fingerprint]*record{}, tallies: map[CrashID]*tally{}}
 }
 
-// add stores a mark once. A request that crashed a backend server while it was
-// the only suspect there is convicted.
-func (b *book) add(m Mark, now time.Time) {
+// Add stores a mark once and tells whether it is new. A request that crashed a
+// backend server while it was the only suspect there, or enough of them, is convicted.
+func (b *Book) Add(m Mark, now time.Time) bool {
 	b.prune(now)
 	r := b.records[m.Fingerprint]
 	if r == nil {
+		b.makeRoom()
 		r = &record{}
 		b.records[m.Fingerprint] = r
 	}
 	for _, old := range r.marks {
 		if old.Crash == m.Crash {
-			return
+			return false
 		}
 	}
 	r.marks = append(r.marks, m)
 	if len(r.marks) < 2 {
-		return
+		return true
 	}
 	t := b.tallies[m.Crash]
 	if t == nil {
@@ -69,15 +81,29 @@
 		b.tallies[m.Crash] = t
 	}
 	t.requests++
-	if m.Isolated {
-		r.poison = now
+	if m.Isolated || len(r.marks) >= enoughCrashes {
+		r.poison = m.At
 	}
+	return true
 }
 
-// convicted tells whether the request is poison: it was convicted before, or
+// makeRoom drops a request that is not convicted once there are too many.
+func (b *Book) makeRoom() {
+	if len(b.records) < maxRecords {
+		return
+	}
+	for f, r := range b.records {
+		if r.poison.IsZero() {
+			delete(b.records, f)
+			return
+		}
+	}
+}
+
+// Convicted tells whether the request is poison: it was convicted before, or
 // it is the only one with two crashes in its last crash. The marks of all
-// requests of a crash arrive within settleDelay.
-func (b *book) convicted(f Fingerprint, now time.Time) bool {
+// requests of a crash arrive within SettleDelay.
+func (b *Book) Convicted(f Fingerprint, now time.Time) bool {
 	b.prune(now)
 	r := b.records[f]
 	if r == nil {
@@ -86,15 +112,15 @@
 	if r.poison.IsZero() && len(r.marks) >= 2 {
 		last := r.marks[len(r.marks)-1]
 		t := b.tallies[last.Crash]
-		if t != nil && t.requests == 1 && now.Sub(last.At) >= settleDelay {
-			r.poison = now
+		if t != nil && t.requests == 1 && now.Sub(last.At) >= SettleDelay {
+			r.poison = last.At
 		}
 	}
 	return !r.poison.IsZero()
 }
 
-// suspect tells whether the request must start alone.
-func (b *book) suspect(f Fingerprint, now time.Time) bool {
+// Suspect tells whether the request must start alone.
+func (b *Book) Suspect(f Fingerprint, now time.Time) bool {
 	b.prune(now)
 	r := b.records[f]
 	if r == nil {
@@ -111,11 +137,31 @@
 	return false
 }
 
-// passed drops and returns the marks of a request that got beyond all its
-// crashes.
-func (b *book) passed(f Fingerprint, position int) []Mark {
+// Marks returns the marks of a request in the order of their arrival.
+func (b *Book) Marks(f Fingerprint) []Mark {
+	if r := b.records[f]; r != nil {
+		return slices.Clone(r.marks)
+	}
+	return nil
+}
+
+// Convictions returns the requests that are known to be poison.
+func (b *Book) Convictions(now time.Time) []Fingerprint {
+	var out []Fingerprint
+	for f, r := range b.records {
+		if len(r.marks) >= 2 && b.Convicted(f, now) {
+			out = append(out, f)
+		}
+	}
+	slices.Sort(out)
+	return out
+}
+
+// Passed drops and returns the marks of a request that got beyond all its
+// crashes. That lifts a conviction too, because a poison request can't get there.
+func (b *Book) Passed(f Fingerprint, position int) []Mark {
 	r := b.records[f]
-	if r == nil || !r.poison.IsZero() {
+	if r == nil {
 		return nil
 	}
 	for _, m := range r.marks {
@@ -127,20 +173,20 @@
 	return r.marks
 }
 
-// clear drops one mark that a peer has withdrawn.
-func (b *book) clear(f Fingerprint, c CrashID) {
+// Clear drops one mark that a peer has withdrawn.
+func (b *Book) Clear(f Fingerprint, c CrashID) {
 	r := b.records[f]
 	if r == nil {
 		return
 	}
 	r.marks = slices.DeleteFunc(r.marks, func(m Mark) bool { return m.Crash == c })
-	if len(r.marks) == 0 && r.poison.IsZero() {
+	if len(r.marks) == 0 {
 		delete(b.records, f)
 	}
 }
 
 // prune drops what is older than the memory, at most once a minute.
-func (b *book) prune(now time.Time) {
+func (b *Book) prune(now time.Time) {
 	if now.Sub(b.pruned) < time.Minute {
 		return
 	}
--- a/oleandercove/quarantiner/quarantiner.go
+++ b/oleandercove/quarantiner/quarantiner.go
@@ -43,9 +43,9 @@
 	// memory is how long marks and convictions last. A caller that sends a
 	// poison request again does so within minutes.
 	memory = time.Hour
-	// settleDelay holds a suspect back before its next start, so that marks
+	// SettleDelay holds a suspect back before its next start, so that marks
 	// from other daemons arrive first.
-	settleDelay = 150 * time.Millisecond
+	SettleDelay = 150 * time.Millisecond
 	// slotPoll is the pause between two looks for a free backend server.
 	slotPoll = 10 * time.Millisecond
 )
@@ -104,7 +104,7 @@
 	options Options
 
 	mu    sync.Mutex
-	marks *book
+	marks *Book
 }
 
 // New returns a Quarantiner without marks.
@@ -112,7 +112,7 @@
 	if o.Slots == nil {
 		o.Slots = NewLocalSlots(o.Timer)
 	}
-	return &Quarantiner{options: o, marks: newBook()}
+	return &Quarantiner{options: o, marks: NewBook()}
 }
 
 // Handle refuses a request that is known to be poison.
@@ -133,7 +133,7 @@
 func (q *Quarantiner) convicted(f Fingerprint) bool {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	return q.marks.convicted(f, q.options.Timer.Now())
+	return q.marks.Convicted(f, q.options.Timer.Now())
 }
 
 // Enter waits until the request may start on all stages of the chain. A
@@ -143,7 +143,7 @@
 	if !q.suspect(f) {
 		return func() {}, false, nil
 	}
-	if err := q.options.Timer.Sleep(ctx, settleDelay); err != nil {
+	if err := q.options.Timer.Sleep(ctx, SettleDelay); err != nil {
 		return nil, false, err
 	}
 	for {
@@ -162,7 +162,7 @@
 func (q *Quarantiner) suspect(f Fingerprint) bool {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	return q.marks.suspect(f, q.options.Timer.Now())
+	return q.marks.Suspect(f, q.options.Timer.Now())
 }
 
 // take reserves all stages for the suspect, or none.
@@ -187,7 +187,7 @@
 // peers too; the caller then leaves.
 func (q *Quarantiner) Passed(f Fingerprint, position int) bool {
 	q.mu.Lock()
-	cleared := q.marks.passed(f, position)
+	cleared := q.marks.Passed(f, position)
 	q.mu.Unlock()
 	for _, m := range cleared {
 		m.Cleared = true
@@ -227,8 +227,8 @@
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	if m.Cleared {
-		q.marks.clear(m.Fingerprint, m.Crash)
+		q.marks.Clear(m.Fingerprint, m.Crash)
 		return
 	}
-	q.marks.add(m, q.options.Timer.Now())
+	q.marks.Add(m, q.options.Timer.Now())
 }
--- a/oleanderfake/imitator/engine.go
+++ b/oleanderfake/imitator/engine.go
@@ -46,6 +46,8 @@
 	path []string
 	// stalled is the address of the engine that it waits for.
 	stalled string
+	// body is that of the request.
+	body []byte
 }
 
 func (s *Site) startEngine(id, dataCentre, address string) error {
@@ -170,8 +172,12 @@
 		}
 		s.mu.Lock()
 		s.path, s.stalled = strings.Split(o.Path, ","), ""
+		path := s.path
 		s.mu.Unlock()
 		w.WriteHeader(http.StatusOK)
+		if x := e.endedBy(s.body, path); x != nil {
+			go x.crash(o.ID)
+		}
 	case o.Expect != nil && *o.Expect != e.sequence:
 		w.WriteHeader(http.StatusConflict)
 	default:
@@ -239,7 +245,11 @@
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
-	s := &stream{path: path}
+	body, err := io.ReadAll(r.Body)
+	if err != nil {
+		return
+	}
+	s := &stream{path: path, body: body}
 	e.mu.Lock()
 	e.streams[id] = s
 	e.mu.Unlock()
@@ -248,10 +258,6 @@
 		defer e.mu.Unlock()
 		delete(e.streams, id)
 	}()
-	body, err := io.ReadAll(r.Body)
-	if err != nil {
-		return
-	}
 	e.site.Runs.add(id, Run{Server: e.ID, Method: r.Method, Target: r.RequestURI, Body: string(body), Header: r.Header.Clone(), At: time.Now()})
 	if x := e.endedBy(body, path); x != nil {
 		x.crash(id)
