edge/screener: keep requests that end backend servers away from them

Change: before each send, resume and order to go on elsewhere the gateway asks the screener. Two ends under one content convict it if no other request had both, three in any case, five broken connections too; daemons tell each other.

--- a/oleandercove/edge/gateway/call.go
+++ b/oleandercove/edge/gateway/call.go
@@ -61,6 +61,15 @@
 	tried := map[unit.BackendID]bool{}
 	ran := false
 	for sent := 0; sent < j.route.Attempts; {
+		leave, err := j.Screener.Enter(ctx, j.content)
+		if err != nil {
+			if !ran {
+				j.refuse(err)
+				return
+			}
+			break
+		}
+		defer leave()
 		s, ok := j.pickServer(tried)
 		if !ok || (sent > 0 && !j.Budgeter.Again(j.service.Name)) {
 			break
@@ -75,6 +84,7 @@
 		last.close()
 		tried[s.ID] = true
 		last = j.attempt(ctx, s, sent+1 < j.route.Attempts)
+		leave()
 		if reached(last) {
 			if sent == 0 {
 				j.Budgeter.First(j.service.Name)
--- a/oleandercove/edge/gateway/crash.go
+++ b/oleandercove/edge/gateway/crash.go
@@ -3,7 +3,9 @@
 import (
 	"context"
 	"errors"
+	"io"
 	"strconv"
+	"syscall"
 	"time"
 
 	"oleandercove.example/core/backend"
@@ -17,23 +19,38 @@
 // that lives answers within a few milliseconds.
 const endCheckTime = 50 * time.Millisecond
 
-// checkEnd marks a call under which the process of a server ended: its connection
-// broke, although there was time left, and the server refuses new ones. A server that
-// is silent has failed in a way that no request causes.
+// checkEnd marks a call whose connection broke although there was time left. The server
+// has ended if it refuses new ones; one that is silent has failed in a way that no
+// request causes.
 func (j *job) checkEnd(ctx context.Context, s backend.Server, err error) {
-	var x *exchanger.Error
-	if ctx.Err() != nil || (errors.As(err, &x) && !x.Sent) {
+	if ctx.Err() != nil || !brokeOff(err) {
 		return
 	}
 	ctx, cancel := context.WithTimeout(ctx, endCheckTime)
 	defer cancel()
 	if !j.Exchanger.Refuses(ctx, s.Address) {
+		j.mark(s.ID, screener.End{Broken: true})
 		return
 	}
 	now := j.Timer.Now()
 	j.Judge.Ended(s.ID, now)
 	j.Judge.Down(s.ID, now, now.Add(judge.DownTime))
-	j.serverEnded(s.ID, 0, false)
+	j.mark(s.ID, screener.End{})
+}
+
+// brokeOff tells whether the other side ended a connection on which a request had been
+// sent.
+func brokeOff(err error) bool {
+	var x *exchanger.Error
+	if errors.As(err, &x) && !x.Sent {
+		return false
+	}
+	for _, end := range []error{io.EOF, io.ErrUnexpectedEOF, syscall.ECONNRESET, syscall.EPIPE} {
+		if errors.Is(err, end) {
+			return true
+		}
+	}
+	return false
 }
 
 // checkResponse notes what a response says of the request and its server.
@@ -46,22 +63,25 @@
 	}
 }
 
-// serverEnded tells the screener that the process of a server ended under the request.
-func (j *job) serverEnded(id unit.BackendID, position int, progressed bool) {
+// mark tells the screener that a server, or the connection to it, ended under the
+// request.
+func (j *job) mark(id unit.BackendID, e screener.End) {
 	x, ok := j.Directory.Servers().Get(id)
 	if !ok {
 		x.ID = id
 	}
-	j.Meter.count("servers_ended_under_requests_total")
-	j.Screener.Ended(screener.End{
-		Request: j.call.Request, Fingerprint: j.content, Crash: screener.CrashOf(x), Position: position, Progressed: progressed,
-	})
+	if !e.Broken {
+		j.Meter.count("servers_ended_under_requests_total")
+	}
+	e.Request, e.Fingerprint, e.Crash = j.call.Request, j.content, screener.CrashOf(x)
+	j.Screener.Ended(e)
 }
 
 // accuse finds out in the background whether the process of an engine has ended, and
 // marks the request if so. The report that the prober keeps may be older than that.
-// The channel is closed once it is known.
-func (s *stream) accuse(id unit.BackendID) <-chan struct{} {
+// The channel is closed once it is known. With broke set, the connection to the engine
+// ended before the first event.
+func (s *stream) accuse(id unit.BackendID, broke bool) <-chan struct{} {
 	s.accused = true
 	known := make(chan struct{})
 	x, ok := s.Directory.Servers().Get(id)
@@ -69,17 +89,20 @@
 		close(known)
 		return known
 	}
-	position, progressed := s.position(), s.progressed
+	e := screener.End{Position: s.position(), Progressed: s.progressed}
 	go func() {
 		defer close(known)
 		ctx, cancel := context.WithTimeout(context.Background(), endCheckTime)
 		defer cancel()
 		if !s.Judge.HasEnded(id, s.Timer.Now()) && !s.Exchanger.Refuses(ctx, x.Address) {
+			if e.Broken = broke; broke {
+				s.mark(id, e)
+			}
 			return
 		}
 		s.Judge.Ended(id, s.Timer.Now())
 		s.Prober.Down(id, "refuses connections")
-		s.serverEnded(id, position, progressed)
+		s.mark(id, e)
 	}()
 	return known
 }
@@ -97,7 +120,7 @@
 func (s *stream) accuseDown(now time.Time) {
 	for _, h := range s.chain {
 		if s.Judge.IsDown(h.ID, now) {
-			s.accuse(h.ID)
+			s.accuse(h.ID, false)
 		}
 	}
 }
--- a/oleandercove/edge/gateway/recover.go
+++ b/oleandercove/edge/gateway/recover.go
@@ -138,7 +138,7 @@
 	s.failure = errEngineDown
 	s.accuseDown(now)
 	s.countEnded(now)
-	reroutable := !s.Judge.IsDown(s.chain[0].ID, now) && s.service.Engine.Chained()
+	reroutable := !s.Judge.IsDown(s.chain[0].ID, now) && s.service.Engine.Chained() && s.Screener.MayMove(s.content)
 	if reroutable && s.reroute(within) {
 		return stepWait
 	}
@@ -149,7 +149,7 @@
 		return stepWait
 	}
 	next := s.again()
-	if next == stepFail && s.mayGoOn(now) {
+	if next == stepFail && s.mayGoOn(now) && s.Screener.Convicted(s.content) == nil {
 		return stepWait
 	}
 	return next
--- a/oleandercove/edge/gateway/relay.go
+++ b/oleandercove/edge/gateway/relay.go
@@ -204,7 +204,7 @@
 		s.Prober.Down(first, err.Error())
 	} else {
 		s.Judge.Failed(first, now)
-		s.waitFor(s.accuse(first), confirmTime)
+		s.waitFor(s.accuse(first, !s.progressed && brokeOff(err)), confirmTime)
 		s.countEnded(now)
 	}
 	s.Log.Info("stream broke off", "id", s.call.Request, "content", s.content, "engine", first, "last", s.last, "runs", s.runs, "err", err)
--- a/oleandercove/edge/gateway/stream.go
+++ b/oleandercove/edge/gateway/stream.go
@@ -40,6 +40,8 @@
 
 	// sends counts the offers, runs those that may have begun to run.
 	sends, runs int
+	// leave ends what the screener holds for the running attempt.
+	leave func()
 	// progressed is set once the running attempt has sent an event, and accused once a
 	// backend server ended under the request.
 	progressed, accused bool
@@ -107,7 +109,7 @@
 func (s *stream) beginSoon() *verdict.Error {
 	for {
 		err := s.begin()
-		if err == nil || !s.started || time.Since(s.lastAt) > resumePatience {
+		if err == nil || !s.started || err.Reason == verdict.Quarantined || time.Since(s.lastAt) > resumePatience {
 			return err
 		}
 		select {
@@ -123,11 +125,16 @@
 	if err := s.checkKeys(); err != nil {
 		return err
 	}
+	leave, err := s.Screener.Enter(s.ctx, s.content)
+	if err != nil {
+		return err
+	}
 	p, err := s.nextPath()
 	if err != nil {
+		leave()
 		return err
 	}
-	s.progressed, s.firstEnded = false, false
+	s.leave, s.progressed, s.firstEnded = leave, false, false
 	s.takePath(p)
 	s.replaceAt = nil
 	ctx, cancel := context.WithCancel(s.ctx)
@@ -175,4 +182,8 @@
 		s.ticket.End()
 		s.ticket = nil
 	}
+	if s.leave != nil {
+		s.leave()
+		s.leave = nil
+	}
 }
--- a/oleandercove/edge/gateway/stream_test.go
+++ b/oleandercove/edge/gateway/stream_test.go
@@ -12,11 +12,13 @@
 	"oleandercove.example/core/routing"
 	"oleandercove.example/core/timer"
 	"oleandercove.example/core/unit"
+	"oleandercove.example/core/verdict"
 	"oleandercove.example/oleandercove/edge/directory"
 	"oleandercove.example/oleandercove/edge/judge"
 	"oleandercove.example/oleandercove/edge/ledger"
 	"oleandercove.example/oleandercove/edge/pathfinder"
 	"oleandercove.example/oleandercove/edge/screener"
+	"oleandercove.example/oleandercove/quarantiner"
 )
 
 // TestDeadlinePassed guards against a stream that breaks off at its deadline and
@@ -106,3 +108,21 @@
 		})
 	}
 }
+
+// TestConvictedStream replays a stream that ends the later engines of its chain while
+// its first engine goes on. It guards against an order to go on along other engines,
+// which would end as well, and against a caller that is held.
+func TestConvictedStream(t *testing.T) {
+	is := is.New(t)
+	s, j := newLostStream(t, 2*resumePatience)
+	for _, crash := range []quarantiner.CrashID{"a/1", "b/1", "c/1"} {
+		s.Screener.Ended(screener.End{Fingerprint: s.content, Crash: crash})
+	}
+	now := s.Timer.Now()
+	j.Down("tail", now, now.Add(time.Minute))
+	is.Equal(s.replace(), stepFail)
+	err := s.begin()
+	is.Equal(err.Reason, verdict.Quarantined)
+	is.Equal(s.refusal(err).Verdict, verdict.MayHaveRun) // it has run already
+	is.Equal(s.sends, 2)
+}
--- a/oleandercove/edge/screener/ruling.go
+++ b/oleandercove/edge/screener/ruling.go
@@ -30,11 +30,11 @@
 	if b.Convicted(f, now) {
 		return refuse
 	}
-	marks := b.Marks(f)
+	ends := b.Ends(f)
 	switch {
-	case len(marks) >= 2 && now.Sub(marks[len(marks)-1].At) < quarantiner.SettleDelay:
+	case len(ends) >= 2 && now.Sub(ends[len(ends)-1].At) < quarantiner.SettleDelay:
 		return undecided
-	case len(marks) >= 2:
+	case len(ends) >= 2:
 		return aloneOfSuspects
 	case b.Suspect(f, now):
 		return aloneOfCopies
--- a/oleandercove/edge/screener/screener.go
+++ b/oleandercove/edge/screener/screener.go
@@ -5,7 +5,8 @@
 // backend server ends, each request that was running there gets a mark, and daemons
 // tell each other. A request with a mark runs one copy at a time on this daemon. One
 // with the marks of two ends is poison if it is the only such request of the second
-// end, and one with three in any case: it is refused before it is sent. A request
+// end, and one with three in any case: it is refused before it is sent. So is one whose
+// connections broke on five servers, whether these are known to have ended or not. A request
 // that runs beyond the points at which servers ended is cleared, because a poison
 // request can't, and for some time no mark is set for its content again.
 //
@@ -96,6 +97,8 @@
 	// tells whether the server had sent any.
 	Position   int
 	Progressed bool
+	// Broken says that only the connection is known to have ended.
+	Broken bool
 }
 
 // CrashOf names the end of the running process of a server in the whole fleet.
@@ -174,26 +177,33 @@
 	for i, m := range marks {
 		servers[i] = string(m.Crash)
 	}
-	return verdict.New(verdict.NotRun, verdict.Quarantined, "request content %s was running on %d backend servers when they ended: %s",
+	return verdict.New(verdict.NotRun, verdict.Quarantined, "request content %s was running on %d backend servers when they ended or broke the connection: %s",
 		f, len(marks), strings.Join(servers, " ")).After(convictedPause)
 }
 
 // Ended marks a request under which a backend server ended.
 func (s *Screener) Ended(e End) {
 	now := s.options.Timer.Now()
-	m := quarantiner.Mark{Fingerprint: e.Fingerprint, Crash: e.Crash, Position: e.Position, Progressed: e.Progressed, At: now}
+	m := quarantiner.Mark{Fingerprint: e.Fingerprint, Crash: e.Crash, Position: e.Position, Progressed: e.Progressed, Broken: e.Broken, At: now}
 	s.mu.Lock()
 	if s.recent.has(e.Fingerprint, now) || s.news.withdrawn(m, now) || !s.marks.Add(m, now) {
 		s.mu.Unlock()
 		return
 	}
-	marks := len(s.marks.Marks(e.Fingerprint))
-	tell := told(m, marks)
+	all := s.marks.Marks(e.Fingerprint)
+	marks, tell := len(all), told(m, len(all))
 	if tell {
-		s.news.add(m, now)
+		// Peers may not have heard of the earlier ones.
+		for _, x := range all {
+			s.news.add(x, now)
+		}
 	}
 	s.mu.Unlock()
-	s.options.Log.Warn("backend server ended under a request", "id", e.Request, "content", e.Fingerprint, "crash", e.Crash,
+	what := "backend server ended under a request"
+	if e.Broken {
+		what = "connection broke under a request"
+	}
+	s.options.Log.Warn(what, "id", e.Request, "content", e.Fingerprint, "crash", e.Crash,
 		"position", e.Position, "progressed", e.Progressed, "marks", marks)
 	if tell {
 		s.urge()
@@ -228,7 +238,7 @@
 // told tells whether peers hear of a mark of a request with a number of marks. Most
 // streams on an engine that ends are under way and go on elsewhere; they don't count
 // until a second engine ends under them.
-func told(m quarantiner.Mark, marks int) bool { return !m.Progressed || marks > 1 }
+func told(m quarantiner.Mark, marks int) bool { return marks > 1 || (!m.Progressed && !m.Broken) }
 
 // withdraw lets peers drop a mark. The caller holds the lock.
 func (s *Screener) withdraw(m quarantiner.Mark, now time.Time) {
@@ -282,7 +292,7 @@
 			s.withdraw(m, now)
 			tell = true
 		case s.marks.Add(m, now):
-			s.options.Log.Info("peer saw a backend server end under a request", "content", m.Fingerprint, "crash", m.Crash,
+			s.options.Log.Info("peer saw a backend server end under a request", "broken", m.Broken, "content", m.Fingerprint, "crash", m.Crash,
 				"age", now.Sub(m.At), "marks", len(s.marks.Marks(m.Fingerprint)))
 		}
 	}
--- a/oleandercove/edge/screener/screener_test.go
+++ b/oleandercove/edge/screener/screener_test.go
@@ -62,6 +62,17 @@
 	return End{Fingerprint: print, Crash: CrashOf(backend.Server{ID: unit.BackendID(server)})}
 }
 
+// broken returns the ends of connections to servers that are not known to have ended.
+func broken(servers ...string) []End {
+	var out []End
+	for _, server := range servers {
+		e := end(poison, server)
+		e.Broken = true
+		out = append(out, e)
+	}
+	return out
+}
+
 // TestRule guards against a request that is refused for crashes that others caused,
 // and against one that goes on ending servers.
 func TestRule(t *testing.T) {
@@ -80,6 +91,10 @@
 		{"a request with three crashes beside another one runs again", []End{
 			end(poison, "a"), end(innocent, "a"), end(innocent, "b"), end(poison, "b"), end(poison, "c"),
 		}, 0, refuse},
+		{"four broken connections keep a request away", broken("a", "b", "c", "d"), quarantiner.SettleDelay, free},
+		{"a request that breaks the connection to each server runs again", broken("a", "b", "c", "d", "e"), 0, refuse},
+		{"connections that broke count as crashes", append(broken("a", "b"), end(poison, "c")), quarantiner.SettleDelay, aloneOfCopies},
+		{"a broken connection hides the crash behind it", append(broken("a", "b"), end(poison, "a"), end(poison, "b")), quarantiner.SettleDelay, refuse},
 		{"one crash that two copies saw counts twice", []End{end(poison, "a"), end(poison, "a")}, quarantiner.SettleDelay, aloneOfCopies},
 	}
 	for _, tt := range tests {
@@ -120,6 +135,27 @@
 	is.Equal(f.daemons[3].Cases()[0].Age >= 10*time.Minute, true)
 }
 
+// TestBrokenConnections replays a request that breaks the connection to each server and
+// comes to one daemon after the other. It guards against marks that peers never hear of.
+func TestBrokenConnections(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(3)
+	sent := 0
+	for n := range 12 {
+		for range 2 {
+			if d := n % len(f.daemons); f.mayRun(d, poison) {
+				e := end(poison, fmt.Sprint("server-", sent))
+				e.Broken = true
+				f.daemons[d].Ended(e)
+				sent++
+			}
+		}
+		f.tell()
+		f.clock.Advance(150 * time.Millisecond)
+	}
+	is.Equal(sent, 5)
+}
+
 // TestForgotten guards against a conviction that daemons keep alive by telling each
 // other of it.
 func TestForgotten(t *testing.T) {
--- a/oleandercove/quarantiner/book.go
+++ b/oleandercove/quarantiner/book.go
@@ -12,7 +12,10 @@
 	Position    int
 	Progressed  bool
 	Isolated    bool
-	At          time.Time
+	// Broken says that only the connection is known to have ended and not the
+	// backend server.
+	Broken bool
+	At     time.Time
 	// Cleared withdraws the mark, because the request passed its position on
 	// another backend server.
 	Cleared bool
@@ -22,6 +25,10 @@
 	// enoughCrashes convicts a request that has passed none of them, whoever else ran
 	// there: no request may end more backend servers than that.
 	enoughCrashes = 3
+	// enoughBreaks convicts a request whose connections broke on so many backend
+	// servers, although not each of them is known to have ended: a process that is
+	// started again at once, or behind a proxy, can't be told from one that lives.
+	enoughBreaks = 5
 	// maxRecords bounds the requests that are remembered. The crash of a large engine
 	// leaves some hundred.
 	maxRecords = 4096
@@ -66,13 +73,22 @@
 		r = &record{}
 		b.records[m.Fingerprint] = r
 	}
-	for _, old := range r.marks {
-		if old.Crash == m.Crash {
+	for i, old := range r.marks {
+		if old.Crash != m.Crash {
+			continue
+		}
+		if !old.Broken || m.Broken {
 			return false
 		}
+		r.marks = slices.Delete(r.marks, i, i+1)
+		break
 	}
 	r.marks = append(r.marks, m)
-	if len(r.marks) < 2 {
+	if len(r.marks) >= enoughBreaks {
+		r.poison = m.At
+	}
+	ends := len(r.ends())
+	if m.Broken || ends < 2 {
 		return true
 	}
 	t := b.tallies[m.Crash]
@@ -81,12 +97,17 @@
 		b.tallies[m.Crash] = t
 	}
 	t.requests++
-	if m.Isolated || len(r.marks) >= enoughCrashes {
+	if m.Isolated || ends >= enoughCrashes {
 		r.poison = m.At
 	}
 	return true
 }
 
+// ends returns the marks of backend servers that are known to have ended.
+func (r *record) ends() []Mark {
+	return slices.DeleteFunc(slices.Clone(r.marks), func(m Mark) bool { return m.Broken })
+}
+
 // makeRoom drops a request that is not convicted once there are too many.
 func (b *Book) makeRoom() {
 	if len(b.records) < maxRecords {
@@ -109,8 +130,8 @@
 	if r == nil {
 		return false
 	}
-	if r.poison.IsZero() && len(r.marks) >= 2 {
-		last := r.marks[len(r.marks)-1]
+	if ends := r.ends(); r.poison.IsZero() && len(ends) >= 2 {
+		last := ends[len(ends)-1]
 		t := b.tallies[last.Crash]
 		if t != nil && t.requests == 1 && now.Sub(last.At) >= SettleDelay {
 			r.poison = last.At
@@ -126,10 +147,11 @@
 	if r == nil {
 		return false
 	}
-	if len(r.marks) >= 2 {
+	ends := r.ends()
+	if len(ends) >= 2 {
 		return true
 	}
-	for _, m := range r.marks {
+	for _, m := range ends {
 		if !m.Progressed {
 			return true
 		}
@@ -137,6 +159,15 @@
 	return false
 }
 
+// Ends returns those marks of a request that stand for backend servers that are known
+// to have ended, in the order of their arrival.
+func (b *Book) Ends(f Fingerprint) []Mark {
+	if r := b.records[f]; r != nil {
+		return r.ends()
+	}
+	return nil
+}
+
 // Marks returns the marks of a request in the order of their arrival.
 func (b *Book) Marks(f Fingerprint) []Mark {
 	if r := b.records[f]; r != nil {
