edge/gateway: keep a running attempt until there is another chain

Cause: without room elsewhere the stream gave up its running attempt first and then waited 1.4 s for a chain. Its first engine would have held it until the stall ends.

Change: a chain is found and paid for before the running attempt ends; meanwhile it goes on and room is looked for again. TestNoRoomElsewhere fails before.

--- a/oleandercove/edge/gateway/recover.go
+++ b/oleandercove/edge/gateway/recover.go
@@ -149,13 +149,20 @@
 		return stepWait
 	}
 	next := s.again()
-	if next == stepFail && s.mayGoOn(now) && s.Screener.Convicted(s.content) == nil {
-		return stepWait
+	if !s.mayGoOn(now) || s.Screener.Convicted(s.content) != nil {
+		return next
+	}
+	if next == stepAgain {
+		if s.reserveAnywhere() {
+			return stepAgain
+		}
+		// The running attempt is not given up before there is another chain.
+		s.replaceAt = time.After(resumePause)
 	}
-	return next
+	return stepWait
 }
 
-// mayGoOn tells whether a stream that may not be sent again can still be
+// mayGoOn tells whether a stream for which there is no other chain now can still be
 // answered by its running attempt: later engines may be replaced in a moment, and
 // silence alone does not show that the first one has ended. A request that has no
 // event yet fails at once instead, because its caller can ask again.
@@ -177,6 +184,16 @@
 	return true
 }
 
+// reserveAnywhere does the same with a chain that may cross data centres.
+func (s *stream) reserveAnywhere() bool {
+	p, err := s.choose("")
+	if err != nil || !s.Budgeter.Again(s.service.Name) {
+		return false
+	}
+	s.reserved = &p
+	return true
+}
+
 func (s *stream) anyDown(now time.Time) bool {
 	for _, h := range s.chain {
 		if s.Judge.IsDown(h.ID, now) {
--- a/oleandercove/edge/gateway/stream_test.go
+++ b/oleandercove/edge/gateway/stream_test.go
@@ -109,6 +109,38 @@
 	}
 }
 
+// TestNoRoomElsewhere replays a copy that loses a later engine while no other copy has
+// room. It guards against a running response that is cut before there is another chain
+// for it: room may come back, and its first engine holds it for some seconds.
+func TestNoRoomElsewhere(t *testing.T) {
+	tests := []struct {
+		name    string
+		down    unit.BackendID
+		started bool
+		ended   bool
+		want    step
+	}{
+		{"first engine answers", "tail", true, false, stepWait},
+		{"no event yet, the caller can ask again", "tail", false, false, stepAgain},
+		{"first engine is silent for long", "head", true, false, stepAgain},
+		{"first engine has ended", "head", true, true, stepAgain},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			s, j := newLostStream(t, 2*resumePatience)
+			s.runs, s.sends, s.started = 1, 1, tt.started
+			now := s.Timer.Now()
+			j.Down(tt.down, now, now.Add(time.Minute))
+			if tt.ended {
+				j.Ended(tt.down, now)
+			}
+			is.Equal(s.replace(), tt.want)
+			is.Equal(s.replaceAt != nil, tt.want == stepWait) // room is looked for again
+		})
+	}
+}
+
 // TestConvictedStream replays a stream that ends the later engines of its chain while
 // its first engine goes on. It guards against an order to go on along other engines,
 // which would end as well, and against a caller that is held.
