edge/screener: weak marks, and one mark for a chain

Change: a chain gives one mark; marks of requests that were under way are weak, as those of broken connections are; suspects wait for copies of themselves only. Servers at which a connection broke come last for the same content, so that five weak marks take five servers.

--- a/oleandercove/edge/announcer/crashes.go
+++ b/oleandercove/edge/announcer/crashes.go
@@ -13,7 +13,7 @@
 	for _, m := range marks {
 		out = append(out, &peer.CrashMark{
 			Fingerprint: uint64(m.Fingerprint), Crash: string(m.Crash), Position: uint32(max(0, m.Position)),
-			Progressed: m.Progressed, Cleared: m.Cleared, Broken: m.Broken, AgeMs: uint32(max(0, now.Sub(m.At).Milliseconds())),
+			Progressed: m.Progressed, Cleared: m.Cleared, Weak: m.Weak, AgeMs: uint32(max(0, now.Sub(m.At).Milliseconds())),
 		})
 	}
 	return out
@@ -24,7 +24,7 @@
 	for _, c := range list {
 		out = append(out, quarantiner.Mark{
 			Fingerprint: quarantiner.Fingerprint(c.Fingerprint), Crash: quarantiner.CrashID(c.Crash), Position: int(c.Position),
-			Progressed: c.Progressed, Cleared: c.Cleared, Broken: c.Broken, At: now.Add(-time.Duration(c.AgeMs) * time.Millisecond),
+			Progressed: c.Progressed, Cleared: c.Cleared, Weak: c.Weak, At: now.Add(-time.Duration(c.AgeMs) * time.Millisecond),
 		})
 	}
 	return out
--- a/oleandercove/edge/gateway/call.go
+++ b/oleandercove/edge/gateway/call.go
@@ -27,6 +27,8 @@
 	usualLatency = 20 * time.Millisecond
 	// otherCentre is the factor of cost of a server in another data centre.
 	otherCentre = 1.5
+	// brokeFactor is that of a server at which a connection broke under the same content.
+	brokeFactor = 100
 	// attemptShare is the part of the time left that an idempotent request waits
 	// for one server while another one may still be tried.
 	attemptShare = 0.45
@@ -70,7 +72,7 @@
 			break
 		}
 		defer leave()
-		s, ok := j.pickServer(tried)
+		s, ok := j.pickServer(tried, j.Screener.Servers(j.content))
 		if !ok || (sent > 0 && !j.Budgeter.Again(j.service.Name)) {
 			break
 		}
@@ -136,8 +138,9 @@
 // idempotent tells whether the route allows a second run.
 func (j *job) idempotent() bool { return j.route.Repeat != 0 }
 
-// pickServer returns the server with the lowest expected delay.
-func (j *job) pickServer(tried map[unit.BackendID]bool) (backend.Server, bool) {
+// pickServer returns the server with the lowest expected delay. Those at which a
+// connection broke under the same content come last.
+func (j *job) pickServer(tried, broke map[unit.BackendID]bool) (backend.Server, bool) {
 	now := j.Timer.Now()
 	var best backend.Server
 	found, lowest := false, 0.0
@@ -145,7 +148,11 @@
 		if s.Draining || tried[s.ID] || j.Judge.IsDown(s.ID, now) {
 			continue
 		}
-		if c := j.serverCost(s, now); !found || c < lowest {
+		c := j.serverCost(s, now)
+		if broke[s.ID] {
+			c *= brokeFactor
+		}
+		if !found || c < lowest {
 			best, lowest, found = s, c, true
 		}
 	}
--- a/oleandercove/edge/gateway/crash.go
+++ b/oleandercove/edge/gateway/crash.go
@@ -5,6 +5,7 @@
 	"errors"
 	"io"
 	"strconv"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -79,30 +80,40 @@
 
 // accuse finds out in the background whether the process of an engine has ended, and
 // marks the request if so. The report that the prober keeps may be older than that.
-// The channel is closed once it is known. With broke set, the connection to the engine
+// The channel is closed once it is known. Each engine is looked into once, and each
+// chain gives one mark: engines that end together do so by themselves. With broke set, the connection to the engine
 // ended before the first event.
 func (s *stream) accuse(id unit.BackendID, broke bool) <-chan struct{} {
-	s.accused = true
 	known := make(chan struct{})
 	x, ok := s.Directory.Servers().Get(id)
-	if !ok {
+	if !ok || s.accused[id] {
 		close(known)
 		return known
 	}
+	if s.accused == nil {
+		s.accused = map[unit.BackendID]bool{}
+	}
+	s.accused[id] = true
+	if s.marked == nil {
+		s.marked = &atomic.Bool{}
+	}
+	marked := s.marked
 	e := screener.End{Position: s.position(), Progressed: s.progressed}
 	go func() {
 		defer close(known)
 		ctx, cancel := context.WithTimeout(context.Background(), endCheckTime)
 		defer cancel()
 		if !s.Judge.HasEnded(id, s.Timer.Now()) && !s.Exchanger.Refuses(ctx, x.Address) {
-			if e.Broken = broke; broke {
+			if e.Broken = broke; broke && !marked.Swap(true) {
 				s.mark(id, e)
 			}
 			return
 		}
 		s.Judge.Ended(id, s.Timer.Now())
 		s.Prober.Down(id, "refuses connections")
-		s.mark(id, e)
+		if !marked.Swap(true) {
+			s.mark(id, e)
+		}
 	}()
 	return known
 }
@@ -138,7 +149,7 @@
 // passed clears the request once it is beyond the points at which engines ended.
 func (s *stream) passed() {
 	s.progressed = true
-	if s.accused {
+	if len(s.accused) > 0 {
 		s.Screener.Passed(s.content, s.position())
 	}
 }
--- a/oleandercove/edge/gateway/path.go
+++ b/oleandercove/edge/gateway/path.go
@@ -44,6 +44,7 @@
 // takePath counts a chain that the request is sent along.
 func (s *stream) takePath(p pathfinder.Path) {
 	s.setChain(p)
+	s.marked = nil
 	s.ticket = s.Ledger.Begin(p.Items)
 	if p.Crossings > 0 {
 		tokens := float64(p.Crossings * (s.call.PromptTokens + s.call.OutputTokens))
--- a/oleandercove/edge/gateway/stream.go
+++ b/oleandercove/edge/gateway/stream.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"oleandercove.example/core/backend"
@@ -42,9 +43,13 @@
 	sends, runs int
 	// leave ends what the screener holds for the running attempt.
 	leave func()
-	// progressed is set once the running attempt has sent an event, and accused once a
-	// backend server ended under the request.
-	progressed, accused bool
+	// progressed is set once the running attempt has sent an event.
+	progressed bool
+	// accused holds the engines that were looked into because they may have ended under
+	// the request.
+	accused map[unit.BackendID]bool
+	// marked is set once the chain has given a mark.
+	marked *atomic.Bool
 	// firstEnded is set once the process of the running attempt's first engine is
 	// known to have ended, and endedRuns counts such attempts.
 	firstEnded bool
--- a/oleandercove/edge/screener/ruling.go
+++ b/oleandercove/edge/screener/ruling.go
@@ -17,8 +17,6 @@
 	free ruling = iota
 	// aloneOfCopies lets one copy of the request run at a time.
 	aloneOfCopies
-	// aloneOfSuspects lets one request with the marks of several crashes run at a time.
-	aloneOfSuspects
 	// undecided waits for the marks of other requests of the same crash.
 	undecided
 	// refuse keeps the request from all backend servers.
@@ -34,8 +32,6 @@
 	switch {
 	case len(ends) >= 2 && now.Sub(ends[len(ends)-1].At) < quarantiner.SettleDelay:
 		return undecided
-	case len(ends) >= 2:
-		return aloneOfSuspects
 	case b.Suspect(f, now):
 		return aloneOfCopies
 	default:
@@ -43,18 +39,6 @@
 	}
 }
 
-// trial returns what the request excludes while it runs, if it may run at all.
-func (r ruling) trial(f quarantiner.Fingerprint) (trial, bool) {
-	switch r {
-	case aloneOfCopies:
-		return trial(f), true
-	case aloneOfSuspects:
-		return 0, true
-	default:
-		return 0, false
-	}
-}
-
 // Content is what two requests that are the same have in common.
 type Content struct {
 	Method, Host, Target string
--- a/oleandercove/edge/screener/screener.go
+++ b/oleandercove/edge/screener/screener.go
@@ -5,8 +5,9 @@
 // backend server ends, each request that was running there gets a mark, and daemons
 // tell each other. A request with a mark runs one copy at a time on this daemon. One
 // with the marks of two ends is poison if it is the only such request of the second
-// end, and one with three in any case: it is refused before it is sent. So is one whose
-// connections broke on five servers, whether these are known to have ended or not. A request
+// end, and one with three in any case: it is refused before it is sent. Marks are weak
+// if the request was under way, or if only its connection is known to have ended; five
+// marks convict, weak or not. A request
 // that runs beyond the points at which servers ended is cleared, because a poison
 // request can't, and for some time no mark is set for its content again.
 //
@@ -43,12 +44,12 @@
 const (
 	// Whole is the position of a request that ran to its end.
 	Whole = math.MaxInt
-	// maxWait bounds the wait of a request for others under suspicion.
+	// maxWait bounds the wait of a request under suspicion for another copy of it.
 	maxWait = 300 * time.Millisecond
 	// waitPoll is the pause between two looks whether a request may run.
 	waitPoll = 10 * time.Millisecond
-	// trialPause is when the caller of a request that could not wait for others under
-	// suspicion should come back.
+	// trialPause is when the caller of a request that could not wait for another copy
+	// under suspicion should come back.
 	trialPause = time.Second
 	// convictedPause is when the caller of a convicted request should come back. The
 	// request is refused for much longer, unless a copy of it that is still running
@@ -73,19 +74,15 @@
 	mu    sync.Mutex
 	marks *quarantiner.Book
 	// trials holds the suspects that are running on this daemon.
-	trials map[trial]bool
+	trials map[quarantiner.Fingerprint]bool
 	recent recent
 	news   news
 	urging bool
 }
 
-// trial names what excludes each other: the copies of one request, or all requests
-// with the marks of several crashes, for which the fingerprint is zero.
-type trial quarantiner.Fingerprint
-
 // New returns a Screener without marks.
 func New(o Options) *Screener {
-	return &Screener{options: o, marks: quarantiner.NewBook(), trials: map[trial]bool{}, news: newNews()}
+	return &Screener{options: o, marks: quarantiner.NewBook(), trials: map[quarantiner.Fingerprint]bool{}, news: newNews()}
 }
 
 // End is the end of a backend server's process under a request.
@@ -103,9 +100,12 @@
 
 // CrashOf names the end of the running process of a server in the whole fleet.
 func CrashOf(s backend.Server) quarantiner.CrashID {
-	return quarantiner.CrashID(fmt.Sprintf("%s/%d", s.ID, s.Born))
+	return quarantiner.CrashID(fmt.Sprint(s.ID, crashSeparator, s.Born))
 }
 
+// crashSeparator stands between the id of a server and its start in the name of a crash.
+const crashSeparator = "/"
+
 // Enter waits until the request may run. The caller calls leave when the attempt has
 // ended or has passed the points of its crashes. Requests without marks enter at once.
 func (s *Screener) Enter(ctx context.Context, f quarantiner.Fingerprint) (leave func(), err *verdict.Error) {
@@ -120,7 +120,7 @@
 			return nil, s.refusal(f)
 		case !now.Before(limit):
 			return nil, verdict.New(verdict.NotRun, verdict.Quarantined,
-				"request content %s is under suspicion of ending backend servers, and others are checked first", f).After(trialPause)
+				"request content %s is under suspicion of ending backend servers, and another copy of it runs", f).After(trialPause)
 		}
 		if s.options.Timer.Sleep(ctx, waitPoll) != nil {
 			return nil, verdict.New(verdict.NotRun, verdict.DeadlineExceeded, "no time left to check request content %s", f)
@@ -137,15 +137,14 @@
 	if r == free {
 		return r, func() {}
 	}
-	t, ok := r.trial(f)
-	if !ok || s.trials[t] {
+	if r != aloneOfCopies || s.trials[f] {
 		return r, nil
 	}
-	s.trials[t] = true
+	s.trials[f] = true
 	return r, sync.OnceFunc(func() {
 		s.mu.Lock()
 		defer s.mu.Unlock()
-		delete(s.trials, t)
+		delete(s.trials, f)
 	})
 }
 
@@ -154,8 +153,22 @@
 func (s *Screener) MayMove(f quarantiner.Fingerprint) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	r := rule(s.marks, f, s.options.Timer.Now())
-	return r == free || r == aloneOfCopies
+	return len(s.marks.Ends(f)) < 2
+}
+
+// Servers returns the servers at which the request has marks; nil for most requests.
+func (s *Screener) Servers(f quarantiner.Fingerprint) map[unit.BackendID]bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var out map[unit.BackendID]bool
+	for _, m := range s.marks.Marks(f) {
+		if out == nil {
+			out = map[unit.BackendID]bool{}
+		}
+		id, _, _ := strings.Cut(string(m.Crash), crashSeparator)
+		out[unit.BackendID(id)] = true
+	}
+	return out
 }
 
 // Convicted returns the refusal of a request that must not run again, or nil.
@@ -184,7 +197,7 @@
 // Ended marks a request under which a backend server ended.
 func (s *Screener) Ended(e End) {
 	now := s.options.Timer.Now()
-	m := quarantiner.Mark{Fingerprint: e.Fingerprint, Crash: e.Crash, Position: e.Position, Progressed: e.Progressed, Broken: e.Broken, At: now}
+	m := quarantiner.Mark{Fingerprint: e.Fingerprint, Crash: e.Crash, Position: e.Position, Progressed: e.Progressed, Weak: e.Broken || e.Progressed, At: now}
 	s.mu.Lock()
 	if s.recent.has(e.Fingerprint, now) || s.news.withdrawn(m, now) || !s.marks.Add(m, now) {
 		s.mu.Unlock()
@@ -238,7 +251,7 @@
 // told tells whether peers hear of a mark of a request with a number of marks. Most
 // streams on an engine that ends are under way and go on elsewhere; they don't count
 // until a second engine ends under them.
-func told(m quarantiner.Mark, marks int) bool { return marks > 1 || (!m.Progressed && !m.Broken) }
+func told(m quarantiner.Mark, marks int) bool { return marks > 1 || !m.Weak }
 
 // withdraw lets peers drop a mark. The caller holds the lock.
 func (s *Screener) withdraw(m quarantiner.Mark, now time.Time) {
@@ -292,7 +305,7 @@
 			s.withdraw(m, now)
 			tell = true
 		case s.marks.Add(m, now):
-			s.options.Log.Info("peer saw a backend server end under a request", "broken", m.Broken, "content", m.Fingerprint, "crash", m.Crash,
+			s.options.Log.Info("peer saw a backend server end under a request", "weak", m.Weak, "content", m.Fingerprint, "crash", m.Crash,
 				"age", now.Sub(m.At), "marks", len(s.marks.Marks(m.Fingerprint)))
 		}
 	}
--- a/oleandercove/quarantiner/book.go
+++ b/oleandercove/quarantiner/book.go
@@ -12,10 +12,10 @@
 	Position    int
 	Progressed  bool
 	Isolated    bool
-	// Broken says that only the connection is known to have ended and not the
-	// backend server.
-	Broken bool
-	At     time.Time
+	// Weak marks count less: only the connection is known to have ended and not the
+	// backend server, or the request had run there for some time.
+	Weak bool
+	At   time.Time
 	// Cleared withdraws the mark, because the request passed its position on
 	// another backend server.
 	Cleared bool
@@ -25,10 +25,9 @@
 	// enoughCrashes convicts a request that has passed none of them, whoever else ran
 	// there: no request may end more backend servers than that.
 	enoughCrashes = 3
-	// enoughBreaks convicts a request whose connections broke on so many backend
-	// servers, although not each of them is known to have ended: a process that is
-	// started again at once, or behind a proxy, can't be told from one that lives.
-	enoughBreaks = 5
+	// enoughMarks convicts a request with so many marks, weak ones included: a process
+	// that is started again at once, or behind a proxy, can't be told from one that lives.
+	enoughMarks = 5
 	// maxRecords bounds the requests that are remembered. The crash of a large engine
 	// leaves some hundred.
 	maxRecords = 4096
@@ -77,18 +76,18 @@
 		if old.Crash != m.Crash {
 			continue
 		}
-		if !old.Broken || m.Broken {
+		if !old.Weak || m.Weak {
 			return false
 		}
 		r.marks = slices.Delete(r.marks, i, i+1)
 		break
 	}
 	r.marks = append(r.marks, m)
-	if len(r.marks) >= enoughBreaks {
+	if len(r.marks) >= enoughMarks {
 		r.poison = m.At
 	}
 	ends := len(r.ends())
-	if m.Broken || ends < 2 {
+	if m.Weak || ends < 2 {
 		return true
 	}
 	t := b.tallies[m.Crash]
@@ -103,9 +102,9 @@
 	return true
 }
 
-// ends returns the marks of backend servers that are known to have ended.
+// ends returns the marks that are not weak.
 func (r *record) ends() []Mark {
-	return slices.DeleteFunc(slices.Clone(r.marks), func(m Mark) bool { return m.Broken })
+	return slices.DeleteFunc(slices.Clone(r.marks), func(m Mark) bool { return m.Weak })
 }
 
 // makeRoom drops a request that is not convicted once there are too many.
@@ -159,8 +158,7 @@
 	return false
 }
 
-// Ends returns those marks of a request that stand for backend servers that are known
-// to have ended, in the order of their arrival.
+// Ends returns the marks of a request that are not weak, in the order of their arrival.
 func (b *Book) Ends(f Fingerprint) []Mark {
 	if r := b.records[f]; r != nil {
 		return r.ends()
