edge: servers that say they leave, or want no requests for a while, get none

Server-Leaving was ignored while the registry's entry said ready, and Retry-After of a 503 went to the caller only.

Change: the adapter decodes both signs; the directory holds the word of a life that leaves and shows the server as draining, told to peers for 5 s; judge.Out knows all reasons not to choose a server, a stated time away and a slow return among them. Where all want nothing, requests are rejected at once with the earliest time to come back. A 503, 429 or 408 of a server without the sign that the request has not run is no longer passed on, because callers take it as that promise. docs/DECISIONS/server-signs.md.

Ruled out: a newer entry that ends the word by itself; entries that lapsed come back as ready.

--- a/core/backend/backend.go
+++ b/core/backend/backend.go
@@ -58,10 +58,13 @@
 	Slots      int
 	// Draining means that the server takes no new work.
 	Draining bool
-	Card     routing.CardName
-	Layers   Layers
-	Sequence Sequence
-	Born     Incarnation
+	// LeavingSince is when the server itself said that it leaves, which also counts as
+	// Draining; it is zero if it did not.
+	LeavingSince time.Time
+	Card         routing.CardName
+	Layers       Layers
+	Sequence     Sequence
+	Born         Incarnation
 }
 
 // Report is the load of an engine as of some hundred milliseconds ago.
@@ -169,4 +172,9 @@
 	NotRun bool
 	// Fault is the engine of the chain that refused; empty if it is the first.
 	Fault Address
+	// Leaving means that the server will end soon and takes no new work, whatever the
+	// registry says.
+	Leaving bool
+	// Away is how long the server wants no requests from this host; 0 if it did not say.
+	Away time.Duration
 }
--- a/core/routing/routing.go
+++ b/core/routing/routing.go
@@ -97,6 +97,9 @@
 	// MaxConnections bounds the connections of one backend server from all
 	// hosts together; 0 means no bound.
 	MaxConnections int
+	// HealthPath is where a backend server says whether it takes work; empty if it
+	// can't be asked.
+	HealthPath string
 	// Engine is set if the backend servers run a model.
 	Engine *Engine
 }
--- a/oleandercove/edge/announcer/receive.go
+++ b/oleandercove/edge/announcer/receive.go
@@ -8,6 +8,7 @@
 
 	"oleandercove.example/core/backend"
 	"oleandercove.example/core/unit"
+	"oleandercove.example/oleandercove/edge/directory"
 	"oleandercove.example/wire/peer"
 )
 
@@ -30,6 +31,10 @@
 	if len(b.Crashes) > 0 {
 		a.Screener.Merge(decodeCrashes(b.Crashes, now))
 	}
+	for _, l := range b.LeavingServers {
+		at := now.Add(-time.Duration(l.AgeMs) * time.Millisecond)
+		a.Directory.Leaves(directory.Word{Server: unit.BackendID(l.Server), Born: backend.Incarnation(l.Born), At: at}, false, now)
+	}
 	for _, id := range news {
 		a.Suspect(id)
 	}
--- a/oleandercove/edge/directory/directory.go
+++ b/oleandercove/edge/directory/directory.go
@@ -21,6 +21,7 @@
 
 	"github.com/charmbracelet/log"
 
+	"oleandercove.example/core/backend"
 	objects "oleandercove.example/core/platform"
 	"oleandercove.example/core/routing"
 	"oleandercove.example/core/unit"
@@ -49,6 +50,8 @@
 	mu        sync.Mutex
 	knowledge atomic.Pointer[Knowledge]
 	servers   registry
+	words     words
+	renewed   func(backend.Server)
 	snapshot  atomic.Pointer[Servers]
 	history   history
 	// serversAt is a time at which the registry was known to be the newest.
@@ -59,7 +62,7 @@
 
 // New returns an empty Directory.
 func New(l *log.Logger) *Directory {
-	d := &Directory{log: l}
+	d := &Directory{log: l, words: words{}}
 	d.servers = registry{entries: map[unit.BackendID]*entry{}, tombstones: map[unit.BackendID]unit.Revision{}}
 	d.history = newHistory()
 	d.snapshot.Store(newServers(nil))
@@ -211,6 +214,9 @@
 		d.log.Warn("registry entry ignored", "id", o.Name, "err", err)
 		return false
 	}
+	if d.servers.newer(o) {
+		d.checkRenewed(s)
+	}
 	if d.servers.put(s, o) {
 		d.history.add(o)
 		d.log.Info("backend server changed", "id", s.ID, "service", s.Service, "address", s.Address,
@@ -224,5 +230,5 @@
 		d.history.add(objects.Object{Name: string(id), Deleted: true})
 		d.log.Info("backend server gone", "id", id)
 	}
-	d.snapshot.Store(newServers(d.servers.current()))
+	d.snapshot.Store(newServers(d.servers.current(d.words)))
 }
--- a/oleandercove/edge/directory/registry.go
+++ b/oleandercove/edge/directory/registry.go
@@ -49,6 +49,12 @@
 	return changed
 }
 
+// newer tells whether an object is newer than the entry that is known.
+func (r *registry) newer(o objects.Object) bool {
+	e, ok := r.entries[unit.BackendID(o.Name)]
+	return ok && o.Revision > e.object.Revision
+}
+
 // remove marks an entry as gone. An entry that lapsed while the store was away
 // may come back, so it is held until a time; one that drains is not.
 func (r *registry) remove(id unit.BackendID, now, holdUntil time.Time) {
@@ -93,10 +99,10 @@
 	r.tombstones[id] = revision
 }
 
-// current returns the servers. Of entries with one address the one that started
+// current returns the servers with what they said of themselves. Of entries with one address the one that started
 // last holds: a server that crashed and started under a new id leaves its old
 // entry behind until that lapses.
-func (r *registry) current() []backend.Server {
+func (r *registry) current(w words) []backend.Server {
 	last := make(map[backend.Address]*entry, len(r.entries))
 	for _, e := range r.entries {
 		o := last[e.server.Address]
@@ -106,7 +112,10 @@
 	}
 	list := make([]backend.Server, 0, len(last))
 	for _, e := range last {
-		list = append(list, e.server)
+		s := e.server
+		s.LeavingSince = w.since(s)
+		s.Draining = s.Draining || !s.LeavingSince.IsZero()
+		list = append(list, s)
 	}
 	return list
 }
--- a/oleandercove/edge/gateway/call.go
+++ b/oleandercove/edge/gateway/call.go
@@ -62,6 +62,7 @@
 	var last outcome
 	tried := map[unit.BackendID]bool{}
 	ran := false
+	var kept keptAway
 	for sent := 0; sent < j.route.Attempts; {
 		leave, err := j.Screener.Enter(ctx, j.content)
 		if err != nil {
@@ -72,7 +73,8 @@
 			break
 		}
 		defer leave()
-		s, ok := j.pickServer(tried, j.Screener.Servers(j.content))
+		kept = keptAway{}
+		s, ok := j.pickServer(tried, j.Screener.Servers(j.content), &kept)
 		if !ok || (sent > 0 && !j.Budgeter.Again(j.service.Name)) {
 			break
 		}
@@ -99,7 +101,7 @@
 		}
 		j.Log.Info("attempt failed", "id", j.call.Request, "content", j.content, "server", s.ID, "verdict", last.verdict, "err", last.err, "left", j.left())
 	}
-	j.finishCall(ctx, last, ran)
+	j.finishCall(ctx, last, ran, kept)
 }
 
 // reached tells whether the request may have reached the server.
@@ -114,7 +116,7 @@
 }
 
 // finishCall passes the last response on or says why there is none.
-func (j *job) finishCall(ctx context.Context, o outcome, ran bool) {
+func (j *job) finishCall(ctx context.Context, o outcome, ran bool, kept keptAway) {
 	defer o.close()
 	switch {
 	case o.usable():
@@ -127,10 +129,21 @@
 	case ran:
 		j.refuse(verdict.New(verdict.MayHaveRun, verdict.BackendFailed, "no usable answer: %v", o.err))
 	default:
-		j.refuse(verdict.New(verdict.NotRun, verdict.NoBackend, "no backend server took the request: %v", o.err).After(callPause(j.route.Objective)))
+		err := verdict.New(verdict.NotRun, verdict.NoBackend, "no backend server took the request: %v", causeOf(o)).After(callPause(j.route.Objective))
+		j.refuse(kept.explain(err, j.Timer.Now()))
 	}
 }
 
+// causeOf is why the last attempt failed, if there was one.
+func causeOf(o outcome) error {
+	if o.err == nil {
+		return errNoneLeft
+	}
+	return o.err
+}
+
+var errNoneLeft = errors.New("none may be asked now")
+
 // callPause is when a caller should come back after no server of a plain
 // service took its request: after about one usual answer.
 func callPause(objective time.Duration) time.Duration { return max(50*time.Millisecond, objective/2) }
@@ -140,12 +153,16 @@
 
 // pickServer returns the server with the lowest expected delay. Those at which a
 // connection broke under the same content come last.
-func (j *job) pickServer(tried, broke map[unit.BackendID]bool) (backend.Server, bool) {
+func (j *job) pickServer(tried, broke map[unit.BackendID]bool, kept *keptAway) (backend.Server, bool) {
 	now := j.Timer.Now()
 	var best backend.Server
 	found, lowest := false, 0.0
 	for _, s := range j.Directory.Servers().Of(j.service.Name) {
-		if s.Draining || tried[s.ID] || j.Judge.IsDown(s.ID, now) {
+		if reason, until := j.Judge.Out(s, j.Ledger.OwnRunning(s.ID), now); reason != judge.Chosen {
+			kept.note(s, reason, j.Judge.AwaySince(s.ID), until)
+			continue
+		}
+		if tried[s.ID] {
 			continue
 		}
 		c := j.serverCost(s, now)
@@ -228,6 +245,8 @@
 	switch {
 	case a.NotRun:
 		o.verdict, o.err = verdict.NotRun, errors.New("server rejected the request: "+e.Response.Status)
+	case promisesNotRun(e.Response.StatusCode):
+		o.verdict, o.err = verdict.MayHaveRun, errors.New("rejection without sign that the request has not run: "+e.Response.Status)
 	case e.Response.StatusCode < http.StatusMultipleChoices && !a.Signed:
 		o.verdict, o.err = verdict.MayHaveRun, errUnsigned
 	case e.Response.Header.Get("Content-Encoding") != "":
@@ -242,6 +261,16 @@
 	return o
 }
 
+// promisesNotRun tells whether callers take a status as the promise that a request has
+// not run.
+func promisesNotRun(status int) bool {
+	switch status {
+	case http.StatusRequestTimeout, http.StatusTooManyRequests, http.StatusServiceUnavailable:
+		return true
+	}
+	return false
+}
+
 // rate tells the judge how a server did.
 func (j *job) rate(s backend.Server, o outcome, took time.Duration) {
 	if o.failed() {
--- a/oleandercove/edge/gateway/gateway.go
+++ b/oleandercove/edge/gateway/gateway.go
@@ -66,6 +66,8 @@
 	Budgeter  *budgeter.Budgeter
 	Rationer  *rationer.Rationer
 	Screener  *screener.Screener
+	// Left is called when a backend server newly says that it leaves.
+	Left func()
 	// DataCentre is where this daemon runs.
 	DataCentre unit.DataCentre
 	// KeyRevocation is the time after which a revoked key must not work.
@@ -274,8 +276,12 @@
 // send passes the request to a backend server.
 func (j *job) send(ctx context.Context, a backend.Address, s backend.Send) (*exchanger.Exchange, error) {
 	s.Account, s.Left = j.account, j.left()
-	return j.Exchanger.Send(ctx, a, &exchanger.Request{
+	e, err := j.Exchanger.Send(ctx, a, &exchanger.Request{
 		ID: j.call.Request, Method: j.r.Method, Target: j.r.RequestURI, Host: j.r.Host,
 		Header: platform.EncodeSend(j.r.Header, s), Body: j.body,
 	})
+	if err == nil {
+		j.noteSigns(s.Server, platform.DecodeAnswer(e.Response.StatusCode, e.Response.Header))
+	}
+	return e, err
 }
--- a/oleandercove/edge/gateway/path.go
+++ b/oleandercove/edge/gateway/path.go
@@ -5,6 +5,7 @@
 
 	"oleandercove.example/core/unit"
 	"oleandercove.example/core/verdict"
+	"oleandercove.example/oleandercove/edge/judge"
 	"oleandercove.example/oleandercove/edge/pathfinder"
 	"oleandercove.example/oleandercove/edge/rationer"
 )
@@ -23,16 +24,20 @@
 	p, ok := s.findPath(r)
 	if !ok && r.Stay {
 		s.Meter.count("link_used_up_total")
-		return p, verdict.New(verdict.NotRun, verdict.Overloaded, "no chain of engines within a data centre has room for %d tokens, and the link between data centres is used up",
-			r.Prompt+r.Output).After(capacityPause)
+		return p, s.keptAway("no chain of engines within a data centre has room for %d tokens, and the link between data centres is used up", r)
 	}
 	if !ok {
-		return p, verdict.New(verdict.NotRun, verdict.Overloaded, "no chain of engines has room for %d tokens",
-			r.Prompt+r.Output).After(capacityPause)
+		return p, s.keptAway("no chain of engines has room for %d tokens", r)
 	}
 	return p, nil
 }
 
+// keptAway refuses a request for which there is no chain.
+func (s *stream) keptAway(format string, r pathfinder.Request) *verdict.Error {
+	err := verdict.New(verdict.NotRun, verdict.Overloaded, format, r.Prompt+r.Output).After(capacityPause)
+	return s.kept.explain(err, s.Timer.Now())
+}
+
 // need tells how much depends on the next chain.
 func (s *stream) need() rationer.Need {
 	if s.started {
@@ -65,11 +70,16 @@
 // usableEngines returns the engines of the service that may take new work.
 func (s *stream) usableEngines(chained bool) []pathfinder.Engine {
 	now := s.Timer.Now()
+	s.kept = keptAway{}
 	servers := s.Directory.Servers().Of(s.service.Name)
 	out := make([]pathfinder.Engine, 0, len(servers))
 	for _, x := range servers {
 		x.Layers = s.Judge.Usable(x.ID, x.Layers, now)
-		if x.Draining || s.refusedBy[x.ID] || (chained && x.Layers.Len() == 0) || !s.Judge.MayServe(x.ID, now) {
+		if s.refusedBy[x.ID] || (chained && x.Layers.Len() == 0) {
+			continue
+		}
+		if reason, until := s.Judge.Out(x, s.Ledger.OwnRunning(x.ID), now); reason != judge.Chosen {
+			s.kept.note(x, reason, s.Judge.AwaySince(x.ID), until)
 			continue
 		}
 		out = append(out, pathfinder.Engine{
--- a/oleandercove/edge/gateway/stream.go
+++ b/oleandercove/edge/gateway/stream.go
@@ -36,6 +36,8 @@
 	cancel   context.CancelFunc
 	messages <-chan message
 
+	// kept is why engines were left out of the last choice.
+	kept keptAway
 	// refusedBy holds the engines that rejected their part of this request.
 	refusedBy map[unit.BackendID]bool
 
--- a/oleandercove/edge/judge/judge.go
+++ b/oleandercove/edge/judge/judge.go
@@ -1,4 +1,5 @@
-// Package judge rates backend servers by the outcomes of real requests.
+// Package judge rates backend servers by the outcomes of real requests, and knows why
+// one is not to be chosen now.
 //
 // A server that does not answer at all is marked as down for some time, on this
 // daemon and on its peers. A server that answers has a failure share and a
@@ -12,7 +13,8 @@
 //	j.Succeeded("i-1", 12*time.Millisecond)
 //	j.Failed("i-2")
 //	j.Down("i-3", now.Add(judge.DownTime))
-//	if !j.IsDown("i-3", now) {
+//	j.Away(server, 3*time.Second, rand.Float64(), now)
+//	if reason, until := j.Out(server, running, now); reason == judge.Chosen {
 //	}
 package judge
 
@@ -60,6 +62,7 @@
 	// held is a range of which the engine will keep only the range kept.
 	held, kept backend.Layers
 	keptUntil  time.Time
+	away       away
 	// endedUntil is until when the server's process is known to have ended.
 	endedUntil time.Time
 }
@@ -145,14 +148,6 @@
 	return r != nil && now.Before(r.endedUntil)
 }
 
-// MayServe tells whether an engine may be part of a new chain.
-func (j *Judge) MayServe(id unit.BackendID, now time.Time) bool {
-	j.mu.Lock()
-	defer j.mu.Unlock()
-	r := j.ratings[id]
-	return r == nil || (!now.Before(r.downUntil) && !now.Before(r.absentUntil))
-}
-
 // IsDown tells whether a server is left out.
 func (j *Judge) IsDown(id unit.BackendID, now time.Time) bool {
 	j.mu.Lock()
@@ -185,6 +180,7 @@
 	j.mu.Lock()
 	defer j.mu.Unlock()
 	r := j.of(id)
+	r.answered()
 	r.failures *= 1 - weight
 	if r.latency == 0 {
 		r.latency = took
--- a/oleandercove/edge/judge/judge_test.go
+++ b/oleandercove/edge/judge/judge_test.go
@@ -49,11 +49,15 @@
 func TestAbsent(t *testing.T) {
 	is := is.New(t)
 	j := New()
-	is.True(j.MayServe("a", start))
+	out := func(after time.Duration) Reason {
+		reason, _ := j.Out(backend.Server{ID: "a"}, 0, start.Add(after))
+		return reason
+	}
+	is.Equal(out(0), Chosen)
 	j.Absent("a", start)
-	is.True(!j.MayServe("a", start.Add(AbsentTime-time.Millisecond)))
+	is.Equal(out(AbsentTime-time.Millisecond), Absent)
 	is.True(!j.IsDown("a", start))
-	is.True(j.MayServe("a", start.Add(AbsentTime)))
+	is.Equal(out(AbsentTime), Chosen)
 }
 
 // TestEnded guards against an engine behind a link that loses packets that counts
--- a/oleandercove/edge/ledger/ledger.go
+++ b/oleandercove/edge/ledger/ledger.go
@@ -250,6 +250,16 @@
 	return Load{}
 }
 
+// OwnRunning returns the number of own requests in flight on a server.
+func (l *Ledger) OwnRunning(id unit.BackendID) int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if x := l.own[id]; x != nil {
+		return x.Running
+	}
+	return 0
+}
+
 // Guess returns the load that others have put on a server and not told yet, if they
 // do what this daemon does.
 func (l *Ledger) Guess(id unit.BackendID) Load {
--- a/oleandercove/edge/runner/runner.go
+++ b/oleandercove/edge/runner/runner.go
@@ -86,6 +86,8 @@
 	assigner  *assigner.Assigner
 	gateway   *gateway.Gateway
 	screener  *screener.Screener
+	judge     *judge.Judge
+	ledger    *ledger.Ledger
 	metrics   *metrics
 	output    *logger.Bounded
 
@@ -111,9 +113,11 @@
 
 // assemble creates the parts. Each one gets what it depends on when it is made.
 func (r *Runner) assemble() error {
-	s, store, engines := r.settings, platform.NewStore(platform.StoreOptions{Address: r.settings.StoreAddress}), platform.NewEngines()
+	s, store, engines := r.settings, platform.NewStore(platform.StoreOptions{Address: r.settings.StoreAddress}), platform.NewEngines(r.engineLeaves)
 	j, l := judge.New(), ledger.New()
+	r.judge, r.ledger = j, l
 	r.directory = directory.New(r.log.WithPrefix("directory"))
+	r.directory.OnRenewed(func(x backend.Server) { r.askAgain(engines, x) })
 	syncer := directory.NewSyncer(store, r.directory, r.timer, r.log.WithPrefix("directory"))
 	x := exchanger.New(exchanger.Options{MaxIdle: maxIdle, Identify: func(status int, h http.Header) unit.RequestID {
 		return platform.DecodeAnswer(status, h).Request
@@ -131,7 +135,7 @@
 		Directory: r.directory, Exchanger: x, Judge: j, Ledger: l, Engines: engines, Prober: p, Timer: r.timer,
 		Log: r.log.WithPrefix("gateway"), Meter: gateway.NewMeter(r.metrics.scope),
 		Budgeter: b, Rationer: rationer.New(rationer.Options{Hosts: func() int { return a.Hosts() }, Timer: r.timer}),
-		Screener: r.screener, DataCentre: s.DataCentre, KeyRevocation: s.Bounds.KeyRevocation.Std(),
+		Screener: r.screener, Left: func() { a.Urge() }, DataCentre: s.DataCentre, KeyRevocation: s.Bounds.KeyRevocation.Std(),
 	})
 	a, err := announcer.New(announcer.Options{
 		Host: s.Host, DataCentre: s.DataCentre, Address: s.BeaconAddress(), PeerAddress: s.PeerAddress(), Seeds: r.seeds(), Store: store,
@@ -248,6 +252,7 @@
 	controllers.Go(func() { r.leaser.Run(control) })
 	controllers.Go(func() { r.assigner.Run(control) })
 	wg.Go(func() { r.watchSettings(background) })
+	defer r.reportOut()()
 	failed := r.serve()
 	var err error
 	select {
--- a/oleanderfake/imitator/configuration.go
+++ b/oleanderfake/imitator/configuration.go
@@ -23,6 +23,7 @@
 	serviceSpec struct {
 		Name           string      `json:"name"`
 		MaxConnections int         `json:"max_connections"`
+		HealthPath     string      `json:"health_path"`
 		Engine         *engineSpec `json:"engine,omitempty"`
 	}
 	engineSpec struct {
@@ -87,13 +88,13 @@
 			route(StatusPath, "safe", plainService, 2),
 		},
 		Services: []serviceSpec{
-			{Name: modelService, MaxConnections: 100, Engine: &engineSpec{
+			{Name: modelService, MaxConnections: 100, HealthPath: healthPath, Engine: &engineSpec{
 				Slots: 64, TokenBytes: 8000, Stride: 1, StepMS: 1, PerSequenceMS: 0.01, ReadPerSecond: 100000,
 				Layers: ModelLayers, LayerMB: 100, ActivationBytes: 1000, PipeMbps: 10000, LoadsAtOnce: 4,
 				Models: []modelSpec{{Name: "m", LoadSeconds: 0.4}}, Usual: usualSpec{Prompt: 100, Answer: 50},
 				Kinds: []kindSpec{{Name: card, MB: 700, Pace: 1}},
 			}},
-			{Name: plainService, MaxConnections: 50},
+			{Name: plainService, MaxConnections: 50, HealthPath: healthPath},
 		},
 		Limits:  limitsSpec{HeaderBytes: 16384, BodyBytes: 65536, HeaderTimeout: 3000, IdleTimeout: 5000},
 		Tenants: []tenantSpec{{Name: Account, Keys: keys}},
--- a/oleanderfake/imitator/engine.go
+++ b/oleanderfake/imitator/engine.go
@@ -22,6 +22,7 @@
 
 // Engine is a model engine that holds a range of layers.
 type Engine struct {
+	Signs
 	ID         string
 	site       *Site
 	address    string
@@ -106,6 +107,7 @@
 		<-r.Context().Done()
 		return
 	}
+	e.say(w)
 	switch r.URL.Path {
 	case "/report":
 		e.report(w)
@@ -233,6 +235,9 @@
 func (e *Engine) run(w http.ResponseWriter, r *http.Request) {
 	id := r.Header.Get(headerAttempt)
 	w.Header().Set(headerAttempt, id)
+	if e.arrive(e.site.Runs, e.ID, w, id) {
+		return
+	}
 	path := strings.Split(r.Header.Get(headerChain), ",")
 	o, whole := e.check(path)
 	if !whole {
--- a/oleanderfake/imitator/server.go
+++ b/oleanderfake/imitator/server.go
@@ -38,8 +38,9 @@
 
 // Runs records what the backend servers of a site ran, by attempt id.
 type Runs struct {
-	mu   sync.Mutex
-	byID map[string][]Run
+	mu       sync.Mutex
+	byID     map[string][]Run
+	arrivals []Arrival
 }
 
 // All returns all runs in order of time.
@@ -83,6 +84,7 @@
 
 // Server is a backend server of the plain service.
 type Server struct {
+	Signs
 	ID      string
 	site    *Site
 	address string
@@ -175,10 +177,18 @@
 		return
 	}
 	w.Header().Set(headerAttempt, id)
+	p.say(w)
+	if r.URL.Path == healthPath {
+		p.health(w, p.ID)
+		return
+	}
 	if r.Header.Get(headerExpect) != p.ID {
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
+	if p.arrive(p.site.Runs, p.ID, w, id) {
+		return
+	}
 	if p.Full.Load() {
 		w.Header().Set(headerNotRun, "1")
 		w.WriteHeader(http.StatusServiceUnavailable)
