--- a/oleanderfake/imitator/crash.go
+++ b/oleanderfake/imitator/crash.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"errors"
 	"fmt"
 	"net/http"
 	"slices"
@@ -93,6 +94,19 @@
 	})
 }
 
+// Replace ends the process of a server and starts one with another id at its address.
+func (s *Site) Replace(p *Server) error {
+	if !s.end(Crash{Server: p.ID, At: time.Now()}, p.address) {
+		return errEnded
+	}
+	s.mu.Lock()
+	s.servers = slices.DeleteFunc(s.servers, func(x *Server) bool { return x == p })
+	s.mu.Unlock()
+	return s.startServer(nextID(p.ID), p.address)
+}
+
+var errEnded = errors.New("the process has ended before")
+
 // end closes the listener and the connections of a process, and tells whether it was
 // running.
 func (s *Site) end(c Crash, address string) bool {
--- a/oleanderfake/imitator/engine.go
+++ b/oleanderfake/imitator/engine.go
@@ -78,6 +78,9 @@
 	e.dead = dead
 }
 
+// Address returns the address of the engine.
+func (e *Engine) Address() string { return e.address }
+
 // Lapse removes the entry of the engine.
 func (e *Engine) Lapse() { e.site.Store.Remove(kindServers, e.ID) }
 
--- a/oleanderfake/imitator/server.go
+++ b/oleanderfake/imitator/server.go
@@ -94,6 +94,7 @@
 	// Endless replaces the responses to requests that run, if it is set.
 	Endless atomic.Pointer[Endless]
 	leaving atomic.Bool
+	running atomic.Int64
 	// starts counts the starts of the process under its id.
 	starts atomic.Int64
 }
@@ -189,7 +190,9 @@
 	if p.arrive(p.site.Runs, p.ID, w, id) {
 		return
 	}
-	if p.Full.Load() {
+	running := p.running.Add(1)
+	defer p.running.Add(-1)
+	if most := p.site.options.Slots; p.Full.Load() || (most > 0 && running > most) {
 		w.Header().Set(headerNotRun, "1")
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
--- a/oleanderfake/imitator/site.go
+++ b/oleanderfake/imitator/site.go
@@ -49,6 +49,9 @@
 	Servers int
 	// Work is how long a request to the plain service takes.
 	Work time.Duration
+	// Slots is how many requests a plain server runs at once; it rejects others. 0
+	// means no bound.
+	Slots int64
 }
 
 // Site is a platform with backend servers.
