edge/gateway: keep a running attempt until the next one has begun to answer

Cause: a stream whose chain lost a later engine gave up its running attempt when it was sent along another chain. That one rejected it, no retry was left in the budget, and the first engine that had still held it was gone.

Change: the running attempt is set aside until the new one has sent its head; a rejection or a broken connection goes back to it and looks for room again.

--- a/oleandercove/edge/gateway/recover.go
+++ b/oleandercove/edge/gateway/recover.go
@@ -142,19 +142,20 @@
 	if reroutable && s.reroute(within) {
 		return stepWait
 	}
+	mayGoOn := s.mayGoOn(now)
 	if s.again() == stepAgain && s.reserve() {
-		return stepAgain
+		return s.leaveChain(mayGoOn)
 	}
 	if reroutable && s.reroute(across) {
 		return stepWait
 	}
 	next := s.again()
-	if !s.mayGoOn(now) || s.Screener.Convicted(s.content) != nil {
+	if !mayGoOn || s.Screener.Convicted(s.content) != nil {
 		return next
 	}
 	if next == stepAgain {
 		if s.reserveAnywhere() {
-			return stepAgain
+			return s.leaveChain(true)
 		}
 		// The running attempt is not given up before there is another chain.
 		s.replaceAt = time.After(resumePause)
@@ -162,6 +163,15 @@
 	return stepWait
 }
 
+// leaveChain sends the request along another chain. An attempt that may go on is kept
+// until the other one has begun to answer.
+func (s *stream) leaveChain(mayGoOn bool) step {
+	if mayGoOn {
+		s.setAside()
+	}
+	return stepAgain
+}
+
 // mayGoOn tells whether a stream for which there is no other chain now can still be
 // answered by its running attempt: later engines may be replaced in a moment, and
 // silence alone does not show that the first one has ended. A request that has no
--- a/oleandercove/edge/gateway/relay.go
+++ b/oleandercove/edge/gateway/relay.go
@@ -92,6 +92,7 @@
 	if resp.StatusCode != http.StatusOK {
 		return s.final(e)
 	}
+	s.dropAside()
 	if s.started {
 		return stepWait
 	}
@@ -124,6 +125,9 @@
 	}
 	s.Log.Info("engine rejected its part", "id", s.call.Request, "engine", id, "status", status, "sends", s.sends)
 	s.failure = errRejected
+	if s.goBack() {
+		return stepWait
+	}
 	return s.again()
 }
 
@@ -208,6 +212,9 @@
 		s.countEnded(now)
 	}
 	s.Log.Info("stream broke off", "id", s.call.Request, "content", s.content, "engine", first, "last", s.last, "runs", s.runs, "err", err)
+	if s.goBack() {
+		return stepWait
+	}
 	next := s.again()
 	if next == stepAgain {
 		s.awaitTurn()
--- a/oleandercove/edge/gateway/stream.go
+++ b/oleandercove/edge/gateway/stream.go
@@ -3,13 +3,11 @@
 import (
 	"context"
 	"sync"
-	"sync/atomic"
 	"time"
 
 	"oleandercove.example/core/backend"
 	"oleandercove.example/core/unit"
 	"oleandercove.example/core/verdict"
-	"oleandercove.example/oleandercove/edge/ledger"
 	"oleandercove.example/oleandercove/edge/pathfinder"
 )
 
@@ -26,15 +24,12 @@
 	mu    sync.Mutex
 	chain backend.Chain
 
-	path pathfinder.Path
-	// replaceAt is when the engines that are down are taken out of the chain; it is
-	// nil while none is known to be.
-	replaceAt <-chan time.Time
+	// attempt is the running attempt. The one before is aside until a new one has begun
+	// to answer.
+	attempt
+	aside *attempt
 	// reserved is the chain of the next attempt, paid for from the retry budget.
 	reserved *pathfinder.Path
-	ticket   *ledger.Ticket
-	cancel   context.CancelFunc
-	messages <-chan message
 
 	// kept is why engines were left out of the last choice.
 	kept keptAway
@@ -43,19 +38,11 @@
 
 	// sends counts the offers, runs those that may have begun to run.
 	sends, runs int
-	// leave ends what the screener holds for the running attempt.
-	leave func()
-	// progressed is set once the running attempt has sent an event.
-	progressed bool
 	// accused holds the engines that were looked into because they may have ended under
 	// the request.
 	accused map[unit.BackendID]bool
-	// marked is set once the chain has given a mark.
-	marked *atomic.Bool
-	// firstEnded is set once the process of the running attempt's first engine is
-	// known to have ended, and endedRuns counts such attempts.
-	firstEnded bool
-	endedRuns  int
+	// endedRuns counts the attempts whose first engine ended.
+	endedRuns int
 	// started is set once the head has gone to the caller.
 	started bool
 	last    eventID
@@ -86,13 +73,13 @@
 	defer j.streams.remove(s)
 	defer s.endAttempt()
 	for {
-		if err := s.beginSoon(); err != nil {
+		if err := s.beginSoon(); err != nil && !s.goBack() {
 			s.fail(err)
 			return
 		}
 		switch s.relay() {
 		case stepAgain:
-			s.endAttempt()
+			s.attempt.end()
 		case stepDone:
 			return
 		default:
@@ -116,7 +103,7 @@
 func (s *stream) beginSoon() *verdict.Error {
 	for {
 		err := s.begin()
-		if err == nil || !s.started || err.Reason == verdict.Quarantined || time.Since(s.lastAt) > resumePatience {
+		if err == nil || !s.started || s.aside != nil || err.Reason == verdict.Quarantined || time.Since(s.lastAt) > resumePatience {
 			return err
 		}
 		select {
@@ -141,11 +128,9 @@
 		leave()
 		return err
 	}
-	s.leave, s.progressed, s.firstEnded = leave, false, false
-	s.takePath(p)
-	s.replaceAt = nil
 	ctx, cancel := context.WithCancel(s.ctx)
-	s.cancel = cancel
+	s.attempt = attempt{leave: leave, cancel: cancel}
+	s.takePath(p)
 	s.sends++
 	s.runs++
 	send := backend.Send{Server: p.Chain[0].ID, Chain: p.Chain}
@@ -180,17 +165,8 @@
 	return p, nil
 }
 
+// endAttempt ends the running attempt and the one before.
 func (s *stream) endAttempt() {
-	if s.cancel != nil {
-		s.cancel()
-		s.cancel = nil
-	}
-	if s.ticket != nil {
-		s.ticket.End()
-		s.ticket = nil
-	}
-	if s.leave != nil {
-		s.leave()
-		s.leave = nil
-	}
+	s.attempt.end()
+	s.dropAside()
 }
--- a/oleandercove/edge/gateway/stream_test.go
+++ b/oleandercove/edge/gateway/stream_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"io"
+	"net/http"
 	"testing"
 	"time"
 
@@ -14,6 +16,7 @@
 	"oleandercove.example/core/unit"
 	"oleandercove.example/core/verdict"
 	"oleandercove.example/oleandercove/edge/directory"
+	"oleandercove.example/oleandercove/edge/exchanger"
 	"oleandercove.example/oleandercove/edge/judge"
 	"oleandercove.example/oleandercove/edge/ledger"
 	"oleandercove.example/oleandercove/edge/pathfinder"
@@ -29,7 +32,7 @@
 	for range 200 {
 		ctx, cancel := context.WithCancel(t.Context())
 		messages := make(chan message)
-		s := &stream{job: &job{Gateway: &Gateway{}, began: time.Now()}, ctx: ctx, lost: make(chan struct{}, 1), messages: messages}
+		s := &stream{job: &job{Gateway: &Gateway{}, began: time.Now()}, ctx: ctx, lost: make(chan struct{}, 1), attempt: attempt{messages: messages}}
 		cancel()
 		close(messages)
 		is.Equal(s.relay(), stepFail)
@@ -41,7 +44,7 @@
 func newLostStream(t *testing.T, silent time.Duration) (*stream, *judge.Judge) {
 	clock, j := timer.NewReal(), judge.New()
 	g := &Gateway{Options: Options{
-		Judge: j, Timer: clock, Directory: directory.New(logger.Discard()), Ledger: ledger.New(),
+		Log: logger.Discard(), Judge: j, Timer: clock, Directory: directory.New(logger.Discard()), Ledger: ledger.New(),
 		Screener: screener.New(screener.Options{Timer: clock, Log: logger.Discard()}),
 	}}
 	s := &stream{
@@ -49,7 +52,7 @@
 			Gateway: g, route: &routing.Route{Attempts: 2, Repeat: routing.Resumable}, deadline: time.Now().Add(time.Minute),
 			service: &routing.Service{Engine: &routing.Engine{}},
 		},
-		ctx: t.Context(), lost: make(chan struct{}, 1), runs: 2, sends: 2, started: true, lastAt: time.Now().Add(-silent),
+		ctx: t.Context(), lost: make(chan struct{}, 1), refusedBy: map[unit.BackendID]bool{}, runs: 2, sends: 2, started: true, lastAt: time.Now().Add(-silent),
 	}
 	s.setChain(pathfinder.Path{Chain: backend.Chain{{ID: "head"}, {ID: "tail"}}})
 	return s, j
@@ -141,6 +144,47 @@
 	}
 }
 
+// TestGoBack replays a stream whose chain lost a later engine, and which another chain
+// rejects. It guards against a running response that is given up before another one has
+// begun, and against one that runs on beside the other.
+func TestGoBack(t *testing.T) {
+	tests := []struct {
+		name string
+		do   func(*stream) step
+		want step
+		kept bool
+	}{
+		{"other chain rejects it", func(s *stream) step {
+			return s.rejected(http.StatusServiceUnavailable, backend.Answer{NotRun: true})
+		}, stepWait, true},
+		{"other chain breaks off", func(s *stream) step { return s.broken(io.EOF) }, stepWait, true},
+		{"other chain answers", func(s *stream) step {
+			resp := &http.Response{StatusCode: http.StatusOK, Header: http.Header{"X-Oleandercove-Response-Stamp": {"x"}}}
+			return s.head(&exchanger.Exchange{Response: resp})
+		}, stepWait, false},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			s, _ := newLostStream(t, 0)
+			s.runs, s.sends = 2, 2
+			ended := false
+			s.cancel = func() { ended = true }
+			old := make(chan message)
+			s.messages = old
+			s.setAside()
+			s.attempt = attempt{messages: make(chan message)}
+			s.setChain(pathfinder.Path{Chain: backend.Chain{{ID: "other"}}})
+			is.Equal(tt.do(s), tt.want)
+			is.Equal(ended, !tt.kept)
+			is.Equal(s.messages == (<-chan message)(old), tt.kept)
+			is.Equal(s.uses("head"), tt.kept)
+			s.endAttempt()
+			is.True(ended)
+		})
+	}
+}
+
 // TestConvictedStream replays a stream that ends the later engines of its chain while
 // its first engine goes on. It guards against an order to go on along other engines,
 // which would end as well, and against a caller that is held.
