prover/edge: the soak draws servers that leave, want nothing, or end under a request

Checks both rules of server signs from what reaches backend servers, with pauses and starts of daemons excused, and the ends under a request that comes again.

--- a/oleanderfake/imitator/crash.go
+++ b/oleanderfake/imitator/crash.go
@@ -97,7 +97,7 @@
 // Replace ends the process of a server and starts one with another id at its address.
 func (s *Site) Replace(p *Server) error {
 	if !s.end(Crash{Server: p.ID, At: time.Now()}, p.address) {
-		return errEnded
+		return ErrEnded
 	}
 	s.mu.Lock()
 	s.servers = slices.DeleteFunc(s.servers, func(x *Server) bool { return x == p })
@@ -105,7 +105,8 @@
 	return s.startServer(nextID(p.ID), p.address)
 }
 
-var errEnded = errors.New("the process has ended before")
+// ErrEnded is returned for a process that is not running.
+var ErrEnded = errors.New("the process has ended before")
 
 // end closes the listener and the connections of a process, and tells whether it was
 // running.
--- a/prover/edge/lives_test.go
+++ b/prover/edge/lives_test.go
@@ -82,8 +82,8 @@
 	c.end()
 	arrivals := s.Runs.Arrivals()
 	is.True(saidLeaving(arrivals))
-	is.Equal(len(lateAfterLeaving(arrivals, c.sentAt, drainTime)), 0)
-	is.True(mostWhileAway(arrivals) <= awayAllowed)
+	is.Equal(len(lateAfterLeaving(arrivals, c.sentAt, nil)), 0)
+	is.True(mostWhileAway(arrivals, nil) <= awayAllowed)
 }
 
 // TestRestartedDaemon guards against a daemon that has been paused, or has started anew,
@@ -170,5 +170,5 @@
 	t.Logf("served %d of %.0f that fit", served.Load(), room*duration.Seconds())
 	is.True(float64(served.Load()) >= 0.9*room*duration.Seconds())
 	is.Equal(slow.Load(), int64(0))
-	is.True(mostWhileAway(s.Runs.Arrivals()) <= awayAllowed)
+	is.True(mostWhileAway(s.Runs.Arrivals(), nil) <= awayAllowed)
 }
--- a/prover/edge/signs_test.go
+++ b/prover/edge/signs_test.go
@@ -86,9 +86,18 @@
 // pair is a daemon and a backend server.
 type pair struct{ router, server string }
 
+// excuses are the times at which a daemon was paused or started anew, by its number. It
+// may have forgotten what it was told before.
+type excuses map[string][]time.Time
+
+// between tells whether a daemon has an excuse between two times.
+func (e excuses) between(router string, from, to time.Time) bool {
+	return slices.ContainsFunc(e[router], func(at time.Time) bool { return !at.Before(from) && !at.After(to) })
+}
+
 // lateAfterLeaving returns the requests that callers sent later than drainTime after a
 // daemon had passed on the word of a server that it leaves, and that reached it.
-func lateAfterLeaving(arrivals []imitator.Arrival, sentAt map[string]time.Time, drain time.Duration) []string {
+func lateAfterLeaving(arrivals []imitator.Arrival, sentAt map[string]time.Time, e excuses) []string {
 	told := map[pair]time.Time{}
 	var late []string
 	for _, a := range arrivals {
@@ -96,10 +105,15 @@
 		if p.router == "" {
 			continue
 		}
-		if at, ok := told[p]; ok && sentAt[a.Attempt].After(at.Add(drain)) {
+		at, ok := told[p]
+		if ok && e.between(p.router, at, a.At) {
+			delete(told, p)
+			ok = false
+		}
+		if ok && sentAt[a.Attempt].After(at.Add(drainTime)) {
 			late = append(late, a.Attempt+" at "+a.Server)
 		}
-		if _, ok := told[p]; a.Leaving && !ok {
+		if a.Leaving && !ok {
 			told[p] = a.At
 		}
 	}
@@ -108,7 +122,7 @@
 
 // mostWhileAway returns the largest number of requests that reached a server from a
 // daemon that it had asked for none, within the time that it had stated.
-func mostWhileAway(arrivals []imitator.Arrival) int {
+func mostWhileAway(arrivals []imitator.Arrival, e excuses) int {
 	most := 0
 	for i, a := range arrivals {
 		seconds, err := strconv.ParseFloat(a.RetryAfter, 64)
@@ -118,7 +132,8 @@
 		n := 0
 		for _, b := range arrivals[i+1:] {
 			late := b.At.Sub(a.At)
-			if b.Server == a.Server && routerOf(b.Attempt) == routerOf(a.Attempt) && late > awayStart && late.Seconds() < seconds {
+			same := b.Server == a.Server && routerOf(b.Attempt) == routerOf(a.Attempt)
+			if same && late > awayStart && late.Seconds() < seconds && !e.between(routerOf(a.Attempt), a.At, b.At) {
 				n++
 			}
 		}
@@ -176,7 +191,7 @@
 			c.end()
 			arrivals := s.Runs.Arrivals()
 			is.True(saidLeaving(arrivals)) // a daemon has heard of it
-			is.Equal(len(lateAfterLeaving(arrivals, c.sentAt, drainTime)), 0)
+			is.Equal(len(lateAfterLeaving(arrivals, c.sentAt, nil)), 0)
 			for id, a := range c.answers {
 				if a.status != http.StatusOK {
 					t.Errorf("%s was answered with %d", id, a.status)
@@ -231,7 +246,7 @@
 			c := s.startCrowd(tt.kind, 4)
 			time.Sleep(4 * time.Second)
 			c.end()
-			is.True(mostWhileAway(s.Runs.Arrivals()) <= awayAllowed)
+			is.True(mostWhileAway(s.Runs.Arrivals(), nil) <= awayAllowed)
 			for id, a := range c.answers {
 				is.True(a.took < 2*time.Second) // nobody waits for a server that wants nothing
 				switch {
--- a/prover/edge/soak_test.go
+++ b/prover/edge/soak_test.go
@@ -1,10 +1,12 @@
 package edge
 
 import (
+	"errors"
 	"fmt"
 	"math/rand/v2"
 	"net/http"
 	"os"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -35,6 +37,9 @@
 	mu      sync.Mutex
 	next    int
 	answers map[string]answer
+	sentAt  map[string]time.Time
+	// excuses are the pauses and starts of daemons.
+	excuses excuses
 }
 
 // TestSoak guards against promises that hold under each fault alone and break
@@ -61,7 +66,11 @@
 
 func runSoak(t *testing.T, seed uint64) {
 	is := is.New(t)
-	s := &soak{site: newSite(t, 3), rng: rand.New(rand.NewPCG(seed, 1)), answers: map[string]answer{}}
+	s := &soak{
+		site: newSiteOf(t, 3, imitator.Options{DataCentres: []string{"x", "y"}, Engines: 4, Servers: 4}),
+		rng:  rand.New(rand.NewPCG(seed, 1)), answers: map[string]answer{}, sentAt: map[string]time.Time{}, excuses: excuses{},
+	}
+	crashing := s.crashing()
 	stop := make(chan struct{})
 	var clients sync.WaitGroup
 	for i := range soakClients {
@@ -73,6 +82,7 @@
 			}()
 		}
 	}
+	clients.Go(func() { s.repeat(crashing, stop) })
 	for end := time.Now().Add(soakTime); time.Now().Before(end); {
 		heal := s.inject()
 		time.Sleep(time.Duration(100+s.rng.IntN(900)) * time.Millisecond)
@@ -81,21 +91,51 @@
 	close(stop)
 	clients.Wait()
 	s.check(t)
-	s.waitFor("reads to be served again", func() bool { return s.status(0, s.id("end"), imitator.Key) == http.StatusOK })
+	s.checkSigns(t, crashing)
+	s.waitFor("reads to be served again", func() bool { return s.status(0, s.id(0, "end"), imitator.Key) == http.StatusOK })
 	s.waitFor("all layers to be held again", s.Covered)
 	s.waitFor("a stream to be whole again", func() bool {
-		id := s.id("end")
+		id := s.id(0, "end")
 		a := ask{router: s.routers[0], id: id, method: "POST", path: imitator.ModelPath, key: imitator.Key, output: 5}.do()
 		return a.whole(id, 5) == nil
 	})
 	is.Equal(len(s.Faults()), 0)
 }
 
-func (s *soak) id(kind string) string {
+// id returns the id of a request that is sent through a daemon now.
+func (s *soak) id(router int, kind string) string {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.next++
-	return fmt.Sprintf("%s-%d", kind, s.next)
+	id := fmt.Sprintf("%d-%s-%d", router, kind, s.next)
+	s.sentAt[id] = time.Now()
+	return id
+}
+
+// excuse notes that a daemon was paused or started anew.
+func (s *soak) excuse(router int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	number := strconv.Itoa(router)
+	s.excuses[number] = append(s.excuses[number], time.Now())
+}
+
+// crashing returns a request that ends the backend servers under which it runs.
+func (s *soak) crashing() ask {
+	if s.rng.IntN(2) == 0 {
+		return ask{method: "GET", path: imitator.StatusPath + imitator.EndsServer, key: imitator.Key}
+	}
+	return ask{method: "POST", path: imitator.ModelPath, key: imitator.Key, body: imitator.EndsServer, output: 30}
+}
+
+// repeat sends a request through all daemons in turn.
+func (s *soak) repeat(a ask, stop <-chan struct{}) {
+	for n := 0; !closed(stop); n++ {
+		i := n % len(s.routers)
+		a.router, a.id = s.routers[i], s.id(i, "crash")
+		a.do()
+		time.Sleep(repeatPause)
+	}
 }
 
 // client sends requests one after the other over kept connections.
@@ -108,7 +148,7 @@
 			return
 		default:
 		}
-		a := ask{router: s.routers[router], id: s.id(kind), method: "POST", path: imitator.BookPath, key: imitator.Key, body: kind, client: c}
+		a := ask{router: s.routers[router], id: s.id(router, kind), method: "POST", path: imitator.BookPath, key: imitator.Key, body: kind, client: c}
 		switch kind {
 		case "read":
 			a.method, a.path, a.body = "GET", imitator.StatusPath, ""
@@ -130,11 +170,13 @@
 	i := s.rng.IntN(len(s.routers))
 	r, d := s.routers[i], s.doors[i]
 	p, e := s.Servers()[s.rng.IntN(len(s.Servers()))], s.Engines()[s.rng.IntN(len(s.Engines()))]
-	switch s.rng.IntN(8) {
+	switch s.rng.IntN(11) {
 	case 0:
+		s.excuse(i)
 		r.Kill()
 		return func() { s.restart(i) }
 	case 1:
+		s.excuse(i)
 		if err := r.Pause(); err != nil {
 			s.Fault("pause: %v", err)
 		}
@@ -142,6 +184,7 @@
 			if err := r.Resume(); err != nil {
 				s.Fault("resume: %v", err)
 			}
+			s.excuse(i)
 		}
 	case 2:
 		d.Inject(imitator.Faults{Shut: true})
@@ -156,6 +199,15 @@
 		p.Failing.Store(true)
 		return func() { p.Failing.Store(false) }
 	case 6:
+		p.Leaving.Store(true)
+		return func() { time.AfterFunc(leavingTime, func() { s.replace(p) }) }
+	case 7:
+		p.Away.Store(&imitator.Away{RetryAfter: "1.5"})
+		return func() { p.Away.Store(nil) }
+	case 8:
+		e.Away.Store(&imitator.Away{RetryAfter: "1.5"})
+		return func() { e.Away.Store(nil) }
+	case 9:
 		p.Full.Store(true)
 		return func() { p.Full.Store(false) }
 	default:
@@ -169,14 +221,56 @@
 		s.Fault("restart: %v", err)
 		return
 	}
+	s.excuse(i)
 	s.waitReady(s.routers[i])
 }
 
+// leavingTime is how long after the fault a server that leaves goes on, so that late
+// requests to it show.
+const leavingTime = drainTime + time.Second
+
+// replace ends a server that leaves, unless it has ended before.
+func (s *soak) replace(p *imitator.Server) {
+	if err := s.Replace(p); err != nil && !errors.Is(err, imitator.ErrEnded) {
+		s.Fault("replacement of %s: %v", p.ID, err)
+	}
+}
+
+// checkSigns compares what reached backend servers with what these had said, and the
+// servers that a repeated request ended with what it may end.
+func (s *soak) checkSigns(t *testing.T, crashing ask) {
+	arrivals := s.Runs.Arrivals()
+	for _, late := range lateAfterLeaving(arrivals, s.sentAt, s.excuses) {
+		t.Errorf("%s came although the server leaves", late)
+	}
+	if n := mostWhileAway(arrivals, s.excuses); n > awayAllowed {
+		t.Errorf("%d requests came to a server that wanted none", n)
+	}
+	crashes := s.Crashes()
+	// Replacements are ends without an attempt.
+	crashes = slices.DeleteFunc(crashes, func(c imitator.Crash) bool { return c.Attempt == "" })
+	if len(crashes) <= crashesAllowed {
+		return
+	}
+	known := crashes[crashesAllowed-1].At.Add(contactTime)
+	n := 0
+	for _, x := range s.Runs.All() {
+		router := routerOf(x.Header.Get("X-Oleandercove-Attempt-Id"))
+		if x.At.After(known) && x.Body == crashing.body && strings.HasPrefix(x.Target, crashing.path) &&
+			!s.excuses.between(router, x.At.Add(-contactTime), x.At) {
+			n++
+		}
+	}
+	if n > lateSends {
+		t.Errorf("a request that had ended %d servers was sent %d times more", len(crashes), n)
+	}
+}
+
 // check compares what clients saw with what servers ran.
 func (s *soak) check(t *testing.T) {
 	for id, a := range s.answers {
 		n := len(s.Runs.Of(id))
-		kind, _, _ := strings.Cut(id, "-")
+		kind := strings.Split(id, "-")[1]
 		switch {
 		case kind == "book" && n > 1:
 			t.Errorf("%s ran %d times", id, n)
