--- a/oleandercove/edge/gateway/call.go
+++ b/oleandercove/edge/gateway/call.go
@@ -36,27 +36,6 @@
 	minAttempt = 5 * time.Millisecond
 )
 
-// outcome is what became of one attempt.
-type outcome struct {
-	verdict verdict.Verdict
-	// response is set if the server answered with a whole response or with the
-	// beginning of a large one.
-	exchange *exchanger.Exchange
-	whole    []byte
-	rest     bool
-	err      error
-	// cancel ends the time of the attempt; it is nil without one.
-	cancel context.CancelFunc
-}
-
-// usable tells whether the outcome is an answer for the caller.
-func (o outcome) usable() bool { return o.exchange != nil && o.verdict == verdict.Ran }
-
-// failed tells whether another server might answer better.
-func (o outcome) failed() bool {
-	return !o.usable() || o.exchange.Response.StatusCode >= http.StatusInternalServerError
-}
-
 // runCall answers a request for a plain service.
 func (j *job) runCall(ctx context.Context) {
 	var last outcome
@@ -104,12 +83,6 @@
 	j.finishCall(ctx, last, ran, kept)
 }
 
-// reached tells whether the request may have reached the server.
-func reached(o outcome) bool {
-	var e *exchanger.Error
-	return !errors.As(o.err, &e) || e.Sent
-}
-
 // mayRepeat tells whether a second run is impossible or harmless.
 func (j *job) mayRepeat(o outcome) bool {
 	return o.verdict == verdict.NotRun || j.idempotent()
@@ -134,16 +107,6 @@
 	}
 }
 
-// causeOf is why the last attempt failed, if there was one.
-func causeOf(o outcome) error {
-	if o.err == nil {
-		return errNoneLeft
-	}
-	return o.err
-}
-
-var errNoneLeft = errors.New("none may be asked now")
-
 // callPause is when a caller should come back after no server of a plain
 // service took its request: after about one usual answer.
 func callPause(objective time.Duration) time.Duration { return max(50*time.Millisecond, objective/2) }
@@ -232,45 +195,6 @@
 	return outcome{verdict: verdict.MayHaveRun, err: err}
 }
 
-var (
-	errUnsigned = errors.New("response without signature")
-	errEncoded  = errors.New("response with an encoding nobody asked for")
-	errBroken   = errors.New("response broke off")
-)
-
-// readResponse reads a response as far as it is held before the caller gets it.
-func (j *job) readResponse(e *exchanger.Exchange) outcome {
-	a := platform.DecodeAnswer(e.Response.StatusCode, e.Response.Header)
-	o := outcome{verdict: verdict.Ran, exchange: e}
-	switch {
-	case a.NotRun:
-		o.verdict, o.err = verdict.NotRun, errors.New("server rejected the request: "+e.Response.Status)
-	case promisesNotRun(e.Response.StatusCode):
-		o.verdict, o.err = verdict.MayHaveRun, errors.New("rejection without sign that the request has not run: "+e.Response.Status)
-	case e.Response.StatusCode < http.StatusMultipleChoices && !a.Signed:
-		o.verdict, o.err = verdict.MayHaveRun, errUnsigned
-	case e.Response.Header.Get("Content-Encoding") != "":
-		o.verdict, o.err = verdict.MayHaveRun, errEncoded
-	}
-	data, err := io.ReadAll(io.LimitReader(e.Response.Body, wholeBody))
-	o.whole = data
-	if err != nil && o.verdict == verdict.Ran {
-		o.verdict, o.err = verdict.MayHaveRun, errors.Join(errBroken, err)
-	}
-	o.rest = len(data) == wholeBody
-	return o
-}
-
-// promisesNotRun tells whether callers take a status as the promise that a request has
-// not run.
-func promisesNotRun(status int) bool {
-	switch status {
-	case http.StatusRequestTimeout, http.StatusTooManyRequests, http.StatusServiceUnavailable:
-		return true
-	}
-	return false
-}
-
 // rate tells the judge how a server did.
 func (j *job) rate(s backend.Server, o outcome, took time.Duration) {
 	if o.failed() {
@@ -280,17 +204,6 @@
 	j.Judge.Succeeded(s.ID, took)
 }
 
-// close ends the exchange before its context, so that the connection of a whole
-// response is kept.
-func (o outcome) close() {
-	if o.exchange != nil {
-		o.exchange.Close()
-	}
-	if o.cancel != nil {
-		o.cancel()
-	}
-}
-
 // deliver passes a response on to the caller.
 func (j *job) deliver(o outcome) {
 	resp := o.exchange.Response
