--- a/core/backend/backend.go
+++ b/core/backend/backend.go
@@ -175,6 +175,6 @@
 	// Leaving means that the server will end soon and takes no new work, whatever the
 	// registry says.
 	Leaving bool
-	// Away is how long the server wants no requests from this host; 0 if it did not say.
-	Away time.Duration
+	// Backoff is how long the server wants no requests from this host; 0 if it did not say.
+	Backoff time.Duration
 }
--- a/oleandercove/edge/announcer/announcer.go
+++ b/oleandercove/edge/announcer/announcer.go
@@ -338,7 +338,7 @@
 			From: int32(e.Held.From), To: int32(e.Held.To), KeepFrom: int32(e.Kept.From), KeepTo: int32(e.Kept.To),
 		})
 	}
-	for _, w := range a.Directory.Words(now) {
+	for _, w := range a.Directory.LeavingNotices(now) {
 		b.LeavingServers = append(b.LeavingServers, &peer.LeavingMark{
 			Server: string(w.Server), Born: int64(w.Born), AgeMs: uint32(max(0, now.Sub(w.At).Milliseconds())),
 		})
--- a/oleandercove/edge/announcer/receive.go
+++ b/oleandercove/edge/announcer/receive.go
@@ -33,7 +33,7 @@
 	}
 	for _, l := range b.LeavingServers {
 		at := now.Add(-time.Duration(l.AgeMs) * time.Millisecond)
-		a.Directory.Leaves(directory.Word{Server: unit.BackendID(l.Server), Born: backend.Incarnation(l.Born), At: at}, false, now)
+		a.Directory.NoteLeaving(directory.LeavingNotice{Server: unit.BackendID(l.Server), Born: backend.Incarnation(l.Born), At: at}, false, now)
 	}
 	for _, id := range news {
 		a.Suspect(id)
--- a/oleandercove/edge/directory/directory.go
+++ b/oleandercove/edge/directory/directory.go
@@ -50,7 +50,7 @@
 	mu        sync.Mutex
 	knowledge atomic.Pointer[Knowledge]
 	servers   registry
-	words     words
+	notices   notices
 	renewed   func(backend.Server)
 	snapshot  atomic.Pointer[Servers]
 	history   history
@@ -62,7 +62,7 @@
 
 // New returns an empty Directory.
 func New(l *log.Logger) *Directory {
-	d := &Directory{log: l, words: words{}}
+	d := &Directory{log: l, notices: notices{}}
 	d.servers = registry{entries: map[unit.BackendID]*entry{}, tombstones: map[unit.BackendID]unit.Revision{}}
 	d.history = newHistory()
 	d.snapshot.Store(newServers(nil))
@@ -230,5 +230,5 @@
 		d.history.add(objects.Object{Name: string(id), Deleted: true})
 		d.log.Info("backend server gone", "id", id)
 	}
-	d.snapshot.Store(newServers(d.servers.current(d.words)))
+	d.snapshot.Store(newServers(d.servers.current(d.notices)))
 }
--- a/oleandercove/edge/directory/directory_test.go
+++ b/oleandercove/edge/directory/directory_test.go
@@ -62,7 +62,7 @@
 		away, later time.Duration
 		want        int
 	}{
-		{"a server that is gone stays in use", []objects.Object{removed("a")}, 0, 0, 1},
+		{"a server that is gone serving in use", []objects.Object{removed("a")}, 0, 0, 1},
 		{"an entry that lapsed with the store is dropped at once", []objects.Object{removed("a")}, away, time.Second, 2},
 		{"an entry that does not come back is kept", []objects.Object{removed("a")}, away, 3 * time.Second, 1},
 		{"an entry that came back is dropped", []objects.Object{removed("a"), server("a", "10.0.0.1:1", "ready", 9, 1)}, away, 3 * time.Second, 2},
--- a/oleandercove/edge/directory/words_test.go
+++ b/oleandercove/edge/directory/notices_test.go
@@ -20,11 +20,11 @@
 	return objects.Object{Name: "a", Revision: revision, Version: unit.Version(revision), Value: json.RawMessage(value)}
 }
 
-// TestWords guards against the word of a server that it leaves which an entry of the
+// TestNotices guards against the notice of a server that it leaves which an entry of the
 // registry or a peer undoes, and against one that outlives the life in which it was said.
-func TestWords(t *testing.T) {
+func TestNotices(t *testing.T) {
 	now := time.Unix(1000, 0)
-	said := func(d *Directory) { d.Leaves(Word{Server: "a", Born: 1, At: now}, true, now) }
+	said := func(d *Directory) { d.NoteLeaving(LeavingNotice{Server: "a", Born: 1, At: now}, true, now) }
 	apply := func(d *Directory, o objects.Object) { d.Apply([]objects.Object{o}, now, now) }
 	gone := objects.Object{Name: "a", Revision: 8, Deleted: true}
 	tests := []struct {
@@ -32,22 +32,22 @@
 		do   func(*Directory)
 		out  bool
 	}{
-		{"word is ignored", said, true},
+		{"notice is ignored", said, true},
 		{"older entry undoes it", func(d *Directory) { said(d); apply(d, entryOf(4, 1, "ready")) }, true},
 		{"newer entry of the same life undoes it", func(d *Directory) { said(d); apply(d, entryOf(7, 1, "ready")) }, true},
 		{"entry that lapses and comes back undoes it", func(d *Directory) { said(d); apply(d, gone); apply(d, entryOf(9, 1, "ready")) }, true},
-		{"word about a life outlives it", func(d *Directory) { said(d); apply(d, entryOf(7, 2, "ready")) }, false},
-		{"word about an earlier life counts", func(d *Directory) { d.Leaves(Word{Server: "a", Born: 0, At: now}, true, now) }, false},
-		{"server that takes work again stays out", func(d *Directory) { said(d); d.Stays(d.Servers().All()[0], now.Add(time.Second)) }, false},
-		{"peer keeps the word alive after that", func(d *Directory) {
+		{"notice about a life outlives it", func(d *Directory) { said(d); apply(d, entryOf(7, 2, "ready")) }, false},
+		{"notice about an earlier life counts", func(d *Directory) { d.NoteLeaving(LeavingNotice{Server: "a", Born: 0, At: now}, true, now) }, false},
+		{"server that takes work again serving out", func(d *Directory) { said(d); d.NoteServing(d.Servers().All()[0], now.Add(time.Second)) }, false},
+		{"peer keeps the notice alive after that", func(d *Directory) {
 			said(d)
-			d.Stays(d.Servers().All()[0], now.Add(time.Second))
-			d.Leaves(Word{Server: "a", Born: 1, At: now}, false, now.Add(2*time.Second))
+			d.NoteServing(d.Servers().All()[0], now.Add(time.Second))
+			d.NoteLeaving(LeavingNotice{Server: "a", Born: 1, At: now}, false, now.Add(2*time.Second))
 		}, false},
-		{"later word of a peer is ignored", func(d *Directory) {
+		{"later notice of a peer is ignored", func(d *Directory) {
 			said(d)
-			d.Stays(d.Servers().All()[0], now.Add(time.Second))
-			d.Leaves(Word{Server: "a", Born: 1, At: now.Add(2 * time.Second)}, false, now.Add(2*time.Second))
+			d.NoteServing(d.Servers().All()[0], now.Add(time.Second))
+			d.NoteLeaving(LeavingNotice{Server: "a", Born: 1, At: now.Add(2 * time.Second)}, false, now.Add(2*time.Second))
 		}, true},
 		{"drained server", func(d *Directory) { apply(d, entryOf(7, 1, "draining")) }, true},
 	}
@@ -63,21 +63,21 @@
 	}
 }
 
-// TestTold guards against words that daemons tell each other for ever, and against
-// words of peers that are passed on.
-func TestTold(t *testing.T) {
+// TestShared guards against notices that daemons tell each other for ever, and against
+// notices of peers that are passed on.
+func TestShared(t *testing.T) {
 	is := is.New(t)
 	now := time.Unix(1000, 0)
 	d := New(logger.Discard())
-	is.True(d.Leaves(Word{Server: "a", Born: 1, At: now}, true, now))
-	is.True(d.Leaves(Word{Server: "b", Born: 1, At: now}, false, now))
-	is.True(!d.Leaves(Word{Server: "a", Born: 1, At: now}, true, now)) // no news
-	is.Equal(d.Words(now), []Word{{Server: "a", Born: 1, At: now}})
-	is.Equal(len(d.Words(now.Add(tellTime))), 0)
-	for n := range 3 * maxWords {
-		d.words.add(Word{Server: unit.BackendID(fmt.Sprint(n)), At: now.Add(time.Duration(n) * time.Millisecond)}, true)
+	is.True(d.NoteLeaving(LeavingNotice{Server: "a", Born: 1, At: now}, true, now))
+	is.True(d.NoteLeaving(LeavingNotice{Server: "b", Born: 1, At: now}, false, now))
+	is.True(!d.NoteLeaving(LeavingNotice{Server: "a", Born: 1, At: now}, true, now)) // no news
+	is.Equal(d.LeavingNotices(now), []LeavingNotice{{Server: "a", Born: 1, At: now}})
+	is.Equal(len(d.LeavingNotices(now.Add(tellTime))), 0)
+	for n := range 3 * maxNotices {
+		d.notices.add(LeavingNotice{Server: unit.BackendID(fmt.Sprint(n)), At: now.Add(time.Duration(n) * time.Millisecond)}, true)
 	}
-	is.True(len(d.words) <= maxWords)
+	is.True(len(d.notices) <= maxNotices)
 }
 
 // TestRenewed guards against a server that came back and is never asked, and against
@@ -90,7 +90,7 @@
 	d.OnRenewed(func(s backend.Server) { asked <- s.ID })
 	d.Apply([]objects.Object{entryOf(5, 1, "ready")}, now, now)
 	d.Apply([]objects.Object{entryOf(6, 1, "ready")}, now, now)
-	d.Leaves(Word{Server: "a", Born: 1, At: now}, true, now)
+	d.NoteLeaving(LeavingNotice{Server: "a", Born: 1, At: now}, true, now)
 	d.Apply([]objects.Object{entryOf(6, 1, "ready")}, now, now)
 	d.Apply([]objects.Object{entryOf(7, 1, "draining")}, now, now)
 	is.Equal(len(asked), 0)
--- a/oleandercove/edge/directory/registry.go
+++ b/oleandercove/edge/directory/registry.go
@@ -102,7 +102,7 @@
 // current returns the servers with what they said of themselves. Of entries with one address the one that started
 // last holds: a server that crashed and started under a new id leaves its old
 // entry behind until that lapses.
-func (r *registry) current(w words) []backend.Server {
+func (r *registry) current(n notices) []backend.Server {
 	last := make(map[backend.Address]*entry, len(r.entries))
 	for _, e := range r.entries {
 		o := last[e.server.Address]
@@ -113,7 +113,7 @@
 	list := make([]backend.Server, 0, len(last))
 	for _, e := range last {
 		s := e.server
-		s.LeavingSince = w.since(s)
+		s.LeavingSince = n.since(s)
 		s.Draining = s.Draining || !s.LeavingSince.IsZero()
 		list = append(list, s)
 	}
--- a/oleandercove/edge/gateway/attempt.go
+++ b/oleandercove/edge/gateway/attempt.go
@@ -49,34 +49,34 @@
 	}
 }
 
-// setAside keeps the running attempt while the request is sent along another chain: the
+// keepFallback keeps the running attempt while the request is sent along another chain: the
 // engines there may reject it, and the first engine of this one still holds it.
-func (s *stream) setAside() {
-	if s.aside != nil {
+func (s *stream) keepFallback() {
+	if s.fallback != nil {
 		return
 	}
 	s.endTrial()
 	a := s.attempt
-	s.aside, s.attempt = &a, attempt{}
+	s.fallback, s.attempt = &a, attempt{}
 }
 
-// goBack ends the running attempt and goes on with the one that was set aside, if there
+// useFallback ends the running attempt and goes on with the fallback, if there
 // is one. Other chains are looked for again.
-func (s *stream) goBack() bool {
-	if s.aside == nil || s.Screener.Convicted(s.content) != nil {
+func (s *stream) useFallback() bool {
+	if s.fallback == nil || s.Screener.Convicted(s.content) != nil {
 		return false
 	}
 	s.attempt.end()
-	s.attempt, s.aside = *s.aside, nil
+	s.attempt, s.fallback = *s.fallback, nil
 	s.setChain(s.path)
 	s.replaceAt = time.After(resumePause)
 	return true
 }
 
-// dropAside ends the attempt that was set aside.
-func (s *stream) dropAside() {
-	if s.aside != nil {
-		s.aside.end()
-		s.aside = nil
+// endFallback ends the attempt that was kept as fallback.
+func (s *stream) endFallback() {
+	if s.fallback != nil {
+		s.fallback.end()
+		s.fallback = nil
 	}
 }
--- a/oleandercove/edge/gateway/call.go
+++ b/oleandercove/edge/gateway/call.go
@@ -41,7 +41,7 @@
 	var last outcome
 	tried := map[unit.BackendID]bool{}
 	ran := false
-	var kept keptAway
+	var excluded exclusions
 	for sent := 0; sent < j.route.Attempts; {
 		leave, err := j.Screener.Enter(ctx, j.content)
 		if err != nil {
@@ -52,8 +52,8 @@
 			break
 		}
 		defer leave()
-		kept = keptAway{}
-		s, ok := j.pickServer(tried, j.Screener.Servers(j.content), &kept)
+		excluded = exclusions{}
+		s, ok := j.pickServer(tried, j.Screener.Servers(j.content), &excluded)
 		if !ok || (sent > 0 && !j.Budgeter.Again(j.service.Name)) {
 			break
 		}
@@ -80,7 +80,7 @@
 		}
 		j.Log.Info("attempt failed", "id", j.call.Request, "content", j.content, "server", s.ID, "verdict", last.verdict, "err", last.err, "left", j.left())
 	}
-	j.finishCall(ctx, last, ran, kept)
+	j.finishCall(ctx, last, ran, excluded)
 }
 
 // mayRepeat tells whether a second run is impossible or harmless.
@@ -89,7 +89,7 @@
 }
 
 // finishCall passes the last response on or says why there is none.
-func (j *job) finishCall(ctx context.Context, o outcome, ran bool, kept keptAway) {
+func (j *job) finishCall(ctx context.Context, o outcome, ran bool, excluded exclusions) {
 	defer o.close()
 	switch {
 	case o.usable():
@@ -103,7 +103,7 @@
 		j.refuse(verdict.New(verdict.MayHaveRun, verdict.BackendFailed, "no usable answer: %v", o.err))
 	default:
 		err := verdict.New(verdict.NotRun, verdict.NoBackend, "no backend server took the request: %v", causeOf(o)).After(callPause(j.route.Objective))
-		j.refuse(kept.explain(err, j.Timer.Now()))
+		j.refuse(excluded.explain(err, j.Timer.Now()))
 	}
 }
 
@@ -116,13 +116,13 @@
 
 // pickServer returns the server with the lowest expected delay. Those at which a
 // connection broke under the same content come last.
-func (j *job) pickServer(tried, broke map[unit.BackendID]bool, kept *keptAway) (backend.Server, bool) {
+func (j *job) pickServer(tried, broke map[unit.BackendID]bool, excluded *exclusions) (backend.Server, bool) {
 	now := j.Timer.Now()
 	var best backend.Server
 	found, lowest := false, 0.0
 	for _, s := range j.Directory.Servers().Of(j.service.Name) {
 		if reason, until := j.Judge.Out(s, j.Ledger.OwnRunning(s.ID), now); reason != judge.Chosen {
-			kept.note(s, reason, j.Judge.AwaySince(s.ID), until)
+			excluded.note(s, reason, j.Judge.BackoffSince(s.ID), until)
 			continue
 		}
 		if tried[s.ID] {
--- a/oleandercove/edge/gateway/crash.go
+++ b/oleandercove/edge/gateway/crash.go
@@ -78,22 +78,22 @@
 	j.Screener.Ended(e)
 }
 
-// accuse finds out in the background whether the process of an engine has ended, and
+// checkCrash finds out in the background whether the process of an engine has ended, and
 // marks the request if so. The report that the prober keeps may be older than that.
 // The channel is closed once it is known. Each engine is looked into once, and each
 // chain gives one mark: engines that end together do so by themselves. With broke set, the connection to the engine
 // ended before the first event.
-func (s *stream) accuse(id unit.BackendID, broke bool) <-chan struct{} {
+func (s *stream) checkCrash(id unit.BackendID, broke bool) <-chan struct{} {
 	known := make(chan struct{})
 	x, ok := s.Directory.Servers().Get(id)
-	if !ok || s.accused[id] {
+	if !ok || s.checked[id] {
 		close(known)
 		return known
 	}
-	if s.accused == nil {
-		s.accused = map[unit.BackendID]bool{}
+	if s.checked == nil {
+		s.checked = map[unit.BackendID]bool{}
 	}
-	s.accused[id] = true
+	s.checked[id] = true
 	if s.marked == nil {
 		s.marked = &atomic.Bool{}
 	}
@@ -127,11 +127,11 @@
 	}
 }
 
-// accuseDown looks into the engines of the chain that are down.
-func (s *stream) accuseDown(now time.Time) {
+// checkDown looks into the engines of the chain that are down.
+func (s *stream) checkDown(now time.Time) {
 	for _, h := range s.chain {
 		if s.Judge.IsDown(h.ID, now) {
-			s.accuse(h.ID, false)
+			s.checkCrash(h.ID, false)
 		}
 	}
 }
@@ -149,7 +149,7 @@
 // passed clears the request once it is beyond the points at which engines ended.
 func (s *stream) passed() {
 	s.progressed = true
-	if len(s.accused) > 0 {
+	if len(s.checked) > 0 {
 		s.Screener.Passed(s.content, s.position())
 	}
 }
--- a/oleandercove/edge/gateway/path.go
+++ b/oleandercove/edge/gateway/path.go
@@ -24,18 +24,18 @@
 	p, ok := s.findPath(r)
 	if !ok && r.Stay {
 		s.Meter.count("link_used_up_total")
-		return p, s.keptAway("no chain of engines within a data centre has room for %d tokens, and the link between data centres is used up", r)
+		return p, s.noChain("no chain of engines within a data centre has room for %d tokens, and the link between data centres is used up", r)
 	}
 	if !ok {
-		return p, s.keptAway("no chain of engines has room for %d tokens", r)
+		return p, s.noChain("no chain of engines has room for %d tokens", r)
 	}
 	return p, nil
 }
 
-// keptAway refuses a request for which there is no chain.
-func (s *stream) keptAway(format string, r pathfinder.Request) *verdict.Error {
+// noChain refuses a request for which there is no chain.
+func (s *stream) noChain(format string, r pathfinder.Request) *verdict.Error {
 	err := verdict.New(verdict.NotRun, verdict.Overloaded, format, r.Prompt+r.Output).After(capacityPause)
-	return s.kept.explain(err, s.Timer.Now())
+	return s.excluded.explain(err, s.Timer.Now())
 }
 
 // need tells how much depends on the next chain.
@@ -70,7 +70,7 @@
 // usableEngines returns the engines of the service that may take new work.
 func (s *stream) usableEngines(chained bool) []pathfinder.Engine {
 	now := s.Timer.Now()
-	s.kept = keptAway{}
+	s.excluded = exclusions{}
 	servers := s.Directory.Servers().Of(s.service.Name)
 	out := make([]pathfinder.Engine, 0, len(servers))
 	for _, x := range servers {
@@ -79,7 +79,7 @@
 			continue
 		}
 		if reason, until := s.Judge.Out(x, s.Ledger.OwnRunning(x.ID), now); reason != judge.Chosen {
-			s.kept.note(x, reason, s.Judge.AwaySince(x.ID), until)
+			s.excluded.note(x, reason, s.Judge.BackoffSince(x.ID), until)
 			continue
 		}
 		out = append(out, pathfinder.Engine{
--- a/oleandercove/edge/gateway/recover.go
+++ b/oleandercove/edge/gateway/recover.go
@@ -136,7 +136,7 @@
 		return stepWait
 	}
 	s.failure = errEngineDown
-	s.accuseDown(now)
+	s.checkDown(now)
 	s.countEnded(now)
 	reroutable := !s.Judge.IsDown(s.chain[0].ID, now) && s.service.Engine.Chained() && s.Screener.MayMove(s.content)
 	if reroutable && s.reroute(within) {
@@ -167,7 +167,7 @@
 // until the other one has begun to answer.
 func (s *stream) leaveChain(mayGoOn bool) step {
 	if mayGoOn {
-		s.setAside()
+		s.keepFallback()
 	}
 	return stepAgain
 }
--- a/oleandercove/edge/gateway/relay.go
+++ b/oleandercove/edge/gateway/relay.go
@@ -92,7 +92,7 @@
 	if resp.StatusCode != http.StatusOK {
 		return s.final(e)
 	}
-	s.dropAside()
+	s.endFallback()
 	if s.started {
 		return stepWait
 	}
@@ -125,7 +125,7 @@
 	}
 	s.Log.Info("engine rejected its part", "id", s.call.Request, "engine", id, "status", status, "sends", s.sends)
 	s.failure = errRejected
-	if s.goBack() {
+	if s.useFallback() {
 		return stepWait
 	}
 	return s.again()
@@ -208,11 +208,11 @@
 		s.Prober.Down(first, err.Error())
 	} else {
 		s.Judge.Failed(first, now)
-		s.waitFor(s.accuse(first, !s.progressed && brokeOff(err)), confirmTime)
+		s.waitFor(s.checkCrash(first, !s.progressed && brokeOff(err)), confirmTime)
 		s.countEnded(now)
 	}
 	s.Log.Info("stream broke off", "id", s.call.Request, "content", s.content, "engine", first, "last", s.last, "runs", s.runs, "err", err)
-	if s.goBack() {
+	if s.useFallback() {
 		return stepWait
 	}
 	next := s.again()
--- a/oleandercove/edge/gateway/stream.go
+++ b/oleandercove/edge/gateway/stream.go
@@ -24,23 +24,23 @@
 	mu    sync.Mutex
 	chain backend.Chain
 
-	// attempt is the running attempt. The one before is aside until a new one has begun
+	// attempt is the running one. The one before is the fallback until a new one has begun
 	// to answer.
 	attempt
-	aside *attempt
+	fallback *attempt
 	// reserved is the chain of the next attempt, paid for from the retry budget.
 	reserved *pathfinder.Path
 
-	// kept is why engines were left out of the last choice.
-	kept keptAway
+	// excluded says why engines were left out of the last choice.
+	excluded exclusions
 	// refusedBy holds the engines that rejected their part of this request.
 	refusedBy map[unit.BackendID]bool
 
 	// sends counts the offers, runs those that may have begun to run.
 	sends, runs int
-	// accused holds the engines that were looked into because they may have ended under
+	// checked holds the engines that were looked into because they may have ended under
 	// the request.
-	accused map[unit.BackendID]bool
+	checked map[unit.BackendID]bool
 	// endedRuns counts the attempts whose first engine ended.
 	endedRuns int
 	// started is set once the head has gone to the caller.
@@ -73,7 +73,7 @@
 	defer j.streams.remove(s)
 	defer s.endAttempt()
 	for {
-		if err := s.beginSoon(); err != nil && !s.goBack() {
+		if err := s.beginSoon(); err != nil && !s.useFallback() {
 			s.fail(err)
 			return
 		}
@@ -103,7 +103,7 @@
 func (s *stream) beginSoon() *verdict.Error {
 	for {
 		err := s.begin()
-		if err == nil || !s.started || s.aside != nil || err.Reason == verdict.Quarantined || time.Since(s.lastAt) > resumePatience {
+		if err == nil || !s.started || s.fallback != nil || err.Reason == verdict.Quarantined || time.Since(s.lastAt) > resumePatience {
 			return err
 		}
 		select {
@@ -168,5 +168,5 @@
 // endAttempt ends the running attempt and the one before.
 func (s *stream) endAttempt() {
 	s.attempt.end()
-	s.dropAside()
+	s.endFallback()
 }
--- a/oleandercove/edge/gateway/stream_test.go
+++ b/oleandercove/edge/gateway/stream_test.go
@@ -144,10 +144,10 @@
 	}
 }
 
-// TestGoBack replays a stream whose chain lost a later engine, and which another chain
+// TestFallback replays a stream whose chain lost a later engine, and which another chain
 // rejects. It guards against a running response that is given up before another one has
 // begun, and against one that runs on beside the other.
-func TestGoBack(t *testing.T) {
+func TestFallback(t *testing.T) {
 	tests := []struct {
 		name string
 		do   func(*stream) step
@@ -172,7 +172,7 @@
 			s.cancel = func() { ended = true }
 			old := make(chan message)
 			s.messages = old
-			s.setAside()
+			s.keepFallback()
 			s.attempt = attempt{messages: make(chan message)}
 			s.setChain(pathfinder.Path{Chain: backend.Chain{{ID: "other"}}})
 			is.Equal(tt.do(s), tt.want)
--- a/oleandercove/edge/judge/judge.go
+++ b/oleandercove/edge/judge/judge.go
@@ -13,7 +13,7 @@
 //	j.Succeeded("i-1", 12*time.Millisecond)
 //	j.Failed("i-2")
 //	j.Down("i-3", now.Add(judge.DownTime))
-//	j.Away(server, 3*time.Second, rand.Float64(), now)
+//	j.Backoff(server, 3*time.Second, rand.Float64(), now)
 //	if reason, until := j.Out(server, running, now); reason == judge.Chosen {
 //	}
 package judge
@@ -62,7 +62,7 @@
 	// held is a range of which the engine will keep only the range kept.
 	held, kept backend.Layers
 	keptUntil  time.Time
-	away       away
+	backoff    backoff
 	// endedUntil is until when the server's process is known to have ended.
 	endedUntil time.Time
 }
--- a/oleandercove/edge/judge/out_test.go
+++ b/oleandercove/edge/judge/out_test.go
@@ -21,10 +21,10 @@
 		after   time.Duration
 		want    Reason
 	}{
-		{"just turned away", server, 0, 0, Away},
-		{"at the end of the stated time", server, 0, stated - time.Millisecond, Away},
+		{"just turned away", server, 0, 0, Backoff},
+		{"at the end of the stated time", server, 0, stated - time.Millisecond, Backoff},
 		{"first request after that", server, 0, stated + stated/10, Chosen},
-		{"second request beside the first", server, 1, stated + stated/10, Returning},
+		{"second request beside the first", server, 1, stated + stated/10, SlowStart},
 		{"many requests some time later", server, 100, stated + 5*time.Second, Chosen},
 		{"started anew under its id", backend.Server{ID: "a", Born: 2}, 5, 0, Chosen},
 		{"another server", backend.Server{ID: "b", Born: 1}, 5, 0, Chosen},
@@ -35,34 +35,38 @@
 		t.Run(tt.name, func(t *testing.T) {
 			is := is.New(t)
 			j := New()
-			j.Away(server, stated, 0.5, start)
+			j.Backoff(server, stated, 0.5, start)
 			got, _ := j.Out(tt.server, tt.running, start.Add(tt.after))
 			is.Equal(got, tt.want)
 		})
 	}
 }
 
-// TestAwayLonger guards against a later answer that shortens the time that a server
+// TestLongerBackoff guards against a later answer that shortens the time that a server
 // has asked for.
-func TestAwayLonger(t *testing.T) {
+func TestLongerBackoff(t *testing.T) {
 	is := is.New(t)
 	s := backend.Server{ID: "a"}
 	j := New()
-	j.Away(s, 5*time.Second, 0, start)
-	j.Away(s, time.Second, 0, start.Add(time.Second))
+	j.Backoff(s, 5*time.Second, 0, start)
+	j.Backoff(s, time.Second, 0, start.Add(time.Second))
 	reason, until := j.Out(s, 0, start.Add(4*time.Second))
-	is.Equal(reason, Away)
+	is.Equal(reason, Backoff)
 	is.Equal(until, start.Add(5*time.Second))
 }
 
-// TestReturn replays a server that takes requests again while many wait for it. It
+// TestSlowStart replays a server that takes requests again while many wait for it. It
 // guards against all of them coming at once, and against a server that never gets its
 // share back.
-func TestReturn(t *testing.T) {
+func TestSlowStart(t *testing.T) {
 	is := is.New(t)
 	s := backend.Server{ID: "a"}
 	j := New()
-	j.Away(s, time.Second, 0, start)
+	j.Backoff(s, time.Second, 0, start)
+	for range 10 {
+		j.Succeeded("a", time.Millisecond)
+	}
+	j.Out(s, 0, start.Add(900*time.Millisecond))
 	now := start.Add(1200 * time.Millisecond)
 	running, rounds := 0, []int{}
 	for range 8 {
@@ -76,7 +80,7 @@
 			j.Succeeded("a", time.Millisecond)
 		}
 	}
-	is.Equal(rounds[0], firstReturns)
-	is.Equal(rounds[1], 2*firstReturns)
+	is.Equal(rounds[0], firstLimit)
+	is.Equal(rounds[1], 2*firstLimit)
 	is.Equal(rounds[len(rounds)-1], 1000)
 }
--- a/oleandercove/edge/runner/leaving.go
+++ b/oleandercove/edge/runner/leaving.go
@@ -24,7 +24,7 @@
 		born = x.Born
 	}
 	now := r.timer.Now()
-	if r.directory.Leaves(directory.Word{Server: id, Born: born, At: now}, true, now) {
+	if r.directory.NoteLeaving(directory.LeavingNotice{Server: id, Born: born, At: now}, true, now) {
 		r.announcer.Urge()
 	}
 }
@@ -50,7 +50,7 @@
 		return
 	}
 	if takes {
-		r.directory.Stays(x, r.timer.Now())
+		r.directory.NoteServing(x, r.timer.Now())
 	}
 }
 
--- a/oleandercove/edge/screener/news.go
+++ b/oleandercove/edge/screener/outbox.go
@@ -13,9 +13,9 @@
 	// withdrawnTime is how long a withdrawal is remembered. No peer tells of the mark
 	// for longer, unless it has convicted the request.
 	withdrawnTime = time.Minute
-	// maxNews bounds the marks and withdrawals in one beacon, maxWithdrawn those that
+	// maxOutbox bounds the marks and withdrawals in one beacon, maxWithdrawn those that
 	// are remembered, and maxConvictions the convicted requests in one beacon.
-	maxNews        = 64
+	maxOutbox      = 64
 	maxWithdrawn   = 4096
 	maxConvictions = 32
 	// recentTime is the time for which a request that has run to its end gets no
@@ -39,49 +39,49 @@
 	until time.Time
 }
 
-// news is what peers are told, and the withdrawals that are remembered, because a
+// outbox is what peers are told, and the withdrawals that are remembered, because a
 // mark can arrive after its withdrawal.
-type news struct {
+type outbox struct {
 	items []item
 	gone  map[markKey]time.Time
 }
 
-func newNews() news { return news{gone: map[markKey]time.Time{}} }
+func newOutbox() outbox { return outbox{gone: map[markKey]time.Time{}} }
 
 // add tells peers of a mark or a withdrawal from now on.
-func (n *news) add(m quarantiner.Mark, now time.Time) {
+func (o *outbox) add(m quarantiner.Mark, now time.Time) {
 	if m.Cleared {
-		n.remember(m, now)
+		o.remember(m, now)
 	}
-	n.items = append(n.items, item{mark: m, until: now.Add(tellTime)})
-	n.items = n.items[max(0, len(n.items)-maxNews):]
+	o.items = append(o.items, item{mark: m, until: now.Add(tellTime)})
+	o.items = o.items[max(0, len(o.items)-maxOutbox):]
 }
 
 // remember notes a withdrawal.
-func (n *news) remember(m quarantiner.Mark, now time.Time) {
-	if len(n.gone) >= maxWithdrawn {
-		clear(n.gone)
+func (o *outbox) remember(m quarantiner.Mark, now time.Time) {
+	if len(o.gone) >= maxWithdrawn {
+		clear(o.gone)
 	}
-	n.gone[keyOf(m)] = now.Add(withdrawnTime)
+	o.gone[keyOf(m)] = now.Add(withdrawnTime)
 }
 
 // withdrawn tells whether a mark has been withdrawn.
-func (n *news) withdrawn(m quarantiner.Mark, now time.Time) bool {
-	until, ok := n.gone[keyOf(m)]
+func (o *outbox) withdrawn(m quarantiner.Mark, now time.Time) bool {
+	until, ok := o.gone[keyOf(m)]
 	return ok && now.Before(until)
 }
 
 // current returns what peers are told now. A mark that was withdrawn meanwhile is
 // left out.
-func (n *news) current(now time.Time) []quarantiner.Mark {
-	kept, out := n.items[:0], []quarantiner.Mark(nil)
-	for _, i := range n.items {
-		if !now.Before(i.until) || (!i.mark.Cleared && n.withdrawn(i.mark, now)) {
+func (o *outbox) current(now time.Time) []quarantiner.Mark {
+	kept, out := o.items[:0], []quarantiner.Mark(nil)
+	for _, i := range o.items {
+		if !now.Before(i.until) || (!i.mark.Cleared && o.withdrawn(i.mark, now)) {
 			continue
 		}
 		kept, out = append(kept, i), append(out, i.mark)
 	}
-	n.items = kept
+	o.items = kept
 	return out
 }
 
--- a/oleandercove/edge/screener/screener.go
+++ b/oleandercove/edge/screener/screener.go
@@ -74,13 +74,13 @@
 	// trials holds the suspects that are running on this daemon.
 	trials map[quarantiner.Fingerprint]bool
 	recent recent
-	news   news
+	outbox outbox
 	urging bool
 }
 
 // New returns a Screener without marks.
 func New(o Options) *Screener {
-	return &Screener{options: o, marks: quarantiner.NewBook(), trials: map[quarantiner.Fingerprint]bool{}, news: newNews()}
+	return &Screener{options: o, marks: quarantiner.NewBook(), trials: map[quarantiner.Fingerprint]bool{}, outbox: newOutbox()}
 }
 
 // End is the end of a backend server's process under a request.
@@ -197,16 +197,16 @@
 	now := s.options.Timer.Now()
 	m := quarantiner.Mark{Fingerprint: e.Fingerprint, Crash: e.Crash, Position: e.Position, Progressed: e.Progressed, Weak: e.Broken || e.Progressed, At: now}
 	s.mu.Lock()
-	if s.recent.has(e.Fingerprint, now) || s.news.withdrawn(m, now) || !s.marks.Add(m, now) {
+	if s.recent.has(e.Fingerprint, now) || s.outbox.withdrawn(m, now) || !s.marks.Add(m, now) {
 		s.mu.Unlock()
 		return
 	}
 	all := s.marks.Marks(e.Fingerprint)
-	marks, tell := len(all), told(m, len(all))
+	marks, tell := len(all), shared(m, len(all))
 	if tell {
 		// Peers may not have heard of the earlier ones.
 		for _, x := range all {
-			s.news.add(x, now)
+			s.outbox.add(x, now)
 		}
 	}
 	s.mu.Unlock()
@@ -232,7 +232,7 @@
 	cleared := s.marks.Passed(f, position)
 	tell := false
 	for _, m := range cleared {
-		if told(m, len(cleared)) {
+		if shared(m, len(cleared)) {
 			s.withdraw(m, now)
 			tell = true
 		}
--- a/oleandercove/edge/screener/screener_test.go
+++ b/oleandercove/edge/screener/screener_test.go
@@ -285,7 +285,7 @@
 		d.Ended(end(print, fmt.Sprint("server-", n)))
 		d.Passed(print+1000000, Whole)
 	}
-	is.True(len(d.Marks(f.clock.Now())) <= maxNews)
+	is.True(len(d.Marks(f.clock.Now())) <= maxOutbox)
 	is.True(len(d.recent.young)+len(d.recent.old) <= 2*maxRecent)
 }
 
--- a/oleandercove/edge/screener/sharer.go
+++ b/oleandercove/edge/screener/sharer.go
@@ -10,15 +10,15 @@
 // gatherTime is how long marks are gathered before peers are told of them.
 const gatherTime = 5 * time.Millisecond
 
-// told tells whether peers hear of a mark of a request with a number of marks. Most
+// shared tells whether peers hear of a mark of a request with a number of marks. Most
 // streams on an engine that ends are under way and go on elsewhere; they don't count
 // until a second engine ends under them.
-func told(m quarantiner.Mark, marks int) bool { return marks > 1 || !m.Weak }
+func shared(m quarantiner.Mark, marks int) bool { return marks > 1 || !m.Weak }
 
 // withdraw lets peers drop a mark. The caller holds the lock.
 func (s *Screener) withdraw(m quarantiner.Mark, now time.Time) {
 	m.Cleared = true
-	s.news.add(m, now)
+	s.outbox.add(m, now)
 }
 
 // urge tells all peers at once, after the marks of one crash have been gathered.
@@ -43,7 +43,7 @@
 func (s *Screener) Marks(now time.Time) []quarantiner.Mark {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	out := s.news.current(now)
+	out := s.outbox.current(now)
 	convictions := s.marks.Convictions(now)
 	for _, f := range convictions[:min(len(convictions), maxConvictions)] {
 		out = append(out, s.marks.Marks(f)...)
@@ -60,9 +60,9 @@
 	for _, m := range marks {
 		switch {
 		case m.Cleared:
-			s.news.remember(m, now)
+			s.outbox.remember(m, now)
 			s.marks.Clear(m.Fingerprint, m.Crash)
-		case s.news.withdrawn(m, now):
+		case s.outbox.withdrawn(m, now):
 		case s.recent.has(m.Fingerprint, now):
 			s.withdraw(m, now)
 			tell = true
