edge/screener: mark requests under which servers fall silent

Cause: a request under which a server falls silent gave no mark, because only the end of a connection was looked at; a test with the stand-in saw 30 of 8 servers' lives end in 9 s.

Change: a call or a stream without an answer in its time has a weak mark if its server has answered this daemon nothing since; five convict. A slow server answers others, so that overload gives no marks.

--- a/oleandercove/edge/gateway/call.go
+++ b/oleandercove/edge/gateway/call.go
@@ -164,10 +164,11 @@
 		limit = time.Duration(attemptShare * float64(limit))
 	}
 	actx, cancel := context.WithTimeout(ctx, limit)
-	began := time.Now()
+	began, sent := time.Now(), j.Timer.Now()
 	e, err := j.send(actx, s.Address, backend.Send{Server: s.ID})
 	if err != nil {
 		j.checkEnd(actx, s, err)
+		j.checkSilence(actx, s, sent, err)
 		cancel()
 		return j.unsent(s, err)
 	}
--- a/oleandercove/edge/screener/screener_test.go
+++ b/oleandercove/edge/screener/screener_test.go
@@ -67,7 +67,7 @@
 	var out []End
 	for _, server := range servers {
 		e := end(poison, server)
-		e.Broken = true
+		e.Unseen = true
 		out = append(out, e)
 	}
 	return out
@@ -154,7 +154,7 @@
 		for range 2 {
 			if d := n % len(f.daemons); f.mayRun(d, poison) {
 				e := end(poison, fmt.Sprint("server-", sent))
-				e.Broken = true
+				e.Unseen = true
 				f.daemons[d].Ended(e)
 				sent++
 			}
--- a/oleanderfake/imitator/crash.go
+++ b/oleanderfake/imitator/crash.go
@@ -20,6 +20,9 @@
 	// EndsUnseen ends a plain server that starts again at once behind a listener that
 	// stays open, so that only its connections show it.
 	EndsUnseen = "ends-its-server-unseen"
+	// SilencesServer lets a plain server fall silent: it takes connections and answers
+	// nothing on any of them until it starts again.
+	SilencesServer = "silences-its-server"
 	// restartTime is how long a process that has ended is away.
 	restartTime = 2 * time.Second
 )
@@ -57,6 +60,16 @@
 // another id, unless nobody sees it.
 func (p *Server) crash(attempt string, body []byte, target string) {
 	s := p.site
+	if contains(SilencesServer, body, target) && p.silent.CompareAndSwap(false, true) {
+		s.mu.Lock()
+		s.crashes = append(s.crashes, Crash{Server: p.ID, Attempt: attempt, At: time.Now()})
+		s.mu.Unlock()
+		time.AfterFunc(restartTime, func() {
+			p.starts.Add(1)
+			p.register()
+			p.silent.Store(false)
+		})
+	}
 	if contains(EndsUnseen, body, target) {
 		s.mu.Lock()
 		s.crashes = append(s.crashes, Crash{Server: p.ID, Attempt: attempt, At: time.Now()})
--- a/oleanderfake/imitator/server.go
+++ b/oleanderfake/imitator/server.go
@@ -95,6 +95,8 @@
 	Endless atomic.Pointer[Endless]
 	leaving atomic.Bool
 	running atomic.Int64
+	// silent is set while the server answers nothing.
+	silent atomic.Bool
 	// starts counts the starts of the process under its id.
 	starts atomic.Int64
 }
@@ -206,6 +208,10 @@
 		return
 	}
 	p.crash(id, body, r.RequestURI)
+	if p.silent.Load() {
+		<-r.Context().Done()
+		return
+	}
 	time.Sleep(p.site.options.Work)
 	w.Header().Set(headerStamp, stampPrefix+p.ID)
 	// A caller that has gone sees that by itself.
--- a/prover/edge/crashes_test.go
+++ b/prover/edge/crashes_test.go
@@ -68,6 +68,21 @@
 	}
 }
 
+// TestSilencedServers guards against a request under which servers fall silent, without
+// the end of a connection, and which takes one server after the other.
+func TestSilencedServers(t *testing.T) {
+	is := is.New(t)
+	s := newSiteOf(t, 3, imitator.Options{DataCentres: []string{"x"}, Engines: 3, Servers: 8, Work: 10 * time.Millisecond})
+	repeated := ask{method: "GET", path: imitator.StatusPath + imitator.SilencesServer, allowed: 600 * time.Millisecond}
+	beside := s.callBeside(t, repeated)
+	crashes := s.Crashes()
+	t.Logf("%d servers fell silent; of %d other requests %d were refused and %d failed", len(crashes), beside.sent, beside.refused, beside.failed)
+	is.True(len(crashes) > 0) // the request reached a server
+	if len(crashes) >= crashesAllowed {
+		is.True(s.sentAfter(repeated, crashes[crashesAllowed-1].At.Add(contactTime)) <= lateSends)
+	}
+}
+
 // besideCount is what callers beside the repeated request saw.
 type besideCount struct {
 	sent, refused, failed int
--- a/prover/edge/site_test.go
+++ b/prover/edge/site_test.go
@@ -3,6 +3,7 @@
 package edge
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"io"
@@ -122,6 +123,9 @@
 	}
 }
 
+// usualPatience is how long clients wait for an answer.
+const usualPatience = 9 * time.Second
+
 // ask describes a request of a client.
 type ask struct {
 	router *launcher.Router
@@ -131,7 +135,9 @@
 	key    string
 	body   string
 	output int
-	client *http.Client
+	// allowed is how long the client waits; 0 means usualPatience.
+	allowed time.Duration
+	client  *http.Client
 }
 
 // answer is what a client got.
@@ -155,7 +161,7 @@
 
 func (a ask) do() answer {
 	began := time.Now()
-	call := imitator.Call{ID: a.id, Method: a.method, Path: a.path, Key: a.key, Body: a.body, Tokens: a.output, Allowed: 9 * time.Second}
+	call := imitator.Call{ID: a.id, Method: a.method, Path: a.path, Key: a.key, Body: a.body, Tokens: a.output, Allowed: cmp.Or(a.allowed, usualPatience)}
 	r, err := call.Request(context.Background(), a.router.Callers)
 	if err != nil {
 		return answer{err: err}
