--- a/oleandercove/edge/gateway/crash.go
+++ b/oleandercove/edge/gateway/crash.go
@@ -21,8 +21,8 @@
 const endCheckTime = 50 * time.Millisecond
 
 // checkEnd marks a call whose connection broke although there was time left. The server
-// has ended if it refuses new ones; one that is silent has failed in a way that no
-// request causes.
+// has ended if it refuses new ones. Whether one that is silent has ended, or its host
+// has failed, can't be seen.
 func (j *job) checkEnd(ctx context.Context, s backend.Server, err error) {
 	if ctx.Err() != nil || !brokeOff(err) {
 		return
@@ -43,7 +43,9 @@
 // nothing else since: it may have fallen silent under the request.
 func (j *job) checkSilence(ctx context.Context, s backend.Server, sent time.Time, err error) {
 	var x *exchanger.Error
-	if ctx.Err() == nil || j.r.Context().Err() != nil || (errors.As(err, &x) && !x.Sent) || !j.Judge.Silent(s.ID, sent) {
+	unsent := errors.As(err, &x) && !x.Sent
+	left := j.r.Context().Err() != nil
+	if ctx.Err() == nil || left || unsent || !j.Judge.Silent(s.ID, sent) {
 		return
 	}
 	j.mark(s.ID, screener.End{Unseen: true})
--- a/oleandercove/edge/screener/screener.go
+++ b/oleandercove/edge/screener/screener.go
@@ -7,9 +7,9 @@
 // with the marks of two ends is poison if it is the only such request of the second
 // end, and one with three in any case: it is refused before it is sent. Marks are weak
 // if the request was under way, or if the server is not known to have ended; five marks
-// convict, weak or not. A request
-// that runs beyond the points at which servers ended is cleared, because a poison
-// request can't, and for some time no mark is set for its content again.
+// convict, weak or not. A request that runs beyond the points at which servers ended is
+// cleared, because a poison request can't, and for some time no mark is set for its
+// content again.
 //
 // Load pattern: a request ends each server that begins to run it and comes again at
 // any daemon, some times a second. Without marks it takes one server after the other
@@ -217,7 +217,8 @@
 	}
 	s.options.Log.Warn(what, "id", e.Request, "content", e.Fingerprint, "crash", e.Crash,
 		"position", e.Position, "progressed", e.Progressed, "marks", marks)
-	if tell {
+	// Two weak marks are common while a service is down.
+	if tell && (!m.Weak || marks > 2) {
 		s.urge()
 	}
 }
