--- a/oleandercove/edge/gateway/attempt.go
+++ b/oleandercove/edge/gateway/attempt.go
@@ -11,8 +11,7 @@
 
 // attempt is one run of a stream along a chain.
 type attempt struct {
-	path   pathfinder.Path
-	sentAt time.Time
+	path pathfinder.Path
 	// replaceAt is when the engines that are down are taken out of the chain; it is
 	// nil while none is known to be.
 	replaceAt <-chan time.Time
--- a/oleandercove/edge/gateway/call.go
+++ b/oleandercove/edge/gateway/call.go
@@ -164,11 +164,10 @@
 		limit = time.Duration(attemptShare * float64(limit))
 	}
 	actx, cancel := context.WithTimeout(ctx, limit)
-	began, sent := time.Now(), j.Timer.Now()
+	began := time.Now()
 	e, err := j.send(actx, s.Address, backend.Send{Server: s.ID})
 	if err != nil {
 		j.checkEnd(actx, s, err)
-		j.checkSilence(actx, s, sent, err)
 		cancel()
 		return j.unsent(s, err)
 	}
--- a/oleandercove/edge/gateway/crash.go
+++ b/oleandercove/edge/gateway/crash.go
@@ -21,8 +21,8 @@
 const endCheckTime = 50 * time.Millisecond
 
 // checkEnd marks a call whose connection broke although there was time left. The server
-// has ended if it refuses new ones. Whether one that is silent has ended, or its host
-// has failed, can't be seen.
+// has ended if it refuses new ones; one that is silent has failed in a way that no
+// request causes.
 func (j *job) checkEnd(ctx context.Context, s backend.Server, err error) {
 	if ctx.Err() != nil || !brokeOff(err) {
 		return
@@ -30,7 +30,7 @@
 	ctx, cancel := context.WithTimeout(ctx, endCheckTime)
 	defer cancel()
 	if !j.Exchanger.Refuses(ctx, s.Address) {
-		j.mark(s.ID, screener.End{Unseen: true})
+		j.mark(s.ID, screener.End{Broken: true})
 		return
 	}
 	now := j.Timer.Now()
@@ -39,18 +39,6 @@
 	j.mark(s.ID, screener.End{})
 }
 
-// checkSilence marks a call that had no answer in its time, if its server has answered
-// nothing else since: it may have fallen silent under the request.
-func (j *job) checkSilence(ctx context.Context, s backend.Server, sent time.Time, err error) {
-	var x *exchanger.Error
-	unsent := errors.As(err, &x) && !x.Sent
-	left := j.r.Context().Err() != nil
-	if ctx.Err() == nil || left || unsent || !j.Judge.Silent(s.ID, sent) {
-		return
-	}
-	j.mark(s.ID, screener.End{Unseen: true})
-}
-
 // brokeOff tells whether the other side ended a connection on which a request had been
 // sent.
 func brokeOff(err error) bool {
@@ -83,7 +71,7 @@
 	if !ok {
 		x.ID = id
 	}
-	if !e.Unseen {
+	if !e.Broken {
 		j.Meter.count("servers_ended_under_requests_total")
 	}
 	e.Request, e.Fingerprint, e.Crash = j.call.Request, j.content, screener.CrashOf(x)
@@ -93,9 +81,9 @@
 // checkCrash finds out in the background whether the process of an engine has ended, and
 // marks the request if so. The report that the prober keeps may be older than that.
 // The channel is closed once it is known. Each engine is looked into once, and each
-// chain gives one mark: engines that end together do so by themselves. With suspicious
-// set, the request is marked also if the end of the engine can't be seen.
-func (s *stream) checkCrash(id unit.BackendID, suspicious bool) <-chan struct{} {
+// chain gives one mark: engines that end together do so by themselves. With broke set, the connection to the engine
+// ended before the first event.
+func (s *stream) checkCrash(id unit.BackendID, broke bool) <-chan struct{} {
 	known := make(chan struct{})
 	x, ok := s.Directory.Servers().Get(id)
 	if !ok || s.checked[id] {
@@ -116,7 +104,7 @@
 		ctx, cancel := context.WithTimeout(context.Background(), endCheckTime)
 		defer cancel()
 		if !s.Judge.HasEnded(id, s.Timer.Now()) && !s.Exchanger.Refuses(ctx, x.Address) {
-			if e.Unseen = suspicious; suspicious && !marked.Swap(true) {
+			if e.Broken = broke; broke && !marked.Swap(true) {
 				s.mark(id, e)
 			}
 			return
@@ -143,7 +131,7 @@
 func (s *stream) checkDown(now time.Time) {
 	for _, h := range s.chain {
 		if s.Judge.IsDown(h.ID, now) {
-			s.checkCrash(h.ID, !s.progressed && s.Judge.Silent(h.ID, s.sentAt))
+			s.checkCrash(h.ID, false)
 		}
 	}
 }
--- a/oleandercove/edge/gateway/gateway.go
+++ b/oleandercove/edge/gateway/gateway.go
@@ -281,7 +281,6 @@
 		Header: platform.EncodeSend(j.r.Header, s), Body: j.body,
 	})
 	if err == nil {
-		j.Judge.Heard(s.Server, j.Timer.Now())
 		j.noteSigns(s.Server, platform.DecodeAnswer(e.Response.StatusCode, e.Response.Header))
 	}
 	return e, err
--- a/oleandercove/edge/gateway/stream.go
+++ b/oleandercove/edge/gateway/stream.go
@@ -129,7 +129,7 @@
 		return err
 	}
 	ctx, cancel := context.WithCancel(s.ctx)
-	s.attempt = attempt{sentAt: s.Timer.Now(), leave: leave, cancel: cancel}
+	s.attempt = attempt{leave: leave, cancel: cancel}
 	s.takePath(p)
 	s.sends++
 	s.runs++
--- a/oleandercove/edge/screener/outbox.go
+++ b/oleandercove/edge/screener/outbox.go
@@ -1,7 +1,6 @@
 package screener
 
 import (
-	"slices"
 	"time"
 
 	"oleandercove.example/oleandercove/quarantiner"
@@ -16,10 +15,7 @@
 	withdrawnTime = time.Minute
 	// maxOutbox bounds the marks and withdrawals in one beacon, maxWithdrawn those that
 	// are remembered, and maxConvictions the convicted requests in one beacon.
-	maxOutbox = 64
-	// maxWeak bounds the weak marks among them: a service that is down leaves two for
-	// each of its requests.
-	maxWeak        = 8
+	maxOutbox      = 64
 	maxWithdrawn   = 4096
 	maxConvictions = 32
 	// recentTime is the time for which a request that has run to its end gets no
@@ -57,27 +53,10 @@
 	if m.Cleared {
 		o.remember(m, now)
 	}
-	if m.Weak {
-		o.dropWeak()
-	}
 	o.items = append(o.items, item{mark: m, until: now.Add(tellTime)})
 	o.items = o.items[max(0, len(o.items)-maxOutbox):]
 }
 
-// dropWeak drops the oldest weak mark if there are as many as there may be.
-func (o *outbox) dropWeak() {
-	first, n := 0, 0
-	for i := len(o.items) - 1; i >= 0; i-- {
-		if o.items[i].mark.Weak {
-			first = i
-			n++
-		}
-	}
-	if n >= maxWeak {
-		o.items = slices.Delete(o.items, first, first+1)
-	}
-}
-
 // remember notes a withdrawal.
 func (o *outbox) remember(m quarantiner.Mark, now time.Time) {
 	if len(o.gone) >= maxWithdrawn {
--- a/oleandercove/edge/screener/screener.go
+++ b/oleandercove/edge/screener/screener.go
@@ -6,10 +6,10 @@
 // tell each other. A request with a mark runs one copy at a time on this daemon. One
 // with the marks of two ends is poison if it is the only such request of the second
 // end, and one with three in any case: it is refused before it is sent. Marks are weak
-// if the request was under way, or if the server is not known to have ended; five marks
-// convict, weak or not. A request that runs beyond the points at which servers ended is
-// cleared, because a poison request can't, and for some time no mark is set for its
-// content again.
+// if the request was under way, or if only its connection is known to have ended; five
+// marks convict, weak or not. A request
+// that runs beyond the points at which servers ended is cleared, because a poison
+// request can't, and for some time no mark is set for its content again.
 //
 // Load pattern: a request ends each server that begins to run it and comes again at
 // any daemon, some times a second. Without marks it takes one server after the other
@@ -92,9 +92,8 @@
 	// tells whether the server had sent any.
 	Position   int
 	Progressed bool
-	// Unseen says that the server is not known to have ended: its connection broke, or it
-	// fell silent.
-	Unseen bool
+	// Broken says that only the connection is known to have ended.
+	Broken bool
 }
 
 // CrashOf names the end of the running process of a server in the whole fleet.
@@ -196,7 +195,7 @@
 // Ended marks a request under which a backend server ended.
 func (s *Screener) Ended(e End) {
 	now := s.options.Timer.Now()
-	m := quarantiner.Mark{Fingerprint: e.Fingerprint, Crash: e.Crash, Position: e.Position, Progressed: e.Progressed, Weak: e.Unseen || e.Progressed, At: now}
+	m := quarantiner.Mark{Fingerprint: e.Fingerprint, Crash: e.Crash, Position: e.Position, Progressed: e.Progressed, Weak: e.Broken || e.Progressed, At: now}
 	s.mu.Lock()
 	if s.recent.has(e.Fingerprint, now) || s.outbox.withdrawn(m, now) || !s.marks.Add(m, now) {
 		s.mu.Unlock()
@@ -212,13 +211,12 @@
 	}
 	s.mu.Unlock()
 	what := "backend server ended under a request"
-	if e.Unseen {
-		what = "backend server may have ended under a request"
+	if e.Broken {
+		what = "connection broke under a request"
 	}
 	s.options.Log.Warn(what, "id", e.Request, "content", e.Fingerprint, "crash", e.Crash,
 		"position", e.Position, "progressed", e.Progressed, "marks", marks)
-	// Two weak marks are common while a service is down.
-	if tell && (!m.Weak || marks > 2) {
+	if tell {
 		s.urge()
 	}
 }
--- a/oleandercove/quarantiner/book.go
+++ b/oleandercove/quarantiner/book.go
@@ -12,8 +12,8 @@
 	Position    int
 	Progressed  bool
 	Isolated    bool
-	// Weak marks count less: the backend server is not known to have ended, or the
-	// request had run there for some time.
+	// Weak marks count less: only the connection is known to have ended and not the
+	// backend server, or the request had run there for some time.
 	Weak bool
 	At   time.Time
 	// Cleared withdraws the mark, because the request passed its position on
