partitioner: a layout keeps memory for requests on each engine

Cause: at 3 times the traffic one engine rejected 2845 of 5972 arrivals. It is fast and has a small card, so the layout by time filled 92% of its memory with layers: it had memory for 20 requests, the other engines of its copy for 190 and more, and each request of the copy passes it. The rebalancer moved its layers away within the burst, when the released ones stay in memory until the requests that use them end (8 to 10 s), so that the engine had even less memory than the registry showed. Ruled out: daemons that overbook on old reports (the rejections are of one engine only, and the beacons were 0.25 s old); slots; processor time of the engines. Change: a layout gives each engine layers up to the number that leaves memory for 0.7 of the requests for which the copy has memory, or for the largest share that the cards allow, and goes by time within that limit. TestMemoryForRequests fails before.

--- a/oleandercove/edge/partitioner/partitioner.go
+++ b/oleandercove/edge/partitioner/partitioner.go
@@ -47,6 +47,9 @@
 	// minRequests is the number of requests of usual size that an engine must have
 	// memory for beside its layers.
 	minRequests = 4
+	// capacityShareStep is the step by which a layout lowers the share of requests for
+	// which each engine keeps memory.
+	capacityShareStep = 0.05
 	// bytesPerMegabyte converts card memory to bytes.
 	bytesPerMegabyte = 1e6
 )
@@ -172,7 +175,13 @@
 // maxLayers returns the largest number of layers that leaves a card memory for
 // minRequests requests.
 func maxLayers(m *routing.Engine, c routing.Card) int {
-	tokens := float64(minRequests * (m.TypicalRequest.PromptTokens + m.TypicalRequest.OutputTokens))
+	return layersWithRequests(m, c, minRequests)
+}
+
+// layersWithRequests returns the largest number of layers that leaves a card memory for
+// a number of requests of usual size.
+func layersWithRequests(m *routing.Engine, c routing.Card, requests float64) int {
+	tokens := requests * float64(m.TypicalRequest.PromptTokens+m.TypicalRequest.OutputTokens)
 	perLayer := float64(m.LayerMemory) + tokens*m.TokenBytes/float64(m.Layers)/bytesPerMegabyte
 	return min(int(float64(c.Memory)/perLayer), int(m.Layers))
 }
@@ -268,7 +277,7 @@
 		card.StepFactor /= float64(len(firstStage))
 		engines = append([]Engine{{Card: card}}, rest...)
 	}
-	sizes := divideLayers(g.model, engines, int(g.model.Layers))
+	sizes := divideWithMemory(g.model, engines, max(1, len(firstStage)))
 	if sizes == nil {
 		return nil
 	}
@@ -290,15 +299,47 @@
 	return out
 }
 
+// divideWithMemory divides the layers of a copy among engines, the first of which stands
+// for firstShared engines that share the requests. Each engine keeps memory for
+// sufficientCapacityShare of the requests for which the copy has memory, or for the
+// largest share with which the cards can hold all layers. It returns nil if they can't.
+//
+// Load pattern: at the highest load all engines of a copy hold the same requests, and
+// the one with memory for the fewest limits the copy. By time alone, a fast card would
+// be filled with layers.
+func divideWithMemory(m *routing.Engine, engines []Engine, firstShared int) []int {
+	requests := freeRequests(m, engines)
+	for share := sufficientCapacityShare; share > 0; share -= capacityShareStep {
+		sizes := divideLayers(m, engines, int(m.Layers), func(i int, e Engine) int {
+			needed := share * requests
+			if i == 0 {
+				needed /= float64(firstShared)
+			}
+			return layersWithRequests(m, e.Card, max(minRequests, needed))
+		})
+		if sizes != nil {
+			return sizes
+		}
+	}
+	return divideLayers(m, engines, int(m.Layers), func(_ int, e Engine) int { return maxLayers(m, e.Card) })
+}
+
+// freeRequests returns the number of requests of usual size for which the engines have
+// memory beside one copy of the model.
+func freeRequests(m *routing.Engine, engines []Engine) float64 {
+	free := (copyCapacity(m, engines) - 1) * float64(m.LayerMemory) * float64(m.Layers) * bytesPerMegabyte
+	return max(0, free) / max(1, m.TokenBytes*float64(m.TypicalRequest.PromptTokens+m.TypicalRequest.OutputTokens))
+}
+
 // divideLayers divides a number of layers among engines. Each layer is assigned to the
-// engine with the lowest utilisation after it, up to maxLayers of the card. It
-// returns nil if the cards can't hold all layers.
-func divideLayers(m *routing.Engine, engines []Engine, layers int) []int {
+// engine with the lowest utilisation after it, up to the limit of the engine. It returns
+// nil if the limits don't allow all layers.
+func divideLayers(m *routing.Engine, engines []Engine, layers int, limit func(i int, e Engine) int) []int {
 	sizes := make([]int, len(engines))
 	for range layers {
 		best, cost := -1, math.Inf(1)
 		for i, e := range engines {
-			if sizes[i] >= maxLayers(m, e.Card) {
+			if sizes[i] >= limit(i, e) {
 				continue
 			}
 			if c := utilisation(m, e.Card, sizes[i]+1); c < cost {
--- a/oleandercove/edge/partitioner/partitioner_test.go
+++ b/oleandercove/edge/partitioner/partitioner_test.go
@@ -17,6 +17,8 @@
 	large  = routing.Card{Name: "large", Memory: 72000, StepFactor: 2.4, PrefillFactor: 3.2}
 	medium = routing.Card{Name: "medium", Memory: 43200, StepFactor: 5.6, PrefillFactor: 2.7}
 	small  = routing.Card{Name: "small", Memory: 21600, StepFactor: 16, PrefillFactor: 8.2}
+	fast   = routing.Card{Name: "fast", Memory: 36000, StepFactor: 3, PrefillFactor: 3}
+	tiny   = routing.Card{Name: "tiny", Memory: 14400, StepFactor: 15, PrefillFactor: 15}
 )
 
 func model() *routing.Engine {
@@ -96,6 +98,30 @@
 	}
 }
 
+// Guards against a copy that one engine limits to a few requests, which happens when a
+// fast card with little memory is filled with layers.
+func TestMemoryForRequests(t *testing.T) {
+	tests := []struct {
+		name    string
+		engines []Engine
+	}{
+		{"one fast card with little memory among slow ones", engines("a", fast, small, small, small, small, small, small, small, small, tiny, tiny, tiny)},
+		{"two fast cards with little memory among slow ones", engines("a", fast, fast, small, small, small, small, tiny, tiny, tiny, tiny, tiny, tiny, tiny)},
+		{"cards of many sizes", centre("a")},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			m := model()
+			m.Slots, m.TokenBytes = 192, 590000
+			m.Cards = []routing.Card{large, medium, fast, small, tiny}
+			list := applyTargets(tt.engines, plan(m, tt.engines))
+			g := &group{model: m, chainLength: ChainLength, engines: list}
+			is.True(newRebalancer(g).minCapacity() >= lowCapacityShare*g.totalCapacity())
+		})
+	}
+}
+
 // Guards against orders that change a complete layout, each of which loads layers.
 func TestNoNeedlessOrders(t *testing.T) {
 	is := is.New(t)
--- a/oleandercove/edge/partitioner/repair.go
+++ b/oleandercove/edge/partitioner/repair.go
@@ -164,7 +164,7 @@
 // fairShare returns the number of layers that the engine would hold if the copies
 // of the group were divided among all its engines.
 func (g *group) fairShare(e *Engine) int {
-	sizes := divideLayers(g.model, g.engines, g.copyCount()*int(g.model.Layers))
+	sizes := divideLayers(g.model, g.engines, g.copyCount()*int(g.model.Layers), func(_ int, e Engine) int { return maxLayers(g.model, e.Card) })
 	if sizes == nil {
 		return maxLayers(g.model, e.Card)
 	}
