pathfinder, platform: count memory for the expected output of a request

Cause: each request took memory for the maximum length of its output, 442 tokens, while outputs have 172 on average. When an engine rejected requests because its memory was full, the ledger counted 1.56 times as much as the engine; where it did not reject, callers were refused at 59% of the memory. Ruled out: that more requests at once make all streams late (the time for an event grows from 37 to about 50 ms between 40 and 100 requests of a chain, the pause allowed is 200 ms). Change: the ledger counts the caller's estimate of the length, or the typical length of the configuration without one, and at most the maximum.

--- a/core/backend/backend.go
+++ b/core/backend/backend.go
@@ -142,10 +142,13 @@
 	// Timeout is the longest time that the caller waits; 0 means no bound.
 	Timeout time.Duration
 	Key     routing.AccessKey
-	// PromptTokens and OutputTokens are zero for plain services. OutputTokens is the
+	// PromptTokens and MaxOutputTokens are zero for plain services. MaxOutputTokens is the
 	// maximum length of the output.
-	PromptTokens int
-	OutputTokens int
+	PromptTokens    int
+	MaxOutputTokens int
+	// OutputEstimate is the caller's estimate of the length of the output, in tokens; 0
+	// means none.
+	OutputEstimate int
 	// LastEvent is the id of the last stream event that the caller has received.
 	LastEvent string
 }
--- a/oleandercove/edge/gateway/path.go
+++ b/oleandercove/edge/gateway/path.go
@@ -18,10 +18,9 @@
 // choosePath finds a chain with free capacity; first is set if the chain must begin
 // with this engine.
 func (s *stream) choosePath(first unit.BackendID) (pathfinder.Path, *verdict.Error) {
-	r := pathfinder.Request{
-		PromptTokens: s.call.PromptTokens, OutputTokens: s.call.OutputTokens, FirstEngine: first, Random: rand.Float64,
-		SameDataCentre: !s.Rationer.Allows(s.service.Engine.CentreLink, s.purpose()),
-	}
+	r := s.pathRequest()
+	r.FirstEngine = first
+	r.SameDataCentre = !s.Rationer.Allows(s.service.Engine.CentreLink, s.purpose())
 	p, ok := s.findPath(r)
 	if !ok && r.SameDataCentre {
 		s.Meter.count("link_used_up_total")
@@ -33,6 +32,15 @@
 	return p, nil
 }
 
+// pathRequest returns the size of the request, for which the chain needs memory.
+func (s *stream) pathRequest() pathfinder.Request {
+	return pathfinder.Request{
+		PromptTokens: s.call.PromptTokens,
+		OutputTokens: pathfinder.ExpectedOutput(s.service.Engine.TypicalRequest, s.call.MaxOutputTokens, s.call.OutputEstimate),
+		Random:       rand.Float64,
+	}
+}
+
 // noChainError returns the refusal of a request for which there is no chain.
 func (s *stream) noChainError(format string, r pathfinder.Request) *verdict.Error {
 	err := verdict.New(verdict.NotRun, verdict.Overloaded, format, r.PromptTokens+r.OutputTokens).WithRetryAfter(capacityRetryAfter)
@@ -54,7 +62,7 @@
 	s.crashRecorded = nil
 	s.ticket = s.Ledger.Begin(p.Items)
 	if p.Crossings > 0 {
-		tokens := float64(p.Crossings * (s.call.PromptTokens + s.call.OutputTokens))
+		tokens := float64(p.Crossings * (s.call.PromptTokens + s.call.MaxOutputTokens))
 		s.Rationer.Spend(rationer.Megabits(tokens * s.service.Engine.ActivationBytes * bitsPerByte / bitsPerMegabit))
 	}
 }
--- a/oleandercove/edge/gateway/recover.go
+++ b/oleandercove/edge/gateway/recover.go
@@ -8,7 +8,6 @@
 	"oleandercove.example/core/backend"
 	"oleandercove.example/core/unit"
 	"oleandercove.example/oleandercove/edge/pacer"
-	"oleandercove.example/oleandercove/edge/pathfinder"
 )
 
 // rerouteSlowdown is how many times slower than usual an engine must run for a silent
@@ -197,9 +196,9 @@
 // resumed at once, and takes a retry from the budget for it. It reports whether it got
 // both.
 func (s *stream) reserveLocalPath() bool {
-	p, ok := s.findPath(pathfinder.Request{
-		PromptTokens: s.call.PromptTokens, OutputTokens: s.call.OutputTokens, SameDataCentre: true, CountQueues: true, Random: rand.Float64,
-	})
+	r := s.pathRequest()
+	r.SameDataCentre, r.CountQueues = true, true
+	p, ok := s.findPath(r)
 	if !ok || !s.Budgeter.TakeRetry(s.service.Name) {
 		return false
 	}
--- a/oleandercove/edge/pathfinder/pathfinder.go
+++ b/oleandercove/edge/pathfinder/pathfinder.go
@@ -66,7 +66,8 @@
 
 // Request holds the size of a request and the constraints on its chain.
 type Request struct {
-	// PromptTokens and OutputTokens are the lengths of the prompt and of the output.
+	// PromptTokens and OutputTokens are the lengths of the prompt and of the expected
+	// output.
 	PromptTokens int
 	OutputTokens int
 	// FirstEngine is the engine with which the chain must begin, or empty.
@@ -80,6 +81,23 @@
 	Random func() float64
 }
 
+// ExpectedOutput returns the length of the output, in tokens, for which engines need
+// memory: the caller's estimate, or that of a typical request if it is 0, and at most
+// the maximum that the caller allows.
+//
+// Load pattern: callers allow several times the output that most of them get. At the
+// highest load, memory for the maximum would stay unused while callers are refused; the
+// errors of the estimates even out over the requests of an engine.
+func ExpectedOutput(typical routing.TypicalRequest, maximum, estimate int) int {
+	if estimate == 0 {
+		estimate = typical.OutputTokens
+	}
+	if estimate == 0 {
+		return maximum
+	}
+	return min(maximum, estimate)
+}
+
 func (r Request) tokens() float64 { return float64(r.PromptTokens + r.OutputTokens) }
 
 // Path is a chain with its expected times and its load.
--- a/oleandercove/edge/pathfinder/pathfinder_test.go
+++ b/oleandercove/edge/pathfinder/pathfinder_test.go
@@ -218,3 +218,52 @@
 		})
 	}
 }
+
+// Guards against memory that stays unused because the maximum length is counted for each
+// output, and against more memory than a caller may use.
+func TestExpectedOutput(t *testing.T) {
+	tests := []struct {
+		name                       string
+		typical, maximum, estimate int
+		want                       int
+	}{
+		{"the estimate of the caller", 200, 800, 350, 350},
+		{"no estimate", 200, 800, 0, 200},
+		{"an estimate above the maximum", 200, 800, 5000, 800},
+		{"a typical output above the maximum", 200, 80, 0, 80},
+		{"neither an estimate nor a typical output", 0, 800, 0, 800},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			is.Equal(ExpectedOutput(routing.TypicalRequest{OutputTokens: tt.typical}, tt.maximum, tt.estimate), tt.want)
+		})
+	}
+}
+
+// Guards against refusals while engines have memory, which happens when callers allow
+// four times the output that they get and more requests arrive than fit.
+func TestAdmitsExpectedLoad(t *testing.T) {
+	const prompt, typical, maximum = 760, 200, 800
+	is := is.New(t)
+	m := model()
+	m.Slots = 0
+	e := engine("a", "x", 0, 40)
+	fits := int(memoryShare * float64(Capacity(m, e)) / float64(40*(prompt+typical)))
+	l := ledger.New()
+	admitted := 0
+	for range 2 * fits {
+		list := []Engine{e, engine("b", "x", 40, 80)}
+		for i := range list {
+			list[i].Load = l.Load(list[i].ID)
+		}
+		p, ok := Find(m, list, Request{
+			PromptTokens: prompt, OutputTokens: ExpectedOutput(routing.TypicalRequest{OutputTokens: typical}, maximum, 0),
+		})
+		if ok {
+			admitted++
+			l.Begin(p.Items)
+		}
+	}
+	is.Equal(admitted, fits)
+}
