judge, pathfinder: a full engine gets no more load for half a second

Cause: with 30% of the engines crashed at 3 times the traffic, engines rejected 2670 to 6204 of 6467 to 9499 arrivals. An engine that loads or releases layers has less memory for requests than the registry implies, and each daemon went on sending to it; a rejection was noted for that request only. Change: after a rejection, an engine gets no more load than it had at that moment, for 0.5 s on that daemon.

--- a/core/unit/unit.go
+++ b/core/unit/unit.go
@@ -40,6 +40,10 @@
 // Position is the index of a token in prompt plus answer.
 type Position int
 
+// TokenLayers is an amount of request memory: a number of tokens multiplied by the layers
+// that hold them.
+type TokenLayers int64
+
 // Token is the id of a token in the model's vocabulary.
 type Token uint32
 
--- a/oleandercove/edge/announcer/loads.go
+++ b/oleandercove/edge/announcer/loads.go
@@ -148,7 +148,7 @@
 	out := make([]ledger.Entry, 0, len(list))
 	for _, l := range list {
 		out = append(out, ledger.Entry{Server: unit.BackendID(l.Server), Load: ledger.Load{
-			Running: int(l.Running), ChainStarts: int(l.Heads), Tokens: ledger.TokenLayers(l.Tokens), Prefill: ledger.TokenLayers(l.Reading),
+			Running: int(l.Running), ChainStarts: int(l.Heads), Tokens: unit.TokenLayers(l.Tokens), Prefill: unit.TokenLayers(l.Reading),
 		}})
 	}
 	return out
--- a/oleandercove/edge/gateway/path.go
+++ b/oleandercove/edge/gateway/path.go
@@ -93,9 +93,10 @@
 			s.excluded.add(x, reason, s.Judge.BackoffSince(x.ID), until)
 			continue
 		}
+		limit, limited := s.Judge.LoadLimit(x.ID, now)
 		out = append(out, pathfinder.Engine{
 			ID: x.ID, Address: x.Address, DataCentre: x.DataCentre, Layers: x.Layers, Card: s.service.Engine.Card(x.Card),
-			Load: s.Ledger.Load(x.ID), EstimatedLoad: s.Ledger.EstimateUnreported(x.ID), Slowdown: s.Judge.Rate(x.ID, now).Factor,
+			Load: s.Ledger.Load(x.ID), Limited: limited, LoadLimit: limit, EstimatedLoad: s.Ledger.EstimateUnreported(x.ID), Slowdown: s.Judge.Rate(x.ID, now).Factor,
 		})
 	}
 	return out
--- a/oleandercove/edge/gateway/relay.go
+++ b/oleandercove/edge/gateway/relay.go
@@ -123,6 +123,8 @@
 	s.excludeEngine(id)
 	if status == http.StatusMisdirectedRequest {
 		s.Judge.SetAbsent(id, s.Timer.Now())
+	} else {
+		s.Judge.SetFull(id, s.Ledger.Load(id).Tokens-s.path.TokensOn(id), s.Timer.Now())
 	}
 	s.Log.Info("engine rejected its part", "id", s.call.Request, "engine", id, "status", status, "sends", s.sends)
 	s.failure = errRejected
--- a/oleandercove/edge/judge/judge.go
+++ b/oleandercove/edge/judge/judge.go
@@ -38,6 +38,10 @@
 	// releaseTime is how long a notice that an engine will release layers is valid.
 	// The registry shows the release by then.
 	releaseTime = 2 * time.Second
+	// fullTime is how long an engine that rejected a request because it was full gets no
+	// more load than it had. It spans two beacons, and is short because the engine may
+	// have more memory at any moment and a rejection costs a request some milliseconds.
+	fullTime = 500 * time.Millisecond
 	// outcomeWeight is the share of a new outcome in the moving averages.
 	outcomeWeight = 0.2
 	// failurePenalty is how much a failure share of 1 adds to the cost factor of a
@@ -61,6 +65,9 @@
 	latency      time.Duration
 	slowdown     float64
 	slowUntil    time.Time
+	// fullLoad is the load with which the engine rejected a request.
+	fullLoad  unit.TokenLayers
+	fullUntil time.Time
 	// held is the range that the engine holds, kept the part that remains after a
 	// release.
 	held, kept   backend.Layers
@@ -232,6 +239,30 @@
 	return 1
 }
 
+// SetFull records that an engine rejected a request because it is full, while it had the
+// given load without that request.
+func (j *Judge) SetFull(id unit.BackendID, load unit.TokenLayers, now time.Time) {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	r := j.ratingFor(id)
+	r.fullLoad, r.fullUntil = load, now.Add(fullTime)
+}
+
+// LoadLimit returns the load with which an engine was full lately; false if it rejected
+// no request for fullTime.
+//
+// Load pattern: an engine releases or loads layers while requests fill it. Released layers
+// stay in memory until the requests that use them end, so the engine has less memory for
+// requests than the registry implies, and each request that is sent to it is rejected.
+func (j *Judge) LoadLimit(id unit.BackendID, now time.Time) (unit.TokenLayers, bool) {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	if r := j.ratings[id]; r != nil && now.Before(r.fullUntil) {
+		return r.fullLoad, true
+	}
+	return 0, false
+}
+
 // Rating is the cost factor and the response time by which servers are compared.
 type Rating struct {
 	// Factor multiplies the cost of the server; it is at least 1.
--- a/oleandercove/edge/judge/judge_test.go
+++ b/oleandercove/edge/judge/judge_test.go
@@ -88,3 +88,19 @@
 	is.Equal(j.UsableLayers("e", grown, now), grown)
 	is.Equal(j.UsableLayers("e", held, now.Add(releaseTime)), held)
 }
+
+// Guards against requests that are sent to a full engine one after the other, and against
+// an engine that stays unused after it has memory again.
+func TestLoadLimit(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(100, 0)
+	j := New()
+	_, limited := j.LoadLimit("e", now)
+	is.True(!limited)
+	j.SetFull("e", 5000, now)
+	limit, limited := j.LoadLimit("e", now)
+	is.True(limited)
+	is.Equal(limit, unit.TokenLayers(5000))
+	_, limited = j.LoadLimit("e", now.Add(fullTime))
+	is.True(!limited)
+}
--- a/oleandercove/edge/ledger/ledger.go
+++ b/oleandercove/edge/ledger/ledger.go
@@ -28,9 +28,6 @@
 // beacons.
 const loadTTL = 1500 * time.Millisecond
 
-// TokenLayers is a number of tokens multiplied by the layers that they occupy.
-type TokenLayers int64
-
 // Load is the load in flight on one backend server.
 type Load struct {
 	// Running is the number of requests.
@@ -38,16 +35,16 @@
 	// ChainStarts is the number of requests whose chain begins here.
 	ChainStarts int
 	// Tokens is the memory that the requests need at their end.
-	Tokens TokenLayers
+	Tokens unit.TokenLayers
 	// Prefill is the part of the prompts whose prefill is not yet reported as done.
-	Prefill TokenLayers
+	Prefill unit.TokenLayers
 }
 
 func (l *Load) add(o Load, times int) {
 	l.Running += times * o.Running
 	l.ChainStarts += times * o.ChainStarts
-	l.Tokens += TokenLayers(times) * o.Tokens
-	l.Prefill += TokenLayers(times) * o.Prefill
+	l.Tokens += unit.TokenLayers(times) * o.Tokens
+	l.Prefill += unit.TokenLayers(times) * o.Prefill
 }
 
 // Item is the load that one request puts on one backend server.
@@ -55,9 +52,9 @@
 	Server unit.BackendID
 	// StartsChain is set for the first server of a chain.
 	StartsChain bool
-	Tokens      TokenLayers
+	Tokens      unit.TokenLayers
 	// Prefill is the size of the prompt; zero for requests without one.
-	Prefill TokenLayers
+	Prefill unit.TokenLayers
 }
 
 // load returns the load of the item until the request ends, without the prefill.
--- a/oleandercove/edge/pacer/pacer_test.go
+++ b/oleandercove/edge/pacer/pacer_test.go
@@ -7,6 +7,7 @@
 	"github.com/matryer/is"
 
 	"oleandercove.example/core/routing"
+	"oleandercove.example/core/unit"
 	"oleandercove.example/oleandercove/edge/ledger"
 )
 
@@ -17,7 +18,7 @@
 
 // load returns the load of an engine of 8 layers with streams of 1,000 tokens each.
 func load(streams int) ledger.Load {
-	return ledger.Load{Running: streams, Tokens: ledger.TokenLayers(streams * 1000 * 8)}
+	return ledger.Load{Running: streams, Tokens: unit.TokenLayers(streams * 1000 * 8)}
 }
 
 // Guards against streams that are rerouted all at once and so delay others, and against
--- a/oleandercove/edge/pathfinder/pathfinder.go
+++ b/oleandercove/edge/pathfinder/pathfinder.go
@@ -60,6 +60,10 @@
 	// EstimatedLoad is load that no report confirms. It raises the cost of the engine
 	// but takes no capacity, because a request must not be refused for an estimate.
 	EstimatedLoad ledger.Load
+	// Limited is set for an engine that rejected a request with the load LoadLimit lately;
+	// it gets no more than that.
+	Limited   bool
+	LoadLimit unit.TokenLayers
 	// Slowdown is the factor by which the engine runs slower than usual, at least 1.
 	Slowdown float64
 }
@@ -113,14 +117,24 @@
 	Crossings int
 }
 
+// TokensOn returns the memory that the request takes on an engine of the path.
+func (p Path) TokensOn(id unit.BackendID) unit.TokenLayers {
+	for _, it := range p.Items {
+		if it.Server == id {
+			return it.Tokens
+		}
+	}
+	return 0
+}
+
 // Capacity returns the memory of an engine beside its layers, in tokens times layers.
-func Capacity(m *routing.Engine, e Engine) ledger.TokenLayers {
+func Capacity(m *routing.Engine, e Engine) unit.TokenLayers {
 	free := float64(e.Card.Memory) - float64(m.LayerMemory)*float64(e.Layers.Len())
 	perToken := m.TokenBytes / float64(m.Layers)
 	if free <= 0 || perToken <= 0 {
 		return 0
 	}
-	return ledger.TokenLayers(free * bytesPerMegabyte / perToken)
+	return unit.TokenLayers(free * bytesPerMegabyte / perToken)
 }
 
 // candidate is an engine with its expected times, in milliseconds.
@@ -147,6 +161,9 @@
 	step := float64(m.StepTime) + batch*(float64(m.RequestTime)+context*float64(m.ContextTime))
 	c.decode = float64(m.StepsPerPass) * e.Card.StepFactor * e.Slowdown * step / layers
 	free := memoryShare*float64(Capacity(m, e)) - float64(e.Load.Tokens)
+	if e.Limited {
+		free = min(free, float64(e.LoadLimit-e.Load.Tokens))
+	}
 	c.layerCapacity = int(free / max(1, r.tokens()))
 	utilisation := 1 - (free-float64(e.EstimatedLoad.Tokens))/max(1, memoryShare*float64(Capacity(m, e)))
 	c.cost = (c.prefill + passWeight*c.decode) * (1 + 4*math.Pow(max(0, utilisation), 4))
@@ -336,7 +353,7 @@
 		p.EventInterval += routing.Milliseconds(n * st.decode)
 		wait = max(wait, st.queueDelay)
 		p.Items = append(p.Items, ledger.Item{
-			Server: st.ID, StartsChain: i == 0, Tokens: ledger.TokenLayers(n * r.tokens()), Prefill: ledger.TokenLayers(n * float64(r.PromptTokens)),
+			Server: st.ID, StartsChain: i == 0, Tokens: unit.TokenLayers(n * r.tokens()), Prefill: unit.TokenLayers(n * float64(r.PromptTokens)),
 		})
 	}
 	p.TimeToFirstEvent += routing.Milliseconds(wait) + p.EventInterval
@@ -368,6 +385,6 @@
 		Chain:            backend.Chain{{ID: e.ID, Address: e.Address}},
 		TimeToFirstEvent: routing.Milliseconds(float64(r.PromptTokens) / max(1, m.PrefillRate)),
 		EventInterval:    m.StepTime * routing.Milliseconds(m.StepsPerPass),
-		Items:            []ledger.Item{{Server: e.ID, StartsChain: true, Tokens: ledger.TokenLayers(r.tokens()), Prefill: ledger.TokenLayers(r.PromptTokens)}},
+		Items:            []ledger.Item{{Server: e.ID, StartsChain: true, Tokens: unit.TokenLayers(r.tokens()), Prefill: unit.TokenLayers(r.PromptTokens)}},
 	}, true
 }
--- a/oleandercove/edge/pathfinder/pathfinder_test.go
+++ b/oleandercove/edge/pathfinder/pathfinder_test.go
@@ -30,7 +30,7 @@
 	}
 }
 
-func loaded(e Engine, tokens ledger.TokenLayers) Engine {
+func loaded(e Engine, tokens unit.TokenLayers) Engine {
 	e.Load = ledger.Load{Running: 10, Tokens: tokens}
 	return e
 }
@@ -267,3 +267,34 @@
 	}
 	is.Equal(admitted, fits)
 }
+
+// Guards against requests that a full engine rejects one after the other, which happens
+// while the layers that it released are still in use, and against callers that are refused
+// although it has room again or another engine has.
+func TestLimitedEngine(t *testing.T) {
+	const load = 200000
+	full := loaded(engine("a", "x", 0, 80), load)
+	full.Limited, full.LoadLimit = true, load
+	less := loaded(engine("a", "x", 0, 80), load/2)
+	less.Limited, less.LoadLimit = true, load
+	tests := []struct {
+		name    string
+		engines []Engine
+		want    string
+	}{
+		{"the full engine alone", []Engine{full}, ""},
+		{"another engine beside it", []Engine{full, loaded(engine("b", "x", 0, 80), 2*load)}, "b:0-80 "},
+		{"less load than when it was full", []Engine{less}, "a:0-80 "},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			big := tt.engines
+			for i := range big {
+				big[i].Card.Memory *= 4
+			}
+			p, _ := Find(model(), big, Request{PromptTokens: 760, OutputTokens: 200})
+			is.Equal(names(p.Chain), tt.want)
+		})
+	}
+}
