pathfinder: chains use all of the memory of engines

Cause: 8% of an engine's memory was kept free. Requests are counted with their length at the end, so that they take about that much less on average, and a full engine rejects at the cost of some milliseconds. Change: chains use all of the memory.

--- a/oleandercove/edge/partitioner/balance.go
+++ b/oleandercove/edge/partitioner/balance.go
@@ -9,7 +9,8 @@
 
 const (
 	// highUtilisation is the utilisation of the layer with the least capacity above
-	// which engines load layers to raise that capacity; above 0.92 requests are refused.
+	// which engines load layers to raise that capacity; requests that find no memory are
+	// refused.
 	highUtilisation = 0.8
 	// targetUtilisation is the utilisation that a plan aims at.
 	targetUtilisation = 0.65
--- a/oleandercove/edge/pathfinder/pathfinder.go
+++ b/oleandercove/edge/pathfinder/pathfinder.go
@@ -37,7 +37,7 @@
 	// slotShare is the share of an engine's slots that chains which begin there may use.
 	slotShare = 0.95
 	// memoryShare is the share of an engine's request memory that chains may use.
-	memoryShare = 0.92
+	memoryShare = 1.0
 	// costNoise is the largest random share that is added to an engine's cost.
 	costNoise = 0.1
 	// hopCostMillis is the cost of one more engine in a chain, in milliseconds.
