deferrer: refused callers return while their response can still be on time

Cause: at 3 times the traffic a quarter of the responses were late, with a p99 of the first event of 3.1 s. Each caller without a chain was told to return after 1.5 to 3 s, after its objective of 0.5 s. Those that returned took the capacity from new callers, who became the next to return: 946 of 4788 late, 950 refused twice. Change: a moving average of the share of requests that are admitted decides: a caller returns after 0.3 to 0.6 of the objective, and after 1.5 to 3 s where hardly any request is admitted. TestOverload fails with the constant delay, TestOutage with returns within the objective always.

--- a/oleandercove/edge/gateway/failure.go
+++ b/oleandercove/edge/gateway/failure.go
@@ -44,6 +44,6 @@
 	case err != nil:
 		return err
 	default:
-		return verdict.New(verdict.NotRun, verdict.NoBackend, "no engine took the request: %v", s.failure).WithRetryAfter(capacityRetryAfter)
+		return verdict.New(verdict.NotRun, verdict.NoBackend, "no engine took the request: %v", s.failure).WithRetryAfter(s.capacityRetryAfter())
 	}
 }
--- a/oleandercove/edge/gateway/gateway.go
+++ b/oleandercove/edge/gateway/gateway.go
@@ -25,6 +25,7 @@
 	"oleandercove.example/core/unit"
 	"oleandercove.example/core/verdict"
 	"oleandercove.example/oleandercove/edge/budgeter"
+	"oleandercove.example/oleandercove/edge/deferrer"
 	"oleandercove.example/oleandercove/edge/directory"
 	"oleandercove.example/oleandercove/edge/exchanger"
 	"oleandercove.example/oleandercove/edge/judge"
@@ -67,6 +68,7 @@
 	Budgeter  *budgeter.Budgeter
 	Rationer  *rationer.Rationer
 	Screener  *screener.Screener
+	Deferrer  *deferrer.Deferrer
 	// OnLeaving is called when a backend server first announces that it is leaving.
 	OnLeaving func()
 	// DataCentre is where this daemon runs.
@@ -207,7 +209,7 @@
 	}
 	j.service = table.Service(route.Pick(j.splitPoint()))
 	if j.service == nil {
-		return verdict.New(verdict.NotRun, verdict.NoBackend, "route names an unknown service").WithRetryAfter(capacityRetryAfter)
+		return verdict.New(verdict.NotRun, verdict.NoBackend, "route names an unknown service").WithRetryAfter(faultRetryAfter)
 	}
 	return nil
 }
--- a/oleandercove/edge/gateway/path.go
+++ b/oleandercove/edge/gateway/path.go
@@ -2,6 +2,7 @@
 
 import (
 	"math/rand/v2"
+	"time"
 
 	"oleandercove.example/core/unit"
 	"oleandercove.example/core/verdict"
@@ -43,10 +44,16 @@
 
 // noChainError returns the refusal of a request for which there is no chain.
 func (s *stream) noChainError(format string, r pathfinder.Request) *verdict.Error {
-	err := verdict.New(verdict.NotRun, verdict.Overloaded, format, r.PromptTokens+r.OutputTokens).WithRetryAfter(capacityRetryAfter)
+	err := verdict.New(verdict.NotRun, verdict.Overloaded, format, r.PromptTokens+r.OutputTokens).WithRetryAfter(s.capacityRetryAfter())
 	return s.excluded.explain(err, s.Timer.Now())
 }
 
+// capacityRetryAfter returns when the caller should retry after a refusal for lack of
+// capacity.
+func (s *stream) capacityRetryAfter() time.Duration {
+	return s.Deferrer.RetryAfter(s.service.Name, s.route.Objective)
+}
+
 // purpose returns what the request needs the link between data centres for.
 func (s *stream) purpose() rationer.Purpose {
 	if s.started {
--- a/oleandercove/edge/gateway/refusal.go
+++ b/oleandercove/edge/gateway/refusal.go
@@ -25,9 +25,9 @@
 	// staleKeysRetryAfter is when callers may retry after their key could not be
 	// confirmed; another daemon may have newer keys.
 	staleKeysRetryAfter = 300 * time.Millisecond
-	// capacityRetryAfter is when callers may retry if no engine has free capacity. A
-	// usual answer takes some seconds.
-	capacityRetryAfter = 1500 * time.Millisecond
+	// faultRetryAfter is when callers may retry after a fault that lasts some seconds: the
+	// retry budget is used up, or the configuration has no such service.
+	faultRetryAfter = 1500 * time.Millisecond
 	// retryAfterJitter is the largest random extension of a delay, as a share of it, so
 	// that callers that were refused together don't retry together.
 	retryAfterJitter = 1.0
--- a/oleandercove/edge/gateway/stream.go
+++ b/oleandercove/edge/gateway/stream.go
@@ -160,13 +160,16 @@
 		return *p, nil
 	}
 	p, err := s.choosePath("")
+	if s.sends == 0 {
+		s.Deferrer.Record(s.service.Name, err == nil, s.Timer.Now())
+	}
 	if err != nil {
 		return p, err
 	}
 	if s.sends == 0 {
 		s.Budgeter.CountRequest(s.service.Name)
 	} else if !s.Budgeter.TakeRetry(s.service.Name) {
-		return p, verdict.New(verdict.NotRun, verdict.Overloaded, "retry budget is used up").WithRetryAfter(capacityRetryAfter)
+		return p, verdict.New(verdict.NotRun, verdict.Overloaded, "retry budget is used up").WithRetryAfter(faultRetryAfter)
 	}
 	return p, nil
 }
--- a/oleandercove/edge/gateway/stream_test.go
+++ b/oleandercove/edge/gateway/stream_test.go
@@ -15,6 +15,7 @@
 	"oleandercove.example/core/timer"
 	"oleandercove.example/core/unit"
 	"oleandercove.example/core/verdict"
+	"oleandercove.example/oleandercove/edge/deferrer"
 	"oleandercove.example/oleandercove/edge/directory"
 	"oleandercove.example/oleandercove/edge/exchanger"
 	"oleandercove.example/oleandercove/edge/judge"
@@ -45,7 +46,7 @@
 	clock, j := timer.NewReal(), judge.New()
 	g := &Gateway{Options: Options{
 		Log: logger.Discard(), Judge: j, Timer: clock, Directory: directory.New(logger.Discard()), Ledger: ledger.New(),
-		Screener: screener.New(screener.Options{Timer: clock, Log: logger.Discard()}),
+		Screener: screener.New(screener.Options{Timer: clock, Log: logger.Discard()}), Deferrer: deferrer.New(),
 	}}
 	s := &stream{
 		job: &job{
--- a/oleandercove/edge/runner/runner.go
+++ b/oleandercove/edge/runner/runner.go
@@ -32,6 +32,7 @@
 	"oleandercove.example/oleandercove/edge/announcer"
 	"oleandercove.example/oleandercove/edge/assigner"
 	"oleandercove.example/oleandercove/edge/budgeter"
+	"oleandercove.example/oleandercove/edge/deferrer"
 	"oleandercove.example/oleandercove/edge/directory"
 	"oleandercove.example/oleandercove/edge/exchanger"
 	"oleandercove.example/oleandercove/edge/follower"
@@ -138,7 +139,7 @@
 		Directory: r.directory, Exchanger: x, Judge: j, Ledger: l, Rerouter: engines, Prober: p, Timer: r.timer,
 		Log: r.log.WithPrefix("gateway"), Meter: gateway.NewMeter(r.metrics.scope),
 		Budgeter: b, Rationer: rationer.New(rationer.Options{Hosts: func() int { return a.LiveHostCount() }, Timer: r.timer}),
-		Screener: r.screener, OnLeaving: func() { a.FlushNow() }, DataCentre: s.DataCentre, KeyRevocation: s.Bounds.KeyRevocation.Std(),
+		Screener: r.screener, Deferrer: deferrer.New(), OnLeaving: func() { a.FlushNow() }, DataCentre: s.DataCentre, KeyRevocation: s.Bounds.KeyRevocation.Std(),
 	})
 	a, err := announcer.New(announcer.Options{
 		Host: s.Host, DataCentre: s.DataCentre, Address: s.BeaconAddress(), PeerAddress: s.PeerAddress(), Seeds: r.seeds(), Registry: store,
