pathfinder: one function for the free memory of an engine

Cause: a share of 1.0 of the memory was multiplied in three places, and the limit of a full engine was applied to chains only. Change: freeMemory serves chains and engines that hold the whole model. For chains nothing changes.

--- a/oleandercove/edge/deferrer/deferrer.go
+++ b/oleandercove/edge/deferrer/deferrer.go
@@ -2,7 +2,7 @@
 // retry.
 //
 // A Deferrer keeps, for each service, the chance that a request is admitted: a moving
-// average over the requests of the last second or so, with repeated attempts.
+// average over recent requests, retries by callers included.
 //
 //   - While the chance is good, capacity frees all the time. The caller should retry
 //     while its response can still be on time; a later retry would have the same chance.
--- a/oleandercove/edge/pathfinder/candidate.go
+++ b/oleandercove/edge/pathfinder/candidate.go
@@ -17,6 +17,14 @@
 	return unit.TokenLayers(free * bytesPerMegabyte / perToken)
 }
 
+// freeMemory returns the memory that is left for another request, of the given capacity.
+func (e Engine) freeMemory(capacity unit.TokenLayers) float64 {
+	if e.Limited {
+		capacity = min(capacity, e.LoadLimit)
+	}
+	return float64(capacity - e.Load.Tokens)
+}
+
 // candidate is an engine with its expected times, in milliseconds.
 type candidate struct {
 	Engine
@@ -40,12 +48,10 @@
 	context := r.tokens() / 1000
 	step := float64(m.StepTime) + batch*(float64(m.RequestTime)+context*float64(m.ContextTime))
 	c.decode = float64(m.StepsPerPass) * e.Card.StepFactor * e.Slowdown * step / layers
-	free := memoryShare*float64(Capacity(m, e)) - float64(e.Load.Tokens)
-	if e.Limited {
-		free = min(free, float64(e.LoadLimit-e.Load.Tokens))
-	}
+	capacity := Capacity(m, e)
+	free := e.freeMemory(capacity)
 	c.layerCapacity = int(free / max(1, r.tokens()))
-	utilisation := 1 - (free-float64(e.EstimatedLoad.Tokens))/max(1, memoryShare*float64(Capacity(m, e)))
+	utilisation := 1 - (free-float64(e.EstimatedLoad.Tokens))/float64(max(1, capacity))
 	c.cost = (c.prefill + passWeight*c.decode) * (1 + 4*math.Pow(max(0, utilisation), 4))
 	if r.Random != nil {
 		c.cost *= 1 + costNoise*r.Random()
--- a/oleandercove/edge/pathfinder/pathfinder.go
+++ b/oleandercove/edge/pathfinder/pathfinder.go
@@ -35,8 +35,6 @@
 	crossingWeight = 20
 	// slotShare is the share of an engine's slots that chains which begin there may use.
 	slotShare = 0.95
-	// memoryShare is the share of an engine's request memory that chains may use.
-	memoryShare = 1.0
 	// costNoise is the largest random share that is added to an engine's cost.
 	costNoise = 0.1
 	// hopCostMillis is the cost of one more engine in a chain, in milliseconds.
@@ -152,7 +150,7 @@
 	best, cost := -1, math.Inf(1)
 	for i, e := range engines {
 		used := float64(e.Load.Tokens)
-		if e.Load.Running >= m.Slots || used+r.tokens() > memoryShare*float64(m.TokenCapacity) {
+		if e.Load.Running >= m.Slots || r.tokens() > e.freeMemory(unit.TokenLayers(m.TokenCapacity)) {
 			continue
 		}
 		c := e.Slowdown * (1 + float64(e.Load.Running) + used/float64(max(1, m.TokenCapacity)))
--- a/oleandercove/edge/pathfinder/pathfinder_test.go
+++ b/oleandercove/edge/pathfinder/pathfinder_test.go
@@ -249,7 +249,7 @@
 	m := model()
 	m.Slots = 0
 	e := engine("a", "x", 0, 40)
-	fits := int(memoryShare * float64(Capacity(m, e)) / float64(40*(prompt+typical)))
+	fits := int(float64(Capacity(m, e)) / float64(40*(prompt+typical)))
 	l := ledger.New()
 	admitted := 0
 	for range 2 * fits {
