gateway: log when a refused caller was told to return

Cause: the line of a refusal had no Retry-After, and a time left of minus 292 years where the route was not known yet. Change: the field retry_after, and 0 for a time left that is not known. TestTimeLeftWithoutDeadline fails before.

--- a/oleandercove/edge/gateway/events_test.go
+++ b/oleandercove/edge/gateway/events_test.go
@@ -86,3 +86,10 @@
 	r.read += len(p)
 	return copy(p, bytes.Repeat([]byte("x"), len(p))), nil
 }
+
+// Guards against a negative time of centuries in the log of a request that is refused
+// before its route is known.
+func TestTimeLeftWithoutDeadline(t *testing.T) {
+	is := is.New(t)
+	is.Equal((&job{}).timeLeft(), time.Duration(0))
+}
--- a/oleandercove/edge/gateway/gateway.go
+++ b/oleandercove/edge/gateway/gateway.go
@@ -244,8 +244,14 @@
 	return d
 }
 
-// timeLeft returns the time until the deadline of the request.
-func (j *job) timeLeft() time.Duration { return time.Until(j.deadline) }
+// timeLeft returns the time until the deadline of the request, or 0 if it is refused
+// before its route is known.
+func (j *job) timeLeft() time.Duration {
+	if j.deadline.IsZero() {
+		return 0
+	}
+	return time.Until(j.deadline)
+}
 
 // readBody reads the whole body, so that the request can be sent again and a slow
 // caller occupies no backend server.
--- a/oleandercove/edge/gateway/refusal.go
+++ b/oleandercove/edge/gateway/refusal.go
@@ -53,14 +53,15 @@
 // refuse answers the caller with a refusal by the router.
 func (j *job) refuse(err *verdict.Error) {
 	j.Meter.countRefusal(err.Reason)
+	delay := retryAfter(err.RetryAfter, j.timeLeft(), rand.Float64())
 	j.Log.Info("request refused", "id", j.call.Request, "content", j.fingerprint, "route", j.routeName(), "verdict", err.Verdict,
-		"reason", err.Reason, "detail", err.Detail, "after", time.Since(j.arrivedAt), "left", j.timeLeft())
+		"reason", err.Reason, "detail", err.Detail, "after", time.Since(j.arrivedAt), "left", j.timeLeft(), "retry_after", delay)
 	h := j.w.Header()
 	platform.SetRequestID(h, j.call.Request)
 	h.Set("Content-Type", jsonType)
 	status := statusOf(err.Reason)
 	if status == http.StatusServiceUnavailable || status == http.StatusTooManyRequests {
-		h.Set("Retry-After", retryAfter(err.RetryAfter, j.timeLeft(), rand.Float64()))
+		h.Set("Retry-After", delay)
 	}
 	if err.Reason == verdict.SlowBody || err.Reason == verdict.TooLarge {
 		h.Set("Connection", "close")
