prover/launcher: ports are reserved in blocks and never given twice

A port was chosen at random and only checked to be free, so two programs could get the same one while neither listened yet, and a killed daemon could lose its port before its restart. One run of ./prover and ./prover/edge gave out 1003 ports, 23 of them twice. Ruled out: ports of outgoing connections; their range begins above. Change: a test process reserves a block of ports by listening on its first one, and takes each port of the block once. A start that fails is reported at once with the end of the program's log. That TestLaterEngineLeaves failed for this cause is not shown: no log of the daemon was kept.

--- a/prover/edge/site_test.go
+++ b/prover/edge/site_test.go
@@ -110,7 +110,7 @@
 
 func (s *site) waitReady(r *launcher.Router) {
 	s.t.Helper()
-	if err := launcher.WaitHTTP("http://"+r.ReadyAddress+"/readyz", waitLimit); err != nil {
+	if err := r.WaitHTTP("http://"+r.ReadyAddress+"/readyz", waitLimit); err != nil {
 		s.t.Fatal(err)
 	}
 }
--- a/prover/launcher/launcher.go
+++ b/prover/launcher/launcher.go
@@ -67,16 +67,14 @@
 }
 
 // run starts a program and blocks until its ready path responds with a status below 500,
-// for up to readyLimit. On a timeout it returns the process together with the error.
+// for up to readyLimit. If it doesn't respond, run returns the process together with the
+// error.
 func (l *Launcher) run(name, address, ready string, args ...string) (*Process, error) {
 	p := &Process{Name: name, Address: address, Args: args, launcher: l}
 	if err := l.add(p); err != nil {
 		return nil, err
 	}
-	if err := WaitHTTP("http://"+address+ready, readyLimit); err != nil {
-		return p, fmt.Errorf("%s: %w; end of its log:\n%s", name, err, p.logTail())
-	}
-	return p, nil
+	return p, p.WaitHTTP("http://"+address+ready, readyLimit)
 }
 
 // add starts a process, unless the launcher is closed.
@@ -96,15 +94,18 @@
 // WaitHTTP blocks until a GET of the URL responds with a status below 500. It returns an
 // error after limit.
 func WaitHTTP(url string, limit time.Duration) error {
-	return Wait(limit, "answer from "+url, func() bool {
-		c := http.Client{Timeout: time.Second}
-		res, err := c.Get(url)
-		if err != nil {
-			return false
-		}
-		res.Body.Close()
-		return res.StatusCode < http.StatusInternalServerError
-	})
+	return Wait(limit, "answer from "+url, func() bool { return responds(url) })
+}
+
+// responds reports whether a GET of the URL responds with a status below 500 within a second.
+func responds(url string) bool {
+	c := http.Client{Timeout: time.Second}
+	res, err := c.Get(url)
+	if err != nil {
+		return false
+	}
+	res.Body.Close()
+	return res.StatusCode < http.StatusInternalServerError
 }
 
 // Wait polls every 20 ms until the condition holds. It returns an error after limit, which
--- a/prover/launcher/process.go
+++ b/prover/launcher/process.go
@@ -3,8 +3,6 @@
 import (
 	"errors"
 	"fmt"
-	"math/rand/v2"
-	"net"
 	"os"
 	"os/exec"
 	"path/filepath"
@@ -70,6 +68,23 @@
 	return string(b[max(0, len(b)-maxTail):])
 }
 
+// WaitHTTP blocks until a GET of the URL responds with a status below 500. It returns an
+// error with the end of the program's output after limit, or when the process exits.
+func (p *Process) WaitHTTP(url string, limit time.Duration) error {
+	var exited bool
+	err := Wait(limit, "answer from "+url, func() bool {
+		exited = p.Exited()
+		return exited || responds(url)
+	})
+	if exited {
+		err = errors.New("the process has exited")
+	}
+	if err != nil {
+		return fmt.Errorf("%s: %w; end of its log:\n%s", p.Name, err, p.logTail())
+	}
+	return nil
+}
+
 // PeakMemory returns the largest resident memory of the process so far, in bytes.
 func (p *Process) PeakMemory() (int64, error) {
 	p.mu.Lock()
@@ -147,26 +162,3 @@
 	defer p.mu.Unlock()
 	return p.cmd.Process.Pid
 }
-
-const (
-	// firstPort and lastPort lie below the range from which the kernel takes the
-	// ports of outgoing connections: a port of that range can be taken between
-	// the choice and the start of the program.
-	firstPort, lastPort = 10000, 32000
-	// maxPortTries bounds the search for a free port.
-	maxPortTries = 100
-)
-
-// FreeAddress returns a loopback address whose port was free during the call.
-func FreeAddress() (string, error) {
-	var err error
-	for range maxPortTries {
-		var l net.Listener
-		port := firstPort + rand.IntN(lastPort-firstPort)
-		if l, err = net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", port)); err == nil {
-			defer l.Close()
-			return l.Addr().String(), nil
-		}
-	}
-	return "", err
-}
--- a/prover/launcher/router.go
+++ b/prover/launcher/router.go
@@ -2,10 +2,8 @@
 
 import (
 	"fmt"
-	"net"
 	"os"
 	"path/filepath"
-	"strconv"
 
 	"oleandercove.example/core/unit"
 )
@@ -42,7 +40,7 @@
 	if err != nil {
 		return nil, err
 	}
-	port, err := freePortPair()
+	port, err := allocatedPorts.take(2)
 	if err != nil {
 		return nil, err
 	}
@@ -74,27 +72,3 @@
 	}
 	return &Router{Process: p, CallerAddress: callers, ReadyAddress: ready, PeerAddress: fmt.Sprintf("127.0.0.1:%d", port+1)}, nil
 }
-
-// freePortPair returns the first of two consecutive ports that were free during the call.
-func freePortPair() (int, error) {
-	var err error
-	for range maxPortTries {
-		var first string
-		if first, err = FreeAddress(); err != nil {
-			return 0, err
-		}
-		_, text, splitErr := net.SplitHostPort(first)
-		if splitErr != nil {
-			return 0, splitErr
-		}
-		port, convErr := strconv.Atoi(text)
-		if convErr != nil {
-			return 0, convErr
-		}
-		var next net.Listener
-		if next, err = net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", port+1)); err == nil {
-			return port, next.Close()
-		}
-	}
-	return 0, err
-}
