prover/edge: TestLeavingNotice makes the store unavailable after its first requests

Cause: a scene failed beside a load average of 10: 503 for streams, because daemons stop serving keys that were not confirmed for 4.5 s, and the outage also contained the wait for the first 40 requests. Change: the outage begins after that wait. It still covers the whole time in which the server is leaving, and the checks are unchanged.

--- a/prover/edge/signals_test.go
+++ b/prover/edge/signals_test.go
@@ -177,8 +177,10 @@
 			is := is.New(t)
 			s := newSiteWith(t, 2, imitator.Options{DataCentres: []string{"x", "y"}, Engines: 4, Servers: 4})
 			c := s.startLoad(tt.kind, 4)
-			tt.before(s)
 			s.waitFor("requests before the leaving notice", func() bool { return len(s.Runs.Arrivals()) > 40 })
+			// Daemons serve keys for some seconds only without the store, so the outage must not
+			// include the wait before.
+			tt.before(s)
 			p := s.busiest()
 			if tt.kind == "stream" {
 				s.pickEngine(true).LeavingNotice.Store(true)
