prober, gateway: an engine named in a rejection is probed at once, with a short timeout

An engine that goes dark at 16.0, 26.0 or 15.0 s is rejected within 20 to 150 ms and found after 470 ms. Ruled out: the observer, which finds a crash within 4 ms, but runs only on the holder of the lease (the holder had been lost before), and sees no dark engine before its timeouts (400 ms). Change: a rejection that names a later engine starts a probe of it; so does a peer's report. Such a suspect is asked twice (once after a peer's report) with 30 ms each instead of twice with 200 ms. TestNamedEngineIsSilent, TestRejectionNamesDownEngine: without the change there is no probe.

--- a/oleandercove/edge/gateway/recover.go
+++ b/oleandercove/edge/gateway/recover.go
@@ -250,7 +250,7 @@
 		if id, ok := s.Directory.Servers().IDByAddress(fault); ok {
 			s.excludeEngine(id)
 			// The engine may lack free capacity, or it may be down.
-			s.Prober.ProbeSuspect(id)
+			s.Prober.ProbeRejecting(id)
 		}
 		return false
 	}
--- a/oleandercove/edge/gateway/relay.go
+++ b/oleandercove/edge/gateway/relay.go
@@ -126,6 +126,10 @@
 	} else {
 		s.Judge.SetFull(id, s.Ledger.Load(id).Tokens-s.path.TokensOn(id), s.Timer.Now())
 	}
+	// The first engine has responded itself; one that it names may be down.
+	if id != s.chain[0].ID {
+		s.Prober.ProbeRejecting(id)
+	}
 	s.Log.Info("engine rejected its part", "id", s.call.Request, "engine", id, "status", status, "sends", s.sends)
 	s.failure = errRejected
 	if s.useFallback() {
--- a/oleandercove/edge/gateway/stream_test.go
+++ b/oleandercove/edge/gateway/stream_test.go
@@ -2,8 +2,11 @@
 
 import (
 	"context"
+	"encoding/json"
 	"io"
 	"net/http"
+	"sync"
+	"syscall"
 	"testing"
 	"time"
 
@@ -11,6 +14,7 @@
 
 	"oleandercove.example/core/backend"
 	"oleandercove.example/core/logger"
+	objects "oleandercove.example/core/platform"
 	"oleandercove.example/core/routing"
 	"oleandercove.example/core/timer"
 	"oleandercove.example/core/unit"
@@ -21,6 +25,7 @@
 	"oleandercove.example/oleandercove/edge/judge"
 	"oleandercove.example/oleandercove/edge/ledger"
 	"oleandercove.example/oleandercove/edge/pathfinder"
+	"oleandercove.example/oleandercove/edge/prober"
 	"oleandercove.example/oleandercove/edge/screener"
 	"oleandercove.example/oleandercove/quarantiner"
 )
@@ -203,3 +208,56 @@
 	is.Equal(s.refusal(err).Verdict, verdict.MayHaveRun) // it has already run
 	is.Equal(s.sends, 2)
 }
+
+// countedEngines refuses all connections and counts the requests for reports by address.
+type countedEngines struct {
+	mu       sync.Mutex
+	requests map[backend.Address]int
+}
+
+func (e *countedEngines) Report(_ context.Context, a backend.Address) (backend.Report, error) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.requests[a]++
+	return backend.Report{}, syscall.ECONNREFUSED
+}
+
+// Guards against streams that wait until their own silence is noticed although a rejection
+// has already named the engine that is down: a new request reaches its chain within some
+// milliseconds, while a silence is distinguished from a slow pass after a quarter of a second.
+func TestRejectionNamesDownEngine(t *testing.T) {
+	const head, tail backend.Address = "10.0.0.1:1", "10.0.0.2:1"
+	tests := []struct {
+		name   string
+		status int
+		by     backend.Address
+		want   map[backend.Address]int
+	}{
+		{"the first engine names a later one", http.StatusServiceUnavailable, tail, map[backend.Address]int{tail: 1}},
+		{"the first engine is full itself", http.StatusServiceUnavailable, head, map[backend.Address]int{}},
+		{"the rejection names no engine", http.StatusServiceUnavailable, "", map[backend.Address]int{}},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			s, j := newTestStream(t, 0)
+			entry := func(name string, a backend.Address) objects.Object {
+				return objects.Object{Name: name, Revision: 6, Value: json.RawMessage(`{"service":"model","state":"ready","address":"` + string(a) + `"}`)}
+			}
+			is.NoErr(s.Directory.Install(5, json.RawMessage(`{"version":1,"services":[{"name":"model","engine":{"layers":4}}]}`), s.Timer.Now()))
+			s.Directory.Replace([]objects.Object{entry("head", head), entry("tail", tail)}, s.Timer.Now(), s.Timer.Now())
+			e := &countedEngines{requests: map[backend.Address]int{}}
+			down := make(chan unit.BackendID, 1)
+			s.Prober = prober.New(prober.Options{
+				Engines: e, Directory: s.Directory, Judge: j, Timer: s.Timer, Log: logger.Discard(), OnDown: func(id unit.BackendID) { down <- id },
+			})
+			s.handleRejection(tt.status, backend.ResponseMetadata{NotRun: true, RefusedBy: tt.by})
+			if len(tt.want) > 0 {
+				is.Equal(<-down, unit.BackendID("tail"))
+			}
+			e.mu.Lock()
+			defer e.mu.Unlock()
+			is.Equal(e.requests, tt.want)
+		})
+	}
+}
--- a/oleandercove/edge/prober/prober_test.go
+++ b/oleandercove/edge/prober/prober_test.go
@@ -35,7 +35,7 @@
 	return backend.Report{}, e.answer(n)
 }
 
-func newProber(e *engines) (*Prober, *judge.Judge, *timer.Manual) {
+func newProber(e Engines) (*Prober, *judge.Judge, *timer.Manual) {
 	d, j, m := directory.New(logger.Discard()), judge.New(), timer.NewManual(time.Unix(1000, 0))
 	config := json.RawMessage(`{"version":1,"services":[{"name":"model","engine":{"layers":4}},{"name":"plain"}]}`)
 	if err := d.Install(5, config, m.Now()); err != nil {
@@ -104,12 +104,63 @@
 	is := is.New(t)
 	e := &engines{answer: func(int64) error { return nil }}
 	p, j, m := newProber(e)
-	p.ProbeSuspect("b")
-	p.ProbeSuspect("unknown")
+	p.ProbeReported("b")
+	p.ProbeReported("unknown")
 	is.Equal(e.requests.Load(), int64(0))
-	p.ProbeSuspect("a")
-	_, err := p.Report(t.Context(), "a", "10.0.0.1:1")
-	is.NoErr(err)
+	p.ProbeReported("a")
+	<-p.probeFor("a", target{address: "10.0.0.1:1", limits: reportedLimits}).done
+	is.True(!j.IsDown("a", m.Now()))
+	is.Equal(e.requests.Load(), int64(1))
+}
+
+// silentEngines answers no request and counts them.
+type silentEngines struct{ requests atomic.Int64 }
+
+func (e *silentEngines) Report(ctx context.Context, _ backend.Address) (backend.Report, error) {
+	e.requests.Add(1)
+	<-ctx.Done()
+	return backend.Report{}, ctx.Err()
+}
+
+// Guards against streams that pause for longer than their routes allow, which happens when
+// an engine in the middle of their chains falls silent, another engine or a peer names it,
+// and it is still given as much time to answer as any other engine.
+func TestNamedEngineIsSilent(t *testing.T) {
+	tests := []struct {
+		name     string
+		do       func(*Prober)
+		requests int64
+	}{
+		{"another engine names it in a rejection", func(p *Prober) { p.ProbeRejecting("a") }, 2},
+		{"a peer considers it down", func(p *Prober) { p.ProbeReported("a") }, 1},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			e := &silentEngines{}
+			p, j, m := newProber(e)
+			down := make(chan unit.BackendID, 1)
+			p.OnDown = func(id unit.BackendID) { down <- id }
+			tt.do(p)
+			select {
+			case id := <-down:
+				is.Equal(id, unit.BackendID("a"))
+			case <-time.After(5 * time.Second):
+				t.Fatal("the engine does not count as down")
+			}
+			is.True(j.IsDown("a", m.Now()))
+			is.Equal(e.requests.Load(), tt.requests)
+		})
+	}
+}
+
+// Guards against a full engine that is excluded because it is named in a rejection.
+func TestNamedEngineAnswers(t *testing.T) {
+	is := is.New(t)
+	e := &engines{answer: func(int64) error { return nil }}
+	p, j, m := newProber(e)
+	p.ProbeRejecting("a")
+	<-p.probeFor("a", target{address: "10.0.0.1:1", limits: rejectedLimits}).done
 	is.True(!j.IsDown("a", m.Now()))
 	is.Equal(e.requests.Load(), int64(1))
 }
