leaser, announcer: the lease of a stopped process is taken at once

The store is down from 18 to 26 s, so nobody gives orders. The holder and two other daemons of its data centre are stopped and started in turn from 19 to 29 s; the holder can't release its lease. Each restart moves the ranks of the daemons that watch the lease, and each new watcher waits for a full term of its own: the lease is taken at 31.5 s, 5.5 s after the store is back. Meanwhile all three data centres lack layers. Ruled out: engines (orders begin within 0.1 s once there is a holder), the link between data centres. Change: a lease names the process of its holder by the incarnation in its beacons. A process that has announced its shutdown, or whose host sends beacons of another process, has stopped; its lease is taken at the next step, one step later for each rank, and the limit for orders in flight is waited for as before. TestHolderHasStopped and TestHasStopped; without the change the first case waits for the term.

--- a/oleandercove/edge/announcer/hosts.go
+++ b/oleandercove/edge/announcer/hosts.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"errors"
 	"net"
+	"strconv"
 	"time"
 
 	objects "oleandercove.example/core/platform"
@@ -46,6 +47,33 @@
 	return !a.Timer.Now().Before(a.settledAt)
 }
 
+// Process returns the id of this process, which distinguishes it from others of its host.
+func (a *Announcer) Process() string { return processID(a.incarnation) }
+
+func processID(incarnation uint64) string { return strconv.FormatUint(incarnation, 16) }
+
+// HasStopped reports whether a process of a host is known to have stopped its controllers:
+// it has announced that it shuts down, or the host has sent beacons of another process
+// lately. An old beacon of the other process can arrive after a new one, so the answer may
+// be wrong for some hundred milliseconds after a restart.
+func (a *Announcer) HasStopped(host unit.HostID, process string) bool {
+	now := a.Timer.Now()
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	for _, p := range a.peers {
+		if p.host != host {
+			continue
+		}
+		if processID(p.incarnation) == process {
+			return p.leaving
+		}
+		if p.isLive(now) {
+			return true
+		}
+	}
+	return false
+}
+
 // Registry is the part of the store in which hosts register.
 type Registry interface {
 	// ListStale returns all objects of a kind as they were up to some seconds ago.
--- a/oleandercove/edge/announcer/receive_test.go
+++ b/oleandercove/edge/announcer/receive_test.go
@@ -87,3 +87,35 @@
 		})
 	}
 }
+
+// Guards against a lease that is taken from a running process, which happens when the
+// beacons of its host are missing or are those of the process before it, and against repairs
+// that wait although the process is known to have stopped.
+func TestHasStopped(t *testing.T) {
+	const first, second = 1, 2
+	tests := []struct {
+		name string
+		peer peerState
+		age  time.Duration
+		want bool
+	}{
+		{"the process is live", peerState{host: "entry-1", incarnation: first}, 0, false},
+		{"the process is silent", peerState{host: "entry-1", incarnation: first}, time.Minute, false},
+		{"the process is shutting down", peerState{host: "entry-1", incarnation: first, leaving: true}, 0, true},
+		{"the process has shut down", peerState{host: "entry-1", incarnation: first, leaving: true}, time.Minute, true},
+		{"another process of the host is live", peerState{host: "entry-1", incarnation: second}, 0, true},
+		{"another process of the host was live before", peerState{host: "entry-1", incarnation: second}, time.Minute, false},
+		{"another process of the host is shutting down", peerState{host: "entry-1", incarnation: second, leaving: true}, 0, false},
+		{"the host is unknown", peerState{host: "entry-2", incarnation: second}, 0, false},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			clock := timer.NewManual(time.Unix(1000, 0))
+			tt.peer.lastHeard = clock.Now()
+			a := &Announcer{Options: Options{Timer: clock}, peers: map[string]*peerState{"10.1.0.41:7340": &tt.peer}}
+			clock.Advance(tt.age)
+			is.Equal(a.HasStopped("entry-1", processID(first)), tt.want)
+		})
+	}
+}
--- a/oleandercove/edge/runner/runner.go
+++ b/oleandercove/edge/runner/runner.go
@@ -49,7 +49,7 @@
 )
 
 const (
-	// leaseTerm is the term of the placement lease. After a crash of the holder,
+	// leaseTerm is the term of the placement lease. After the loss of the holder's host,
 	// repairs wait for the end of the term.
 	leaseTerm = 2 * time.Second
 	// orderLimit is the longest time that an order may take; a new holder of the lease
@@ -171,6 +171,7 @@
 func (r *Runner) newLeaser(store objects.Client) *leaser.Leaser {
 	return leaser.New(leaser.Options{
 		Platform: store, Timer: r.timer, Log: r.log.WithPrefix("leaser"), Self: r.settings.Host,
+		Process: r.announcer.Process(), HasStopped: r.announcer.HasStopped,
 		Hosts:         r.liveHosts,
 		HostsInterval: liveHostsInterval,
 		Shards:        1, ShardsPerObject: 1, Term: leaseTerm, OrderLimit: orderLimit,
--- a/oleandercove/leaser/lease.go
+++ b/oleandercove/leaser/lease.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"strings"
 	"time"
 
 	"oleandercove.example/core/clock"
@@ -28,12 +29,27 @@
 	version unit.Version
 	// versionSeen is when this daemon first read the version.
 	versionSeen time.Time
-	held        bool
+	// stoppedSince is when this daemon first noticed that the holder has stopped; zero if it
+	// has not.
+	stoppedSince time.Time
+	held         bool
 	// Orders are allowed from ordersFrom until expiry, on this daemon's clock.
 	expiry, ordersFrom time.Time
 	fence              unit.Fence
 }
 
+// holderSeparator separates the host and the process of a holder.
+const holderSeparator = "/"
+
+// splitHolder returns the host and the process of a holder.
+func splitHolder(holder string) (unit.HostID, string) {
+	i := strings.LastIndex(holder, holderSeparator)
+	if i < 0 {
+		return unit.HostID(holder), ""
+	}
+	return unit.HostID(holder[:i]), holder[i+len(holderSeparator):]
+}
+
 func objectName(index int) string { return fmt.Sprintf("shards-%d", index) }
 
 // writeLease sends one conditional update and returns the time just before it was sent.
@@ -113,10 +129,10 @@
 	return o, r, nil
 }
 
-// watchLease reads a lease that this daemon does not hold, and takes it once it is released
-// or its version has not changed for the full term. Daemons of a lower rank wait longer, so
-// that they don't compete. A lease whose record already names this process is taken at once.
-// watchLease reports whether the lease is now held.
+// watchLease reads a lease that this daemon does not hold, and takes it once it is released,
+// its holder has stopped, or its version has not changed for the full term. Daemons of a lower
+// rank wait longer, so that they don't compete. A lease whose record already names this
+// process is taken at once. watchLease reports whether the lease is now held.
 func (l *Leaser) watchLease(ctx context.Context, c *lease, rank int) bool {
 	o, r, err := l.readLease(ctx, c)
 	if err != nil {
@@ -137,12 +153,26 @@
 	if r.Holder == l.holder {
 		return l.takeLease(ctx, c, l.options.OrderLimit)
 	}
-	if !free && waited >= l.takeoverWait()+delay {
+	if !free && (waited >= l.takeoverWait()+delay || l.hasStoppedFor(c, r, delay)) {
 		return l.takeLease(ctx, c, l.options.OrderLimit)
 	}
 	return false
 }
 
+// hasStoppedFor reports whether the holder is known to have stopped, for at least the given
+// time.
+func (l *Leaser) hasStoppedFor(c *lease, r record, d time.Duration) bool {
+	now := l.options.Timer.Now()
+	switch {
+	case !l.options.HasStopped(splitHolder(r.Holder)):
+		c.stoppedSince = time.Time{}
+		return false
+	case c.stoppedSince.IsZero():
+		c.stoppedSince = now
+	}
+	return now.Sub(c.stoppedSince) >= d
+}
+
 // takeoverWait returns how long the version must be unchanged: the term on the holder's
 // clock, which may be slower than this daemon's.
 func (l *Leaser) takeoverWait() time.Duration {
--- a/oleandercove/leaser/leaser.go
+++ b/oleandercove/leaser/leaser.go
@@ -12,6 +12,13 @@
 //   - Another daemon takes the lease once it is released, or once its version has not changed
 //     for the full term on that daemon's clock. Clocks of different hosts are never
 //     compared.
+//   - It takes the lease of a process that is known to have stopped without waiting for the
+//     term.
+//
+// Load pattern: the platform is unavailable for longer than a term while a rolling restart
+// stops the holder and the daemons that watch its lease. The holder can't release the lease,
+// and each new watcher would wait for a full term after the outage, while engines are lost
+// and not replaced.
 //
 // Usage:
 //
@@ -103,6 +110,11 @@
 	// list is read no lease is watched, because a daemon whose list contains only itself
 	// would watch every lease.
 	Hosts func(ctx context.Context) ([]unit.HostID, error)
+	// Process identifies this process in the leases that it holds; empty means a random id.
+	Process string
+	// HasStopped reports whether a process of a host is known to have stopped sending orders
+	// for good, apart from those in flight. nil means that this is never known.
+	HasStopped func(host unit.HostID, process string) bool
 	// HostsInterval is the maximum time between two calls of Hosts.
 	HostsInterval   time.Duration
 	Shards          int
@@ -127,6 +139,12 @@
 	if o.Clock == nil {
 		o.Clock = clock.New(o.Timer)
 	}
+	if o.Process == "" {
+		o.Process = uuid.NewString()
+	}
+	if o.HasStopped == nil {
+		o.HasStopped = func(unit.HostID, string) bool { return false }
+	}
 }
 
 func setDefault[T int | time.Duration](v *T, d T) {
@@ -156,7 +174,7 @@
 // New returns a Leaser that holds nothing.
 func New(o Options) *Leaser {
 	o.setDefaults()
-	l := &Leaser{options: o, holder: string(o.Self) + "/" + uuid.NewString()}
+	l := &Leaser{options: o, holder: string(o.Self) + holderSeparator + o.Process}
 	for i := range (o.Shards + o.ShardsPerObject - 1) / o.ShardsPerObject {
 		l.leases = append(l.leases, &lease{index: i})
 	}
--- a/oleandercove/leaser/leaser_test.go
+++ b/oleandercove/leaser/leaser_test.go
@@ -309,3 +309,78 @@
 	steps()
 	is.True(s.object.Version > 0)
 }
+
+// Guards against orders that are missing for seconds, which happens when the store is down
+// while the holder is stopped, so that it can't release its lease, and the other daemons
+// begin to watch the lease only after the outage. Guards also against two daemons that send
+// orders, when a process only looks stopped.
+func TestHolderHasStopped(t *testing.T) {
+	tests := []struct {
+		name    string
+		stopped string
+		wait    time.Duration
+		taken   bool
+	}{
+		{"its process has stopped", "run-1", 0, true},
+		{"another process of its host has stopped", "run-0", 0, false},
+		{"nothing is known, the term has not passed", "", term - time.Second, false},
+		{"nothing is known, the term has passed", "", term + time.Second, true},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			s, clock := &store{}, timer.NewManual(time.Unix(1000, 0))
+			newLeaser := func(self unit.HostID, process string) *leaser.Leaser {
+				return leaser.New(leaser.Options{
+					Platform: s, Timer: clock, Log: log.New(io.Discard), Self: self, Process: process, Shards: 1, ShardsPerObject: 1, Term: term, OrderLimit: orderLimit,
+					Hosts: func(context.Context) ([]unit.HostID, error) { return []unit.HostID{self}, nil },
+					HasStopped: func(host unit.HostID, process string) bool {
+						return host == "entry-1" && process == tt.stopped
+					},
+				})
+			}
+			newLeaser("entry-1", "run-1").Step(t.Context())
+			is.Equal(s.object.Version, unit.Version(1))
+			next := newLeaser("entry-2", "run-1")
+			next.Step(t.Context())
+			clock.Advance(tt.wait)
+			next.Step(t.Context())
+			is.Equal(s.object.Version > 1, tt.taken)
+			_, err := next.Check(0)
+			is.True(err != nil) // an order of the stopped process may be in flight
+			clock.Advance(orderLimit + orderLimit/10)
+			_, err = next.Check(0)
+			is.Equal(err == nil, tt.taken)
+		})
+	}
+}
+
+// Guards against daemons that all write at once when a holder stops: those of a lower rank
+// wait for the first one.
+func TestRanksAfterStop(t *testing.T) {
+	is := is.New(t)
+	s, clock := &store{}, timer.NewManual(time.Unix(1000, 0))
+	live := []unit.HostID{"entry-2", "entry-3", "entry-4"}
+	var order []unit.HostID
+	for rank := range live {
+		for _, h := range live {
+			if leaser.Rank(live, "shards-0", h) == rank {
+				order = append(order, h)
+			}
+		}
+	}
+	newLeaser := func(self unit.HostID, hosts []unit.HostID) *leaser.Leaser {
+		return leaser.New(leaser.Options{
+			Platform: s, Timer: clock, Log: log.New(io.Discard), Self: self, Process: "run", Shards: 1, ShardsPerObject: 1, Term: term, OrderLimit: orderLimit,
+			Hosts:      func(context.Context) ([]unit.HostID, error) { return hosts, nil },
+			HasStopped: func(host unit.HostID, _ string) bool { return host == "entry-1" },
+		})
+	}
+	newLeaser("entry-1", []unit.HostID{"entry-1"}).Step(t.Context())
+	for _, h := range []unit.HostID{order[2], order[1]} {
+		newLeaser(h, live).Step(t.Context())
+		is.Equal(s.object.Version, unit.Version(1)) // left to the daemon of rank 0
+	}
+	newLeaser(order[0], live).Step(t.Context())
+	is.Equal(s.object.Version, unit.Version(2))
+}
