pacer: streams that can still be on time are rerouted first

Cause: the streams of a lost engine were spread evenly over up to 1.1 s, because they are late in any case. Change: pacer.Delay reroutes at once as many streams as can be prefilled while they are on time, by the longest gap of the route, the silence so far and the expected first event. The others are spread as before.

--- a/oleandercove/edge/gateway/recover.go
+++ b/oleandercove/edge/gateway/recover.go
@@ -106,18 +106,23 @@
 	}
 }
 
-// recoveryDelay returns a random delay within the time over which the streams of the
-// engines that are down are spread; see pacer.Spread.
+// recoveryDelay returns how long the stream waits for its reroute; see pacer.Delay.
 func (s *stream) recoveryDelay() time.Duration {
 	now, m := s.Timer.Now(), s.service.Engine
 	servers := s.Directory.Servers()
-	var window time.Duration
+	random := rand.Float64()
+	var longest time.Duration
 	for _, h := range s.chain {
-		if x, ok := servers.Get(h.ID); ok && s.Judge.IsDown(h.ID, now) {
-			window = max(window, pacer.Spread(m, m.Card(x.Card), s.Ledger.Load(h.ID), time.Since(s.lastProgressAt)))
+		x, ok := servers.Get(h.ID)
+		if !ok || !s.Judge.IsDown(h.ID, now) {
+			continue
 		}
+		longest = max(longest, pacer.Delay(pacer.Loss{
+			Model: m, Card: m.Card(x.Card), Load: s.Ledger.Load(h.ID),
+			Silent: time.Since(s.lastProgressAt), MaxGap: s.route.MaxEventGap, FirstEvent: s.path.TimeToFirstEvent.Duration(),
+		}, random))
 	}
-	return time.Duration(rand.Float64() * float64(window))
+	return longest
 }
 
 // replaceDownEngines takes the engines that are down out of the chain. It tries in this
--- a/oleandercove/edge/pacer/pacer.go
+++ b/oleandercove/edge/pacer/pacer.go
@@ -1,20 +1,22 @@
-// Package pacer decides over how long a time the rerouting of a lost engine's streams to
-// other chains is spread.
+// Package pacer decides how long the streams of a lost engine wait before they are rerouted
+// to other chains.
 //
-// Spread is a pure function of the model, the card, the load of the lost engine and the
-// time for which the caller has received nothing.
+// Delay is a pure function of the model, the card and the load of the lost engine, the time
+// for which the caller has received nothing, and a random number.
 //
 // Load pattern: an engine is lost while some hundred streams cross it. The few engines
 // that hold the same layers have to repeat the prefill of all their tokens so far, and all
-// other requests on these engines wait for that. The lost streams are late in any case,
-// because detecting the silence and the prefill take longer than their objective. Rerouted
-// all at once, they would also delay requests that have just arrived; spread over a part
-// of the time for which callers wait, they don't.
+// other requests on these engines wait for that.
+//
+//   - Some streams can still continue within the longest gap that their route allows. As
+//     many as the engines can prefill in that time are rerouted at once.
+//   - The others are late in any case. Rerouted all at once, they would delay the first
+//     ones and requests that have just arrived, and take the memory of other copies while the
+//     lost layers are loaded. They are spread over a part of the time for which callers wait.
 //
 // Usage:
 //
-//	spread := pacer.Spread(model, card, load, silent)
-//	wait := time.Duration(rand.Float64() * float64(spread))
+//	wait := pacer.Delay(pacer.Loss{Model: model, Card: card, Load: load, Silent: silent}, rand.Float64())
 package pacer
 
 import (
@@ -29,18 +31,57 @@
 	// prefill in chunks between the decode steps of other streams, and those steps need
 	// time too.
 	spreadFactor = 4
+	// onTimeFactor is the ratio of the time until the streams that are rerouted at once have
+	// been prefilled to the time of the prefill alone.
+	onTimeFactor = 2
 	// maxSilence is the silence after which every stream must have been rerouted.
 	// Callers disconnect after two seconds, and the prefill takes some hundred ms.
 	maxSilence = 1100 * time.Millisecond
 )
 
-// Spread returns the time over which the streams of a lost engine are rerouted, for a
-// caller that has received nothing for the time silent. It is zero for a model without a
-// prefill rate or layers, and after maxSilence.
-func Spread(m *routing.Engine, card routing.Card, lost ledger.Load, silent time.Duration) time.Duration {
-	if m.PrefillRate <= 0 || m.Layers <= 0 {
+// Loss describes a lost engine and one of the streams that crossed it.
+type Loss struct {
+	Model *routing.Engine
+	// Card and Load are those of the lost engine.
+	Card routing.Card
+	Load ledger.Load
+	// Silent is how long the caller has received nothing.
+	Silent time.Duration
+	// MaxGap is the longest time between two events of a response that is on time; 0 means
+	// that there is no limit.
+	MaxGap time.Duration
+	// FirstEvent is the expected time from a send to the first event.
+	FirstEvent time.Duration
+}
+
+// Delay returns how long a stream waits, for a random number in [0, 1) that differs from
+// stream to stream. It is zero for a model without a prefill rate or layers, and after
+// maxSilence.
+func Delay(l Loss, random float64) time.Duration {
+	prefill := l.prefillTime()
+	share := l.onTimeShare(prefill)
+	if random < share {
+		return 0
+	}
+	spread := max(0, min(spreadFactor*prefill, maxSilence-l.Silent))
+	return time.Duration((random - share) / (1 - share) * float64(spread))
+}
+
+// prefillTime returns the time that the lost engine would need to prefill all its tokens.
+func (l Loss) prefillTime() time.Duration {
+	if l.Model.PrefillRate <= 0 || l.Model.Layers <= 0 {
+		return 0
+	}
+	t := float64(l.Load.Tokens) * l.Card.PrefillFactor / (l.Model.PrefillRate * float64(l.Model.Layers))
+	return routing.Milliseconds(t).Duration()
+}
+
+// onTimeShare returns the share of the streams that can be prefilled on other engines while
+// they are on time.
+func (l Loss) onTimeShare(prefill time.Duration) float64 {
+	left := l.MaxGap - l.Silent - l.FirstEvent
+	if left <= 0 {
 		return 0
 	}
-	prefill := routing.Milliseconds(float64(lost.Tokens) * card.PrefillFactor / (m.PrefillRate * float64(m.Layers)))
-	return max(0, min(spreadFactor*prefill.Duration(), maxSilence-silent))
+	return min(1, float64(left)/float64(max(1, onTimeFactor*prefill)))
 }
