gateway: refusals before the route is known say when to return

Cause: the time left was 0 until the route was known, and a Retry-After is at most a third of it. Refusals of a daemon that starts or shuts down, and those for keys that the store can't confirm, said Retry-After: 0.00. Change: the deadline is that of the caller until the route is known. A daemon without a configuration says 0.15 s instead of 0.5 s, which is still within usual objectives. TestRetryAfterWithoutRoute fails in its three rows without the change.

--- a/oleandercove/edge/gateway/gateway.go
+++ b/oleandercove/edge/gateway/gateway.go
@@ -127,7 +127,9 @@
 	// keys were confirmed recently.
 	authenticated bool
 	arrivedAt     time.Time
-	deadline      time.Time
+	// deadline is that of the caller until the route is known, and at most that of the
+	// route then.
+	deadline time.Time
 }
 
 // ServeHTTP answers one request.
@@ -135,6 +137,7 @@
 	g.active.Add(1)
 	defer g.active.Add(-1)
 	j := &job{Gateway: g, w: w, r: r, call: platform.DecodeCall(r.Header), arrivedAt: time.Now()}
+	j.deadline = j.arrivedAt.Add(j.timeout())
 	if g.keepAlivesDisabled.Load() {
 		w.Header().Set("Connection", "close")
 	}
@@ -232,20 +235,19 @@
 }
 
 // timeout returns the time limit of the request: the timeout of the caller or else
-// defaultDeadline, and at most the timeout of the route if it has one.
+// defaultDeadline, and at most the timeout of the route if it is known and has one.
 func (j *job) timeout() time.Duration {
 	d := defaultDeadline
 	if j.call.Timeout > 0 {
 		d = j.call.Timeout
 	}
-	if j.route.Timeout > 0 {
+	if j.route != nil && j.route.Timeout > 0 {
 		d = min(d, j.route.Timeout)
 	}
 	return d
 }
 
-// timeLeft returns the time until the deadline of the request, or 0 if it is refused
-// before its route is known.
+// timeLeft returns the time until the deadline of the request, or 0 if it has none.
 func (j *job) timeLeft() time.Duration {
 	if j.deadline.IsZero() {
 		return 0
--- a/oleandercove/edge/gateway/refusal.go
+++ b/oleandercove/edge/gateway/refusal.go
@@ -16,9 +16,9 @@
 )
 
 const (
-	// startingRetryAfter is when callers may retry at a daemon that has no
-	// configuration yet.
-	startingRetryAfter = 500 * time.Millisecond
+	// startingRetryAfter is when callers may retry at a daemon that has no configuration
+	// yet. It reads one within some milliseconds of its start.
+	startingRetryAfter = 150 * time.Millisecond
 	// drainingRetryAfter is when callers of a daemon that shuts down may retry; their
 	// next connection goes to another daemon.
 	drainingRetryAfter = 50 * time.Millisecond
--- a/oleandercove/edge/gateway/refusal_test.go
+++ b/oleandercove/edge/gateway/refusal_test.go
@@ -2,11 +2,13 @@
 
 import (
 	"bytes"
+	"encoding/json"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"strconv"
 	"strings"
 	"testing"
 	"time"
@@ -15,7 +17,10 @@
 	"github.com/matryer/is"
 	"github.com/uber-go/tally/v4"
 
+	"oleandercove.example/core/logger"
+	"oleandercove.example/core/timer"
 	"oleandercove.example/core/verdict"
+	"oleandercove.example/oleandercove/edge/directory"
 )
 
 // Guards against a refusal that is lost, which happens when the connection is reset
@@ -82,3 +87,45 @@
 	got, err := io.ReadAll(c)
 	return string(got), took, err
 }
+
+// Guards against callers that are told to retry at once and are refused again, which happens
+// when a request is refused before its route is known: while the daemon starts or shuts down,
+// and while the store is unavailable for longer than keys may be unconfirmed.
+func TestRetryAfterWithoutRoute(t *testing.T) {
+	const callerTimeout = 20 * time.Second
+	install := func(g *Gateway, confirmed time.Duration) {
+		config := `{"version":1,"services":[{"name":"s"}],"tenants":[{"name":"t","api_keys":["k"]}],"routes":[{"name":"r","hostname":"x","path_prefix":"/","service":"s"}]}`
+		if err := g.Directory.Install(5, json.RawMessage(config), g.Timer.Now().Add(-confirmed)); err != nil {
+			t.Fatal(err)
+		}
+	}
+	tests := []struct {
+		name   string
+		before func(*Gateway)
+		want   time.Duration
+	}{
+		{"no configuration is known", func(*Gateway) {}, startingRetryAfter},
+		{"the daemon shuts down", func(g *Gateway) { g.RefuseNewRequests() }, drainingRetryAfter},
+		{"keys are not confirmed", func(g *Gateway) { install(g, time.Minute) }, staleKeysRetryAfter},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			g := &Gateway{Options: Options{
+				Log: logger.Discard(), Meter: NewMeter(tally.NoopScope), Directory: directory.New(logger.Discard()), Timer: timer.NewReal(), KeyRevocation: 5 * time.Second,
+			}}
+			tt.before(g)
+			r := httptest.NewRequest(http.MethodGet, "/a", nil)
+			r.Host = "x"
+			r.Header.Set("Authorization", "Bearer k")
+			r.Header.Set("X-Oleandercove-Deadline-Ms", strconv.FormatInt(callerTimeout.Milliseconds(), 10))
+			w := httptest.NewRecorder()
+			g.ServeHTTP(w, r)
+			is.Equal(w.Code, http.StatusServiceUnavailable)
+			seconds, err := strconv.ParseFloat(w.Header().Get("Retry-After"), 64)
+			is.NoErr(err)
+			is.True(seconds >= tt.want.Seconds())
+			is.True(seconds <= (1+retryAfterJitter)*tt.want.Seconds())
+		})
+	}
+}
