ledger, announcer: the number of other daemons is known before the first round of beacons

The estimate of load that other daemons have not reported yet counts them from the first round of beacons only, 250 ms after the start, when the callers have already returned. Ruled out: peers that are not found (half of them after 0.04 and 0.2 s). Change: the number is set when a peer becomes known. TestOtherDaemonsAtStart: without the change the estimate is zero.

--- a/oleandercove/edge/announcer/announcer.go
+++ b/oleandercove/edge/announcer/announcer.go
@@ -278,7 +278,8 @@
 // entries of the ledger.
 func (a *Announcer) sendRound(now time.Time) {
 	a.Ledger.Expire(now)
-	a.Ledger.NextRound(a.knownPeers())
+	a.Ledger.SetOtherDaemons(a.knownPeers())
+	a.Ledger.NextRound()
 	a.sendTo(a.targets(now), now)
 }
 
--- a/oleandercove/edge/announcer/hosts.go
+++ b/oleandercove/edge/announcer/hosts.go
@@ -101,6 +101,14 @@
 		a.Log.Warn("peer address is invalid", "address", address, "err", err)
 		return false
 	}
+	if !a.insertPeer(address, udp) {
+		return false
+	}
+	a.Ledger.SetOtherDaemons(a.knownPeers())
+	return true
+}
+
+func (a *Announcer) insertPeer(address string, udp *net.UDPAddr) bool {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	if a.peers[address] != nil {
--- a/oleandercove/edge/announcer/receive_test.go
+++ b/oleandercove/edge/announcer/receive_test.go
@@ -1,6 +1,7 @@
 package announcer
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -8,6 +9,7 @@
 
 	"oleandercove.example/core/timer"
 	"oleandercove.example/core/unit"
+	"oleandercove.example/oleandercove/edge/ledger"
 	"oleandercove.example/wire/peer"
 )
 
@@ -119,3 +121,18 @@
 		})
 	}
 }
+
+// Guards against daemons that all choose the same engines after a restart of the fleet, which
+// happens when the number of other daemons is not known before the first round of beacons.
+func TestOtherDaemonsAtStart(t *testing.T) {
+	is := is.New(t)
+	const others = 40
+	a := &Announcer{Options: Options{Timer: timer.NewManual(time.Unix(1000, 0)), Ledger: ledger.New(), Address: "127.0.0.1:7000"}, peers: map[string]*peerState{}}
+	for i := range others {
+		is.True(a.addPeer(fmt.Sprintf("127.0.0.1:%d", 7001+i)))
+	}
+	is.True(!a.addPeer("127.0.0.1:7001"))
+	is.True(!a.addPeer(a.Address))
+	a.Ledger.Begin([]ledger.Item{{Server: "i-1", Tokens: 100}})
+	is.Equal(a.Ledger.EstimateUnreported("i-1"), ledger.Load{Running: others, Tokens: others * 100})
+}
--- a/oleandercove/edge/ledger/ledger.go
+++ b/oleandercove/edge/ledger/ledger.go
@@ -238,12 +238,21 @@
 	}
 }
 
-// NextRound begins the next round of the estimate. Call it after each round of beacons,
-// with the number of other daemons.
-func (l *Ledger) NextRound(others int) {
+// SetOtherDaemons sets the number of other daemons, which may have begun load that no
+// beacon has reported yet.
+//
+// Load pattern: a whole fleet restarts and its callers return at once. Each daemon chooses
+// the engines of all its requests before the first round of beacons.
+func (l *Ledger) SetOtherDaemons(n int) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.otherDaemons = n
+}
+
+// NextRound begins the next round of the estimate. Call it after each round of beacons.
+func (l *Ledger) NextRound() {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.otherDaemons = others
 	l.unreported[1] = l.unreported[0]
 	l.unreported[0] = map[unit.BackendID]*Load{}
 }
--- a/oleandercove/edge/pathfinder/pathfinder_test.go
+++ b/oleandercove/edge/pathfinder/pathfinder_test.go
@@ -198,7 +198,7 @@
 			load := map[unit.BackendID]int{}
 			for range daemons {
 				l := ledger.New()
-				l.NextRound(tt.others)
+				l.SetOtherDaemons(tt.others)
 				for range requests {
 					var engines []Engine
 					for i := range copies {
