gateway: requests wait for the first configuration of a restarted daemon

Ruled out: opening the listener later; callers give up a refused connection after a few tries. Change: a request that finds no configuration waits for it, for 0.1 s at most, and is refused then as before. TestWaitsForConfiguration: without the wait the request is refused with 503.

--- a/oleandercove/edge/directory/directory.go
+++ b/oleandercove/edge/directory/directory.go
@@ -52,11 +52,13 @@
 
 	mu            sync.Mutex
 	configuration atomic.Pointer[Configuration]
-	servers       registry
-	notices       notices
-	onReadyAgain  func(backend.Server)
-	snapshot      atomic.Pointer[Servers]
-	history       history
+	// configured is closed once the first configuration is installed.
+	configured   chan struct{}
+	servers      registry
+	notices      notices
+	onReadyAgain func(backend.Server)
+	snapshot     atomic.Pointer[Servers]
+	history      history
 	// serversAt is the latest time at which the registry is known to have been current.
 	serversAt time.Time
 	// holdUntil is the time until which lapsed entries are kept.
@@ -65,7 +67,7 @@
 
 // New returns an empty Directory.
 func New(l *log.Logger) *Directory {
-	d := &Directory{log: l, notices: notices{}}
+	d := &Directory{log: l, notices: notices{}, configured: make(chan struct{})}
 	d.servers = registry{entries: map[unit.BackendID]*entry{}, tombstones: map[unit.BackendID]unit.Revision{}}
 	d.history = newHistory()
 	d.snapshot.Store(newServers(nil))
@@ -75,6 +77,9 @@
 // Configuration returns the configuration, or nil if none is known.
 func (d *Directory) Configuration() *Configuration { return d.configuration.Load() }
 
+// Configured returns a channel that is closed once a configuration is known.
+func (d *Directory) Configured() <-chan struct{} { return d.configured }
+
 // Table returns the look-up tables of the configuration, or nil if none is known.
 func (d *Directory) Table() *routing.Table {
 	if conf := d.configuration.Load(); conf != nil {
@@ -120,6 +125,9 @@
 	}
 	packed := sync.OnceValues(func() ([]byte, error) { return packer.Pack(raw) })
 	d.configuration.Store(&Configuration{Table: c.Table(), Revision: revision, ConfirmedAt: at, packed: packed})
+	if old == nil {
+		close(d.configured)
+	}
 	d.history.notify()
 	d.log.Info("configuration in force", "version", c.Version, "revision", revision, "routes", len(c.Routes))
 	return nil
--- a/oleandercove/edge/gateway/gateway.go
+++ b/oleandercove/edge/gateway/gateway.go
@@ -44,6 +44,9 @@
 	// keyAgeMargin is subtracted from the bound on revocation. It covers the time between
 	// the check of a key and the send of the request.
 	keyAgeMargin = 500 * time.Millisecond
+	// startWait is how long a request waits for the first configuration of the daemon, which
+	// is read within some milliseconds of the start.
+	startWait = 100 * time.Millisecond
 	// defaultBodyLimit bounds bodies while the configuration sets no limit, in bytes.
 	defaultBodyLimit = 4 << 20
 )
@@ -159,7 +162,7 @@
 	if j.refusing.Load() {
 		return verdict.New(verdict.NotRun, verdict.Draining, "daemon is shutting down").WithRetryAfter(drainingRetryAfter)
 	}
-	table := j.Directory.Table()
+	table := j.awaitTable()
 	if table == nil {
 		return verdict.New(verdict.NotRun, verdict.Starting, "no configuration is known yet").WithRetryAfter(startingRetryAfter)
 	}
@@ -180,6 +183,20 @@
 	return nil
 }
 
+// awaitTable returns the look-up tables of the configuration, or nil if none is known within
+// startWait.
+//
+// Load pattern: all daemons of a fleet are killed. Their callers have one more try, and make it
+// as soon as a daemon accepts connections.
+func (j *job) awaitTable() *routing.Table {
+	select {
+	case <-j.Directory.Configured():
+	case <-time.After(startWait):
+	case <-j.r.Context().Done():
+	}
+	return j.Directory.Table()
+}
+
 // headerSize returns the size of the request line and headers, in bytes.
 func headerSize(r *http.Request) int {
 	const separators = len(": \r\n")
--- a/oleandercove/edge/gateway/refusal_test.go
+++ b/oleandercove/edge/gateway/refusal_test.go
@@ -93,12 +93,6 @@
 // and while the store is unavailable for longer than keys may be unconfirmed.
 func TestRetryAfterWithoutRoute(t *testing.T) {
 	const callerTimeout = 20 * time.Second
-	install := func(g *Gateway, confirmed time.Duration) {
-		config := `{"version":1,"services":[{"name":"s"}],"tenants":[{"name":"t","api_keys":["k"]}],"routes":[{"name":"r","hostname":"x","path_prefix":"/","service":"s"}]}`
-		if err := g.Directory.Install(5, json.RawMessage(config), g.Timer.Now().Add(-confirmed)); err != nil {
-			t.Fatal(err)
-		}
-	}
 	tests := []struct {
 		name   string
 		before func(*Gateway)
@@ -106,14 +100,12 @@
 	}{
 		{"no configuration is known", func(*Gateway) {}, startingRetryAfter},
 		{"the daemon shuts down", func(g *Gateway) { g.RefuseNewRequests() }, drainingRetryAfter},
-		{"keys are not confirmed", func(g *Gateway) { install(g, time.Minute) }, staleKeysRetryAfter},
+		{"keys are not confirmed", func(g *Gateway) { installConfiguration(t, g, time.Minute) }, staleKeysRetryAfter},
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
 			is := is.New(t)
-			g := &Gateway{Options: Options{
-				Log: logger.Discard(), Meter: NewMeter(tally.NoopScope), Directory: directory.New(logger.Discard()), Timer: timer.NewReal(), KeyRevocation: 5 * time.Second,
-			}}
+			g := newTestGateway()
 			tt.before(g)
 			r := httptest.NewRequest(http.MethodGet, "/a", nil)
 			r.Host = "x"
@@ -129,3 +121,35 @@
 		})
 	}
 }
+
+// Guards against callers that are refused although the daemon could serve them some
+// milliseconds later, which happens when they return as soon as a restarted daemon accepts
+// connections.
+func TestWaitsForConfiguration(t *testing.T) {
+	is := is.New(t)
+	g := newTestGateway()
+	go func() {
+		time.Sleep(startWait / 10)
+		installConfiguration(t, g, 0)
+	}()
+	r := httptest.NewRequest(http.MethodGet, "/a", nil)
+	r.Host = "unknown"
+	w := httptest.NewRecorder()
+	g.ServeHTTP(w, r)
+	is.Equal(w.Code, http.StatusNotFound) // as the configuration says
+}
+
+func newTestGateway() *Gateway {
+	return &Gateway{Options: Options{
+		Log: logger.Discard(), Meter: NewMeter(tally.NoopScope), Directory: directory.New(logger.Discard()), Timer: timer.NewReal(), KeyRevocation: 5 * time.Second,
+	}}
+}
+
+// installConfiguration installs a configuration with one route, for the host "x" and the key
+// "k", which was confirmed the given time ago.
+func installConfiguration(t *testing.T, g *Gateway, confirmed time.Duration) {
+	config := `{"version":1,"services":[{"name":"s"}],"tenants":[{"name":"t","api_keys":["k"]}],"routes":[{"name":"r","hostname":"x","path_prefix":"/","service":"s"}]}`
+	if err := g.Directory.Install(5, json.RawMessage(config), g.Timer.Now().Add(-confirmed)); err != nil {
+		t.Error(err)
+	}
+}
