--- a/oleandercove/edge/gateway/gateway.go
+++ b/oleandercove/edge/gateway/gateway.go
@@ -189,6 +189,9 @@
 // Load pattern: all daemons of a fleet are killed. Their callers have one more try, and make it
 // as soon as a daemon accepts connections.
 func (j *job) awaitTable() *routing.Table {
+	if t := j.Directory.Table(); t != nil {
+		return t
+	}
 	select {
 	case <-j.Directory.Configured():
 	case <-time.After(startWait):
