announcer, assigner, gateway: split large files

Change: what is known of peers, what is sent, the orders to engines and the preparation of requests stand in files of their own. No declaration changes.

--- a/oleandercove/edge/announcer/announcer.go
+++ b/oleandercove/edge/announcer/announcer.go
@@ -31,18 +31,15 @@
 	"time"
 
 	"github.com/charmbracelet/log"
-	"google.golang.org/protobuf/proto"
 
 	"oleandercove.example/core/backend"
 	"oleandercove.example/core/timer"
 	"oleandercove.example/core/unit"
 	"oleandercove.example/oleandercove/edge/budgeter"
 	"oleandercove.example/oleandercove/edge/directory"
-	"oleandercove.example/oleandercove/edge/follower"
 	"oleandercove.example/oleandercove/edge/judge"
 	"oleandercove.example/oleandercove/edge/ledger"
 	"oleandercove.example/oleandercove/edge/screener"
-	"oleandercove.example/wire/peer"
 )
 
 const (
@@ -150,61 +147,6 @@
 // fleet have from their start.
 func (a *Announcer) IsSeed() bool { return slices.Contains(a.Seeds, a.Address) }
 
-// LiveHostCount returns the number of live daemons, this one included.
-func (a *Announcer) LiveHostCount() int { return len(a.LiveHosts()) }
-
-// LiveHosts returns the live daemons, this one included.
-func (a *Announcer) LiveHosts() []unit.HostID {
-	out := []unit.HostID{a.Host}
-	for _, p := range a.LivePeers() {
-		out = append(out, p.Host)
-	}
-	return out
-}
-
-// LivePeers returns the live daemons other than this one.
-func (a *Announcer) LivePeers() []follower.Peer {
-	now := a.Timer.Now()
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	var out []follower.Peer
-	for _, p := range a.peers {
-		if p.isLive(now) {
-			out = append(out, follower.Peer{Host: p.host, Address: p.address})
-		}
-	}
-	return out
-}
-
-// knownPeers returns the number of peers that have not announced that they leave. Peers
-// that are not live count too, because right after the start no beacon has arrived yet.
-func (a *Announcer) knownPeers() int {
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	n := 0
-	for _, p := range a.peers {
-		if !p.leaving {
-			n++
-		}
-	}
-	return n
-}
-
-// AnyServedModel reports whether any daemon has forwarded a model request.
-func (a *Announcer) AnyServedModel() bool {
-	if a.Options.HasServedModel() {
-		return true
-	}
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	for _, p := range a.peers {
-		if p.servedModel {
-			return true
-		}
-	}
-	return false
-}
-
 // AnnounceLeaving notifies all peers that this daemon shuts down.
 func (a *Announcer) AnnounceLeaving() {
 	a.mu.Lock()
@@ -247,124 +189,3 @@
 		a.FlushNow()
 	}
 }
-
-// reportedDown reports whether the last beacon of a live peer listed the server as
-// down.
-func (a *Announcer) reportedDown(id unit.BackendID) bool {
-	now := a.Timer.Now()
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	for _, p := range a.peers {
-		if p.down[id] && p.isLive(now) {
-			return true
-		}
-	}
-	return false
-}
-
-// FlushNow sends a beacon to all peers at once, in addition to the regular beacons.
-func (a *Announcer) FlushNow() {
-	now := a.Timer.Now()
-	a.mu.Lock()
-	all := make([]peerState, 0, len(a.peers))
-	for _, p := range a.peers {
-		all = append(all, *p)
-	}
-	a.mu.Unlock()
-	a.sendTo(all, now)
-}
-
-// sendRound sends the regular beacon to a bounded number of peers and expires old
-// entries of the ledger.
-func (a *Announcer) sendRound(now time.Time) {
-	a.Ledger.Expire(now)
-	a.Ledger.SetOtherDaemons(a.knownPeers())
-	a.Ledger.NextRound()
-	a.sendTo(a.targets(now), now)
-}
-
-func (a *Announcer) sendTo(peers []peerState, now time.Time) {
-	data, err := proto.Marshal(a.newBeacon(now))
-	if err != nil {
-		a.Log.Error("beacon encoding failed", "err", err)
-		return
-	}
-	report := a.collectLoads(now)
-	for _, p := range peers {
-		part := report.partFor(p)
-		part.Echo, part.EchoIncarnation, part.EchoMs = p.lastNumber, p.incarnation, uint64(now.Sub(p.lastHeard).Milliseconds())
-		// Concatenated encodings of a message are decoded as one message.
-		datagram, err := proto.MarshalOptions{}.MarshalAppend(data[:len(data):len(data)], part)
-		if err != nil {
-			a.Log.Error("beacon encoding failed", "err", err)
-			return
-		}
-		if _, err := a.conn.WriteToUDP(datagram, p.udp); err != nil {
-			a.Log.Debug("beacon send failed", "peer", p.host, "err", err)
-		}
-	}
-}
-
-// targets returns copies of the peers that get the next beacon: a bounded number of
-// those in this data centre and of those in all others. It removes peers that have
-// been silent for longer than peerExpiry.
-func (a *Announcer) targets(now time.Time) []peerState {
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	var sameCentre, otherCentres []*peerState
-	for address, p := range a.peers {
-		switch {
-		case now.Sub(p.lastHeard) > peerExpiry:
-			delete(a.peers, address)
-		case p.dataCentre == a.DataCentre:
-			sameCentre = append(sameCentre, p)
-		default:
-			otherCentres = append(otherCentres, p)
-		}
-	}
-	return append(sample(sameCentre), sample(otherCentres)...)
-}
-
-// sample returns copies of up to fanOut random peers of a list. It sets the liveness
-// timeout of all peers of the list according to its length.
-func sample(list []*peerState) []peerState {
-	for _, p := range list {
-		p.livenessTimeout = livenessTimeoutFor(len(list))
-	}
-	rand.Shuffle(len(list), func(i, j int) { list[i], list[j] = list[j], list[i] })
-	out := make([]peerState, 0, fanOut)
-	for _, p := range list[:min(fanOut, len(list))] {
-		out = append(out, *p)
-	}
-	return out
-}
-
-// newBeacon returns the part of a beacon that is the same for all receivers, with the
-// next number.
-func (a *Announcer) newBeacon(now time.Time) *peer.Beacon {
-	b := &peer.Beacon{Host: string(a.Host), DataCentre: string(a.DataCentre), Address: a.PeerAddress, Incarnation: a.incarnation, Served: a.Options.HasServedModel()}
-	if conf := a.Directory.Configuration(); conf != nil {
-		b.Revision, b.ConfirmedMs = uint64(conf.Revision), uint64(max(0, now.Sub(conf.ConfirmedAt).Milliseconds())+1)
-	}
-	for _, x := range a.Judge.Exclusions(now) {
-		b.Marks = append(b.Marks, &peer.DownMark{Server: string(x.Server), LeftMs: uint32(x.Remaining.Milliseconds())})
-	}
-	for _, e := range a.EngineStates() {
-		b.Engines = append(b.Engines, &peer.EngineState{
-			Server: string(e.Server), Slowdown: uint32(e.Slowdown * 100),
-			From: int32(e.Held.From), To: int32(e.Held.To), KeepFrom: int32(e.Kept.From), KeepTo: int32(e.Kept.To),
-		})
-	}
-	for _, notice := range a.Directory.LeavingNotices(now) {
-		b.LeavingServers = append(b.LeavingServers, &peer.LeavingMark{
-			Server: string(notice.Server), Born: int64(notice.Born), AgeMs: uint32(max(0, now.Sub(notice.At).Milliseconds())),
-		})
-	}
-	b.Crashes = encodeCrashes(a.Screener.Records(now), now)
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	a.lastNumber++
-	a.sentAt[a.lastNumber%uint64(len(a.sentAt))] = now
-	b.Number, b.Leaving = a.lastNumber, a.leaving
-	return b
-}
--- a/oleandercove/edge/announcer/hosts.go
+++ b/oleandercove/edge/announcer/hosts.go
@@ -4,8 +4,6 @@
 	"context"
 	"encoding/json"
 	"errors"
-	"net"
-	"strconv"
 	"time"
 
 	objects "oleandercove.example/core/platform"
@@ -47,33 +45,6 @@
 	return !a.Timer.Now().Before(a.settledAt)
 }
 
-// Process returns the id of this process, which distinguishes it from others of its host.
-func (a *Announcer) Process() string { return processID(a.incarnation) }
-
-func processID(incarnation uint64) string { return strconv.FormatUint(incarnation, 16) }
-
-// HasStopped reports whether a process of a host is known to have stopped its controllers:
-// it has announced that it shuts down, or the host has sent beacons of another process
-// lately. An old beacon of the other process can arrive after a new one, so the answer may
-// be wrong for some hundred milliseconds after a restart.
-func (a *Announcer) HasStopped(host unit.HostID, process string) bool {
-	now := a.Timer.Now()
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	for _, p := range a.peers {
-		if p.host != host {
-			continue
-		}
-		if processID(p.incarnation) == process {
-			return p.leaving
-		}
-		if p.isLive(now) {
-			return true
-		}
-	}
-	return false
-}
-
 // Registry is the part of the store in which hosts register.
 type Registry interface {
 	// ListStale returns all objects of a kind as they were up to some seconds ago.
@@ -91,33 +62,6 @@
 	Address string
 }
 
-// addPeer adds an address to which beacons are sent, and reports whether it is new.
-func (a *Announcer) addPeer(address string) bool {
-	if address == a.Address {
-		return false
-	}
-	udp, err := net.ResolveUDPAddr("udp4", address)
-	if err != nil {
-		a.Log.Warn("peer address is invalid", "address", address, "err", err)
-		return false
-	}
-	if !a.insertPeer(address, udp) {
-		return false
-	}
-	a.Ledger.SetOtherDaemons(a.knownPeers())
-	return true
-}
-
-func (a *Announcer) insertPeer(address string, udp *net.UDPAddr) bool {
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	if a.peers[address] != nil {
-		return false
-	}
-	a.peers[address] = &peerState{udp: udp, lastHeard: a.Timer.Now().Add(-minLivenessTimeout)}
-	return true
-}
-
 // runRegistration registers this daemon in the store and reads the registered hosts
 // until ctx is done, so that daemons find each other.
 func (a *Announcer) runRegistration(ctx context.Context) {
--- a/oleandercove/edge/gateway/gateway.go
+++ b/oleandercove/edge/gateway/gateway.go
@@ -9,11 +9,7 @@
 
 import (
 	"context"
-	"errors"
-	"io"
-	"net"
 	"net/http"
-	"strings"
 	"sync/atomic"
 	"time"
 
@@ -23,7 +19,6 @@
 	"oleandercove.example/core/routing"
 	"oleandercove.example/core/timer"
 	"oleandercove.example/core/unit"
-	"oleandercove.example/core/verdict"
 	"oleandercove.example/oleandercove/edge/budgeter"
 	"oleandercove.example/oleandercove/edge/deferrer"
 	"oleandercove.example/oleandercove/edge/directory"
@@ -37,20 +32,6 @@
 	"oleandercove.example/platform"
 )
 
-const (
-	// defaultDeadline is the time limit of requests for which the caller sets none; a
-	// shorter limit of the route still applies.
-	defaultDeadline = 60 * time.Second
-	// keyAgeMargin is subtracted from the bound on revocation. It covers the time between
-	// the check of a key and the send of the request.
-	keyAgeMargin = 500 * time.Millisecond
-	// startWait is how long a request waits for the first configuration of the daemon, which
-	// is read within some milliseconds of the start.
-	startWait = 100 * time.Millisecond
-	// defaultBodyLimit bounds bodies while the configuration sets no limit, in bytes.
-	defaultBodyLimit = 4 << 20
-)
-
 // Rerouter orders engines to continue a stream along another chain; requests of callers
 // go through the Exchanger.
 type Rerouter interface {
@@ -157,158 +138,6 @@
 	j.runCall(ctx)
 }
 
-// prepare identifies the request and reads its body.
-func (j *job) prepare() *verdict.Error {
-	if j.refusing.Load() {
-		return verdict.New(verdict.NotRun, verdict.Draining, "daemon is shutting down").WithRetryAfter(drainingRetryAfter)
-	}
-	table := j.awaitTable()
-	if table == nil {
-		return verdict.New(verdict.NotRun, verdict.Starting, "no configuration is known yet").WithRetryAfter(startingRetryAfter)
-	}
-	limits := table.Configuration.Limits
-	if n := headerSize(j.r); limits.HeaderBytes > 0 && n > limits.HeaderBytes {
-		return verdict.New(verdict.NotRun, verdict.HeaderTooLarge, "headers have %d bytes, limit is %d", n, limits.HeaderBytes)
-	}
-	if err := j.identify(table); err != nil {
-		return err
-	}
-	j.deadline = j.arrivedAt.Add(j.timeout())
-	if err := j.readBody(limits); err != nil {
-		return err
-	}
-	j.fingerprint = screener.Content{
-		Method: j.r.Method, Host: j.r.Host, Target: j.r.RequestURI, Account: j.account, Body: j.body,
-	}.Fingerprint()
-	return nil
-}
-
-// awaitTable returns the look-up tables of the configuration, or nil if none is known within
-// startWait.
-//
-// Load pattern: all daemons of a fleet are killed. Their callers have one more try, and make it
-// as soon as a daemon accepts connections.
-func (j *job) awaitTable() *routing.Table {
-	if t := j.Directory.Table(); t != nil {
-		return t
-	}
-	select {
-	case <-j.Directory.Configured():
-	case <-time.After(startWait):
-	case <-j.r.Context().Done():
-	}
-	return j.Directory.Table()
-}
-
-// headerSize returns the size of the request line and headers, in bytes.
-func headerSize(r *http.Request) int {
-	const separators = len(": \r\n")
-	n := len(r.Method) + len(r.RequestURI) + len(r.Proto) + len(r.Host)
-	for name, values := range r.Header {
-		for _, v := range values {
-			n += len(name) + len(v) + separators
-		}
-	}
-	return n
-}
-
-// identify finds the route, the client account and the service.
-func (j *job) identify(table *routing.Table) *verdict.Error {
-	path, _, _ := strings.Cut(j.r.RequestURI, "?")
-	route, ok := table.Match(j.r.Host, path)
-	if !ok {
-		return verdict.New(verdict.NotRun, verdict.UnknownPath, "no route for host and path")
-	}
-	j.route = route
-	if table.KeysNeeded() && !route.Anonymous {
-		account, ok := table.Account(j.call.Key)
-		if !ok {
-			return verdict.New(verdict.NotRun, verdict.Unauthorized, "unknown key")
-		}
-		j.account, j.authenticated = account.ID, true
-		if err := j.checkKeys(); err != nil {
-			return err
-		}
-	}
-	j.service = table.Service(route.Pick(j.splitPoint()))
-	if j.service == nil {
-		return verdict.New(verdict.NotRun, verdict.NoBackend, "route names an unknown service").WithRetryAfter(faultRetryAfter)
-	}
-	return nil
-}
-
-// checkKeys refuses an authenticated request if its key was revoked, or if the keys
-// were last confirmed too long ago for the bound on revocation. It is called again
-// before each send.
-func (j *job) checkKeys() *verdict.Error {
-	if !j.authenticated {
-		return nil
-	}
-	conf := j.Directory.Configuration()
-	if _, ok := conf.Table.Account(j.call.Key); !ok {
-		return verdict.New(verdict.NotRun, verdict.Unauthorized, "key was revoked")
-	}
-	if age := j.Timer.Now().Sub(conf.ConfirmedAt); age > j.KeyRevocation-keyAgeMargin {
-		return verdict.New(verdict.NotRun, verdict.PlatformUnavailable, "keys were last confirmed %s ago", age.Round(time.Millisecond)).WithRetryAfter(staleKeysRetryAfter)
-	}
-	return nil
-}
-
-// timeout returns the time limit of the request: the timeout of the caller or else
-// defaultDeadline, and at most the timeout of the route if it is known and has one.
-func (j *job) timeout() time.Duration {
-	d := defaultDeadline
-	if j.call.Timeout > 0 {
-		d = j.call.Timeout
-	}
-	if j.route != nil && j.route.Timeout > 0 {
-		d = min(d, j.route.Timeout)
-	}
-	return d
-}
-
-// timeLeft returns the time until the deadline of the request, or 0 if it has none.
-func (j *job) timeLeft() time.Duration {
-	if j.deadline.IsZero() {
-		return 0
-	}
-	return time.Until(j.deadline)
-}
-
-// readBody reads the whole body, so that the request can be sent again and a slow
-// caller occupies no backend server.
-func (j *job) readBody(l routing.Limits) *verdict.Error {
-	limit := l.BodyBytes
-	if limit <= 0 {
-		limit = defaultBodyLimit
-	}
-	if j.r.ContentLength > limit {
-		return verdict.New(verdict.NotRun, verdict.TooLarge, "body has %d bytes, limit is %d", j.r.ContentLength, limit)
-	}
-	if j.r.Body == nil || j.r.Body == http.NoBody {
-		return nil
-	}
-	rc := http.NewResponseController(j.w)
-	if err := rc.SetReadDeadline(j.deadline); err != nil {
-		return verdict.New(verdict.NotRun, verdict.Internal, "deadline of the body: %v", err)
-	}
-	data, err := io.ReadAll(io.LimitReader(j.r.Body, limit+1))
-	if err := rc.SetReadDeadline(time.Time{}); err != nil {
-		j.Log.Debug("read deadline of the body not cleared", "id", j.call.Request, "err", err)
-	}
-	var timeout net.Error
-	switch {
-	case errors.As(err, &timeout) && timeout.Timeout():
-		return verdict.New(verdict.NotRun, verdict.SlowBody, "body did not arrive in time")
-	case err != nil:
-		return verdict.New(verdict.NotRun, verdict.BadRequest, "body can't be read: %v", err)
-	case int64(len(data)) > limit:
-		return verdict.New(verdict.NotRun, verdict.TooLarge, "body is larger than %d bytes", limit)
-	}
-	j.body = data
-	return nil
-}
-
 // send sends the request to a backend server and handles the signals in its response.
 func (j *job) send(ctx context.Context, a backend.Address, m backend.RequestMetadata) (*exchanger.Exchange, error) {
 	m.Account, m.TimeLeft = j.account, j.timeLeft()
