announcer: a host with two addresses has not stopped; prober, leaser: names and the reason of a takeover

Cause: HasStopped returned at the first address of a host, in the order of a map. Where a host was replaced by one of the same name, the beacons of the earlier process could make the present one look stopped for up to 3 s. Found by reading. Change: all addresses of the host are compared. ProbeRejecting is ProbeSuspect, and the log line of a taken lease says from whom and why.

--- a/oleandercove/edge/announcer/peers.go
+++ b/oleandercove/edge/announcer/peers.go
@@ -117,6 +117,7 @@
 	now := a.Timer.Now()
 	a.mu.Lock()
 	defer a.mu.Unlock()
+	replaced := false
 	for _, p := range a.peers {
 		if p.host != host {
 			continue
@@ -124,9 +125,8 @@
 		if processID(p.incarnation) == process {
 			return p.leaving
 		}
-		if p.isLive(now) {
-			return true
-		}
+		// A host that was replaced has an entry for each of its addresses.
+		replaced = replaced || p.isLive(now)
 	}
-	return false
+	return replaced
 }
--- a/oleandercove/edge/announcer/receive_test.go
+++ b/oleandercove/edge/announcer/receive_test.go
@@ -122,6 +122,19 @@
 	}
 }
 
+// Guards against a lease that is taken from a running process because its host had another
+// address before, from which beacons came until a moment ago.
+func TestHasStoppedAfterMove(t *testing.T) {
+	is := is.New(t)
+	clock := timer.NewManual(time.Unix(1000, 0))
+	before := &peerState{host: "entry-1", incarnation: 1, lastHeard: clock.Now()}
+	now := &peerState{host: "entry-1", incarnation: 2, lastHeard: clock.Now()}
+	for range 20 { // the order of a map varies
+		a := &Announcer{Options: Options{Timer: clock}, peers: map[string]*peerState{"10.1.0.41:7340": before, "10.1.0.42:7340": now}}
+		is.True(!a.HasStopped("entry-1", processID(2)))
+	}
+}
+
 // Guards against daemons that all choose the same engines after a restart of the fleet, which
 // happens when the number of other daemons is not known before the first round of beacons.
 func TestOtherDaemonsAtStart(t *testing.T) {
--- a/oleandercove/edge/gateway/recover.go
+++ b/oleandercove/edge/gateway/recover.go
@@ -255,7 +255,7 @@
 		if id, ok := s.Directory.Servers().IDByAddress(fault); ok {
 			s.excludeEngine(id)
 			// The engine may lack free capacity, or it may be down.
-			s.Prober.ProbeRejecting(id)
+			s.Prober.ProbeSuspect(id)
 		}
 		return false
 	}
--- a/oleandercove/edge/gateway/relay.go
+++ b/oleandercove/edge/gateway/relay.go
@@ -128,7 +128,7 @@
 	}
 	// The first engine has responded itself; one that it names may be down.
 	if id != s.chain[0].ID {
-		s.Prober.ProbeRejecting(id)
+		s.Prober.ProbeSuspect(id)
 	}
 	s.Log.Info("engine rejected its part", "id", s.call.Request, "engine", id, "status", status, "sends", s.sends)
 	s.failure = errRejected
--- a/oleandercove/edge/prober/prober.go
+++ b/oleandercove/edge/prober/prober.go
@@ -77,9 +77,9 @@
 
 var (
 	usualLimits = limits{attempts: probeAttempts}
-	// rejectedLimits is for an engine that another engine names in a rejection, and
+	// suspectLimits is for an engine that another engine names in a rejection, and
 	// reportedLimits for one that a peer considers down.
-	rejectedLimits = limits{attempts: probeAttempts, timeout: suspectTimeout}
+	suspectLimits  = limits{attempts: probeAttempts, timeout: suspectTimeout}
 	reportedLimits = limits{attempts: reportedAttempts, timeout: suspectTimeout}
 )
 
@@ -208,16 +208,16 @@
 	}
 }
 
-// ProbeRejecting starts a probe of an engine that another engine names in a rejection: it
+// ProbeSuspect starts a probe of an engine that another engine names in a rejection: it
 // may be full, or it may be down.
-func (p *Prober) ProbeRejecting(id unit.BackendID) { p.probeSuspect(id, rejectedLimits) }
+func (p *Prober) ProbeSuspect(id unit.BackendID) { p.probeEngine(id, suspectLimits) }
 
 // ProbeReported starts a probe of an engine that a peer considers down.
-func (p *Prober) ProbeReported(id unit.BackendID) { p.probeSuspect(id, reportedLimits) }
+func (p *Prober) ProbeReported(id unit.BackendID) { p.probeEngine(id, reportedLimits) }
 
-// probeSuspect starts a probe of an engine that is not down. Backend servers that are not
+// probeEngine starts a probe of an engine that is not down. Backend servers that are not
 // engines have no report; only real requests show whether they answer.
-func (p *Prober) probeSuspect(id unit.BackendID, l limits) {
+func (p *Prober) probeEngine(id unit.BackendID, l limits) {
 	x, ok := p.Directory.Servers().Get(id)
 	table := p.Directory.Table()
 	if !ok || table == nil || p.Judge.IsDown(id, p.Timer.Now()) {
--- a/oleandercove/edge/prober/prober_test.go
+++ b/oleandercove/edge/prober/prober_test.go
@@ -131,7 +131,7 @@
 		do       func(*Prober)
 		requests int64
 	}{
-		{"another engine names it in a rejection", func(p *Prober) { p.ProbeRejecting("a") }, 2},
+		{"another engine names it in a rejection", func(p *Prober) { p.ProbeSuspect("a") }, 2},
 		{"a peer considers it down", func(p *Prober) { p.ProbeReported("a") }, 1},
 	}
 	for _, tt := range tests {
@@ -159,8 +159,8 @@
 	is := is.New(t)
 	e := &engines{answer: func(int64) error { return nil }}
 	p, j, m := newProber(e)
-	p.ProbeRejecting("a")
-	<-p.probeFor("a", target{address: "10.0.0.1:1", limits: rejectedLimits}).done
+	p.ProbeSuspect("a")
+	<-p.probeFor("a", target{address: "10.0.0.1:1", limits: suspectLimits}).done
 	is.True(!j.IsDown("a", m.Now()))
 	is.Equal(e.requests.Load(), int64(1))
 }
--- a/oleandercove/leaser/lease.go
+++ b/oleandercove/leaser/lease.go
@@ -148,13 +148,13 @@
 	delay := time.Duration(rank) * l.stepInterval()
 	free := r.Holder == "" || r.Released
 	if free && waited >= delay {
-		return l.takeLease(ctx, c, 0)
+		return l.takeLease(ctx, c, r, 0)
 	}
 	if r.Holder == l.holder {
-		return l.takeLease(ctx, c, l.options.OrderLimit)
+		return l.takeLease(ctx, c, r, l.options.OrderLimit)
 	}
 	if !free && (waited >= l.takeoverWait()+delay || l.hasStoppedFor(c, r, delay)) {
-		return l.takeLease(ctx, c, l.options.OrderLimit)
+		return l.takeLease(ctx, c, r, l.options.OrderLimit)
 	}
 	return false
 }
@@ -179,9 +179,10 @@
 	return l.options.Term + l.options.Term/driftDivisor
 }
 
-// takeLease writes a new fencing number and reports whether the lease is now held. Orders
-// are allowed once the pause has passed after the write.
-func (l *Leaser) takeLease(ctx context.Context, c *lease, pause time.Duration) bool {
+// takeLease writes a new fencing number over the record of the last holder and reports
+// whether the lease is now held. Orders are allowed once the pause has passed after the
+// write.
+func (l *Leaser) takeLease(ctx context.Context, c *lease, last record, pause time.Duration) bool {
 	fence := unit.Fence(c.version + 1)
 	sent, err := l.writeLease(ctx, c, record{Holder: l.holder, Fence: fence})
 	if err != nil {
@@ -193,6 +194,8 @@
 	now := l.options.Timer.Now()
 	c.expiry, c.ordersFrom, c.fence = sent.Add(l.options.Term), now.Add(pause+pause/driftDivisor), fence
 	c.held = now.Before(c.expiry)
-	l.options.Log.Info("lease taken", "object", objectName(c.index), "fence", fence)
+	l.options.Log.Info("lease taken", "object", objectName(c.index), "fence", fence, "from", last.Holder,
+		"released", last.Released, "stopped", !c.stoppedSince.IsZero())
+	c.stoppedSince = time.Time{}
 	return c.held
 }
