prober: suspects get the usual time to answer

The logs show some 25 healthy engines excluded between 17 and 19 s and at 26.5 s, each by 8 to 23 of 64 daemons: on small hosts in and after a burst no answer is read within 30 ms, and the report of one daemon makes others ask with the same short time. Change: the timeout of 30 ms for engines named in a rejection or by a peer goes. A rejection still starts a probe at once: a crashed engine refuses its connection, which needs no timeout. Dark engines are found as before.

--- a/oleandercove/edge/announcer/announcer.go
+++ b/oleandercove/edge/announcer/announcer.go
@@ -94,8 +94,8 @@
 	// EngineStates returns the engine states that this daemon read as holder of the
 	// placement lease.
 	EngineStates func() []EngineState
-	// ProbeReported starts a probe of a backend server that a peer has reported down.
-	ProbeReported func(unit.BackendID)
+	// ProbeSuspect starts a probe of a backend server that a peer has reported down.
+	ProbeSuspect func(unit.BackendID)
 	// FetchConfiguration returns the revision and the compressed configuration of a peer.
 	FetchConfiguration func(ctx context.Context, address string) (unit.Revision, []byte, error)
 }
--- a/oleandercove/edge/announcer/receive.go
+++ b/oleandercove/edge/announcer/receive.go
@@ -37,7 +37,7 @@
 		a.Directory.RecordLeaving(directory.LeavingNotice{Server: unit.BackendID(l.Server), Born: backend.Incarnation(l.Born), At: at}, false, now)
 	}
 	for _, id := range newlyDown {
-		a.ProbeReported(id)
+		a.ProbeSuspect(id)
 	}
 	for _, e := range b.Engines {
 		a.applyEngineState(e, now)
--- a/oleandercove/edge/prober/prober.go
+++ b/oleandercove/edge/prober/prober.go
@@ -7,13 +7,12 @@
 //     that an engine is down.
 //   - An engine that the first engine of a chain names as the cause of a stall counts as
 //     down without a probe.
-//   - An engine that another engine names in a rejection, or that a peer considers down, is
-//     probed with a short timeout.
+//   - An engine that another engine names in a rejection is probed at once, with the usual
+//     timeout: a shorter one excludes healthy engines on busy hosts.
 //
-// Load pattern: an engine in the middle of a chain falls silent under some hundred
-// streams. The first engine of a chain reports that only some hundred milliseconds later,
-// but it rejects the next request at once. Events of the streams pause for longer than
-// their routes allow if the engine is only then probed for as long as any other one.
+// Load pattern: an engine in the middle of a chain crashes under some hundred streams. The
+// first engine of a chain reports that only some hundred milliseconds later, but it rejects
+// the next request at once, and the crashed engine refuses the connection of a probe.
 //
 // Usage:
 //
@@ -43,12 +42,6 @@
 	probeReuse = 150 * time.Millisecond
 	// probeAttempts is how often a report is requested before an engine counts as down.
 	probeAttempts = 2
-	// suspectTimeout bounds one request to an engine that is already suspected of being
-	// down. Engines respond within milliseconds; the rest allows for a busy host.
-	suspectTimeout = 30 * time.Millisecond
-	// reportedAttempts is how often a report is requested from an engine that a peer
-	// considers down. The peer itself has made several attempts.
-	reportedAttempts = 1
 )
 
 // Engines requests reports from engines.
@@ -68,27 +61,6 @@
 	OnDown func(unit.BackendID)
 }
 
-// limits bounds a probe.
-type limits struct {
-	attempts int
-	// timeout bounds one attempt; 0 means that of Engines.
-	timeout time.Duration
-}
-
-var (
-	usualLimits = limits{attempts: probeAttempts}
-	// suspectLimits is for an engine that another engine names in a rejection, and
-	// reportedLimits for one that a peer considers down.
-	suspectLimits  = limits{attempts: probeAttempts, timeout: suspectTimeout}
-	reportedLimits = limits{attempts: reportedAttempts, timeout: suspectTimeout}
-)
-
-// target is an engine that is probed within some limits.
-type target struct {
-	address backend.Address
-	limits  limits
-}
-
 // probe is one report of an engine, shared by all callers that wait for it.
 type probe struct {
 	done   chan struct{}
@@ -102,12 +74,12 @@
 type Prober struct {
 	Options
 	mu     sync.Mutex
-	probes map[target]*probe
+	probes map[backend.Address]*probe
 }
 
 // New returns a Prober.
 func New(o Options) *Prober {
-	return &Prober{Options: o, probes: map[target]*probe{}}
+	return &Prober{Options: o, probes: map[backend.Address]*probe{}}
 }
 
 // Report returns a report of an engine that is at most probeReuse old. It blocks until
@@ -115,7 +87,7 @@
 // marked as down; a ctx that is done doesn't change that state. The error is that of the
 // last attempt or of ctx.
 func (p *Prober) Report(ctx context.Context, id unit.BackendID, a backend.Address) (backend.Report, error) {
-	x := p.probeFor(id, target{address: a, limits: usualLimits})
+	x := p.probeFor(id, a)
 	select {
 	case <-x.done:
 		return x.report, x.err
@@ -125,14 +97,14 @@
 }
 
 // probeFor returns the current probe of an engine, or starts one.
-func (p *Prober) probeFor(id unit.BackendID, t target) *probe {
+func (p *Prober) probeFor(id unit.BackendID, a backend.Address) *probe {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	x := p.probes[t]
+	x := p.probes[a]
 	if x == nil || x.expired(time.Now()) {
 		x = &probe{done: make(chan struct{})}
-		p.probes[t] = x
-		go p.run(id, t, x)
+		p.probes[a] = x
+		go p.run(id, a, x)
 	}
 	return x
 }
@@ -149,10 +121,10 @@
 
 // run reads the report. It doesn't use the context of one caller, because others may
 // wait for the same report.
-func (p *Prober) run(id unit.BackendID, t target, x *probe) {
+func (p *Prober) run(id unit.BackendID, a backend.Address, x *probe) {
 	defer close(x.done)
-	for range t.limits.attempts {
-		x.report, x.err = p.request(t)
+	for range probeAttempts {
+		x.report, x.err = p.Engines.Report(context.Background(), a)
 		if x.err == nil || errors.Is(x.err, syscall.ECONNREFUSED) {
 			break
 		}
@@ -166,17 +138,6 @@
 	}
 }
 
-// request requests one report.
-func (p *Prober) request(t target) (backend.Report, error) {
-	ctx := context.Background()
-	if d := t.limits.timeout; d > 0 {
-		bounded, cancel := context.WithTimeout(ctx, d)
-		defer cancel()
-		ctx = bounded
-	}
-	return p.Engines.Report(ctx, t.address)
-}
-
 // ReportDown marks an engine as down for judge.DownTime, and calls OnDown if it was not
 // down before. The text why goes into the log.
 func (p *Prober) ReportDown(id unit.BackendID, why string) {
@@ -208,22 +169,16 @@
 	}
 }
 
-// ProbeSuspect starts a probe of an engine that another engine names in a rejection: it
-// may be full, or it may be down.
-func (p *Prober) ProbeSuspect(id unit.BackendID) { p.probeEngine(id, suspectLimits) }
-
-// ProbeReported starts a probe of an engine that a peer considers down.
-func (p *Prober) ProbeReported(id unit.BackendID) { p.probeEngine(id, reportedLimits) }
-
-// probeEngine starts a probe of an engine that is not down. Backend servers that are not
+// ProbeSuspect starts a probe of an engine that a peer considers down, or that another engine
+// names in a rejection: that one may be full, or it may be down. Backend servers that are not
 // engines have no report; only real requests show whether they answer.
-func (p *Prober) probeEngine(id unit.BackendID, l limits) {
+func (p *Prober) ProbeSuspect(id unit.BackendID) {
 	x, ok := p.Directory.Servers().Get(id)
 	table := p.Directory.Table()
 	if !ok || table == nil || p.Judge.IsDown(id, p.Timer.Now()) {
 		return
 	}
 	if s := table.Service(x.Service); s != nil && s.Engine != nil {
-		p.probeFor(id, target{address: x.Address, limits: l})
+		p.probeFor(id, x.Address)
 	}
 }
--- a/oleandercove/edge/runner/runner.go
+++ b/oleandercove/edge/runner/runner.go
@@ -144,7 +144,7 @@
 	a, err := announcer.New(announcer.Options{
 		Host: s.Host, DataCentre: s.DataCentre, Address: s.BeaconAddress(), PeerAddress: s.PeerAddress(), Seeds: r.seeds(), Registry: store,
 		Directory: r.directory, Judge: j, Ledger: l, Budgeter: b, Screener: r.screener, Timer: r.timer, Log: r.log.WithPrefix("announcer"),
-		HasServedModel: r.gateway.HasServedModel, EngineStates: r.engineStates, ProbeReported: p.ProbeReported, FetchConfiguration: fetchConfiguration,
+		HasServedModel: r.gateway.HasServedModel, EngineStates: r.engineStates, ProbeSuspect: p.ProbeSuspect, FetchConfiguration: fetchConfiguration,
 	})
 	if err != nil {
 		return fmt.Errorf("opening beacon socket: %w", err)
