follower: the configuration of a peer with an old server list is applied

Cause: the answer of a peer holds its configuration and its list of servers, which come from separate calls to the store. If the list was older than 1.3 s, the whole answer was dropped, also a newer configuration in it and the confirmation of keys. Ruled out: the age of the servers says nothing about the configuration; an older one is ignored by its revision. Change: the configuration of such an answer is applied, its servers are not. TestConfigurationFromPeerWithOldServers failed before.

--- a/oleandercove/edge/directory/history.go
+++ b/oleandercove/edge/directory/history.go
@@ -143,6 +143,13 @@
 	} else {
 		d.Apply(u.Servers, serversAt, now)
 	}
+	return d.ApplyConfiguration(u, confirmedAt)
+}
+
+// ApplyConfiguration applies only the configuration of an update. The time at which it was
+// confirmed is on this daemon's clock. It returns an error if the configuration can't be
+// decompressed or decoded.
+func (d *Directory) ApplyConfiguration(u Update, confirmedAt time.Time) error {
 	if u.Packed != nil {
 		return d.InstallPacked(u.Cursor.Revision, u.Packed, confirmedAt)
 	}
--- a/oleandercove/edge/follower/follower.go
+++ b/oleandercove/edge/follower/follower.go
@@ -179,12 +179,15 @@
 }
 
 // errStale is returned for an answer of a peer whose own server list is older than
-// staleAge.
+// staleAge. The configuration in it has been applied.
 var errStale = errors.New("server list of the peer is too old")
 
 // queryPeer queries one peer for changes after the cursor and applies its answer. It
 // blocks until the answer, at most for maxHold and callTimeoutSlack, and returns the
 // cursor for the next query.
+//
+// Load pattern: the store is slow or serves one kind of call only. A peer then has a new
+// configuration while its server list is old, because the two are read by separate calls.
 func (f *Follower) queryPeer(ctx context.Context, p Peer, cursor directory.Cursor) (directory.Cursor, error) {
 	ctx, cancel := context.WithTimeout(ctx, maxHold+callTimeoutSlack)
 	defer cancel()
@@ -200,10 +203,11 @@
 	}
 	f.lastAnswer.Store(f.Timer.Now().UnixNano())
 	u := decode(reply)
+	serversAt, confirmedAt := sent.Add(u.Waited-u.ServersAge), sent.Add(u.Waited-u.ConfirmedAge)
 	if u.ServersAge > staleAge {
-		return cursor, errStale
+		return cursor, errors.Join(errStale, f.Directory.ApplyConfiguration(u, confirmedAt))
 	}
-	return u.Cursor, f.Directory.ApplyUpdate(u, sent.Add(u.Waited-u.ServersAge), sent.Add(u.Waited-u.ConfirmedAge), f.Timer.Now())
+	return u.Cursor, f.Directory.ApplyUpdate(u, serversAt, confirmedAt, f.Timer.Now())
 }
 
 // fetchChanges requests the changes at a URL and decodes the answer.
--- a/oleandercove/edge/follower/follower_test.go
+++ b/oleandercove/edge/follower/follower_test.go
@@ -1,16 +1,24 @@
 package follower
 
 import (
+	"encoding/json"
+	"errors"
 	"fmt"
+	"io"
 	"math"
 	"math/rand/v2"
+	"net/http/httptest"
 	"slices"
+	"strings"
 	"testing"
 	"time"
 
+	"github.com/charmbracelet/log"
 	"github.com/matryer/is"
 
+	"oleandercove.example/core/timer"
 	"oleandercove.example/core/unit"
+	"oleandercove.example/oleandercove/edge/directory"
 )
 
 func peers(n int) []Peer {
@@ -143,3 +151,40 @@
 	}
 	is.Equal(roundUpMillis(-time.Second), uint64(1))
 }
+
+// Guards against a daemon that drops a new configuration, or the confirmation of its keys,
+// because the peer that sends it has an old list of servers. That happens while the store
+// is slow and the configuration grows by many routes.
+func TestConfigurationFromPeerWithOldServers(t *testing.T) {
+	tests := []struct {
+		name  string
+		known unit.Revision
+	}{
+		{"a newer configuration is dropped", 4},
+		{"a confirmation of the same configuration is dropped", 5},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			now := time.Now()
+			manual := timer.NewManual(now)
+			logger := log.New(io.Discard)
+			configuration := json.RawMessage(`{"version":3}`)
+
+			sender := &Follower{Options: Options{Directory: directory.New(logger), Timer: manual, Log: logger}}
+			sender.Directory.Replace(nil, now.Add(-3*staleAge), now)
+			is.NoErr(sender.Directory.Install(5, configuration, now.Add(-time.Second)))
+			server := httptest.NewServer(sender)
+			defer server.Close()
+
+			f := New(Options{Directory: directory.New(logger), Timer: manual, Log: logger})
+			is.NoErr(f.Directory.Install(tt.known, configuration, now.Add(-time.Hour)))
+			_, err := f.queryPeer(t.Context(), Peer{Host: "peer", Address: strings.TrimPrefix(server.URL, "http://")}, directory.Cursor{})
+			is.True(errors.Is(err, errStale))
+			got := f.Directory.Configuration()
+			is.Equal(got.Revision, unit.Revision(5))
+			is.True(now.Sub(got.ConfirmedAt) < 2*time.Second)
+			is.True(f.Directory.ServersAge(now) > staleAge)
+		})
+	}
+}
