follower: substitutes keep calling the store while peers query them

Cause: while the store rejects the two watchers, four substitutes call it as soon as the list of servers is 1.3 s old, and stopped as soon as they had a new one. The configuration of 1,680 routes takes longer to arrive than the servers, so its list was cut off in each of these rounds. Ruled out: slow links between the daemons (0.3 to 0.6 s from the first daemon to the last). Change: a daemon relies on the substitutes for 5 s after its list was stale, and a daemon that calls the store goes on while peers query it and for 3 s after that, so that peers which return to rejected watchers find it still up to date.

--- a/oleandercove/edge/follower/choice.go
+++ b/oleandercove/edge/follower/choice.go
@@ -30,8 +30,30 @@
 	isolatedStaleAge = 1800 * time.Millisecond
 	// maxStaleAge is the age beyond which every daemon calls the store.
 	maxStaleAge = 8 * time.Second
+	// recoveryTime is how long after its server list was stale a daemon still relies on the
+	// substitutes. It is long enough for several calls to a slow store, and short because
+	// the substitutes add to the calls.
+	recoveryTime = 5 * time.Second
+	// demandTime is how long a daemon that calls the store goes on after a query of a peer.
+	// The peers that return to the watchers have found out by then whether the store still
+	// rejects these.
+	demandTime = 3 * time.Second
 )
 
+// staleness tracks when a daemon's server list was last stale.
+type staleness struct {
+	at time.Time
+}
+
+// isRecovering reports whether the server list, which has the given age now, was stale within
+// recoveryTime.
+func (s *staleness) isRecovering(age time.Duration, now time.Time) bool {
+	if age > staleAge {
+		s.at = now
+	}
+	return !s.at.IsZero() && now.Sub(s.at) < recoveryTime
+}
+
 // Peer is another daemon, with the address at which it answers requests of peers.
 type Peer struct {
 	Host    unit.HostID
@@ -49,6 +71,11 @@
 	// Age is the age of the list of servers, or the time since the start if the list is
 	// not known yet.
 	Age time.Duration
+	// Recovering is set for some time after the list was stale.
+	Recovering bool
+	// Demanded is set while the daemon calls the store and a peer has queried it within
+	// demandTime.
+	Demanded bool
 	// PeerAnswered is true if a peer has answered lately, even with an old server list.
 	PeerAnswered bool
 }
@@ -67,14 +94,19 @@
 // Load pattern: the store is unavailable for some seconds and all daemons of a large
 // fleet notice it at the same moment, or a whole fleet starts at once. Failed calls are
 // paid too, and a recovering store must not get the calls of all daemons at once.
+//
+// Load pattern: the store rejects the watchers for many seconds and is slow for the others.
+// The substitutes must not stop after each answer: the list is stale again soon, and the
+// configuration, which takes longer to arrive than the servers, would be cut off each time.
+// They go on while peers query them.
 func ChooseSource(v View) Source {
 	if !v.Settled {
 		return startingSource(v)
 	}
 	ranked := rankHosts(v)
 	rank := slices.Index(ranked, v.Self)
-	if v.Age <= staleAge {
-		if rank < watcherCount {
+	if v.Age <= staleAge && !v.Recovering {
+		if rank < watcherCount || v.Demanded {
 			return Source{Store: true}
 		}
 		return Source{Peers: peersOnHosts(v.Peers, ranked[:min(watcherCount, len(ranked))])}
--- a/oleandercove/edge/follower/follower.go
+++ b/oleandercove/edge/follower/follower.go
@@ -5,8 +5,8 @@
 // each daemon that watches the store. The rule is therefore:
 //   - A few daemons, chosen by rendezvous hashing, watch the store. The others query
 //     one of them and wait for its answer.
-//   - While the server list is old on all daemons, a few more daemons call the store.
-//     The others keep querying all of these.
+//   - While the server list is old on all daemons, and some seconds longer, a few more
+//     daemons call the store. The others query one of these.
 //   - A daemon calls the store itself if no peer answers, and queries its peers if the
 //     store rejects it.
 //
@@ -26,6 +26,7 @@
 	"net"
 	"net/http"
 	"strconv"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -79,8 +80,14 @@
 	Options
 	client  *http.Client
 	started time.Time
-	// lastAnswer is when a peer last answered, in nanoseconds of the timer's clock.
-	lastAnswer atomic.Int64
+	// lastAnswer is when a peer last answered, and lastQuery when one last queried this
+	// daemon, in nanoseconds of the timer's clock.
+	lastAnswer, lastQuery atomic.Int64
+	// watching is set while this daemon calls the store.
+	watching atomic.Bool
+
+	mu        sync.Mutex
+	staleness staleness
 }
 
 // New returns a Follower.
@@ -97,6 +104,10 @@
 		Age: min(now.Sub(f.started), f.Directory.ServersAge(now)),
 	}
 	v.PeerAnswered = now.Sub(time.Unix(0, f.lastAnswer.Load())) < answerValidity
+	v.Demanded = f.watching.Load() && now.Sub(time.Unix(0, f.lastQuery.Load())) < demandTime
+	f.mu.Lock()
+	v.Recovering = f.staleness.isRecovering(v.Age, now)
+	f.mu.Unlock()
 	return ChooseSource(v)
 }
 
@@ -126,6 +137,8 @@
 func (f *Follower) watchStore(ctx context.Context) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
+	f.watching.Store(true)
+	defer f.watching.Store(false)
 	var wg conc.WaitGroup
 	wg.Go(func() { f.Syncer.RunConfiguration(ctx) })
 	wg.Go(func() { f.Syncer.RunServers(ctx) })
@@ -235,6 +248,7 @@
 // ServeHTTP answers the query of a follower. It blocks until there are changes, for
 // maxHold at most, or until the request ends.
 func (f *Follower) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	f.lastQuery.Store(f.Timer.Now().UnixNano())
 	q := r.URL.Query()
 	number := func(name string) uint64 {
 		// An invalid number counts as 0, which stands for a follower without any state.
