partitioner: a gap goes to the neighbour with more memory for requests

Cause: the layers of a lost engine went to the neighbour with the lower utilisation, in time or memory. Ruled out: a second layout for all engines of the copy at once after each loss. Change: each layer of a gap goes to the neighbour that keeps memory for more requests.

--- a/oleandercove/edge/partitioner/partitioner_test.go
+++ b/oleandercove/edge/partitioner/partitioner_test.go
@@ -17,6 +17,7 @@
 	large  = routing.Card{Name: "large", Memory: 72000, StepFactor: 2.4, PrefillFactor: 3.2}
 	medium = routing.Card{Name: "medium", Memory: 43200, StepFactor: 5.6, PrefillFactor: 2.7}
 	small  = routing.Card{Name: "small", Memory: 21600, StepFactor: 16, PrefillFactor: 8.2}
+	quick  = routing.Card{Name: "quick", Memory: 72000, StepFactor: 1.4, PrefillFactor: 1}
 	fast   = routing.Card{Name: "fast", Memory: 36000, StepFactor: 3, PrefillFactor: 3}
 	tiny   = routing.Card{Name: "tiny", Memory: 14400, StepFactor: 15, PrefillFactor: 15}
 )
@@ -219,6 +220,35 @@
 	is.True(hasCapacity(m, back, load))
 }
 
+// Guards against a fast card that takes over all layers of a lost neighbour and keeps memory for
+// few requests, although the slow card on the other side has more.
+func TestGapBesideFastCard(t *testing.T) {
+	m := model()
+	m.TokenBytes, m.Cards = 590000, []routing.Card{quick, fast, small, tiny}
+	for lost := 3; lost <= 9; lost++ {
+		t.Run(fmt.Sprintf("%d layers", lost), func(t *testing.T) {
+			is := is.New(t)
+			list := engines("a", tiny, fast, tiny, small, small, small, small, small)
+			at := unit.Layer(23 + lost)
+			held := []backend.Layers{{To: 8}, {From: 10, To: 23}, {From: at, To: at + 5}, {From: at + 5, To: at + 15}, {From: at + 15, To: at + 25},
+				{From: at + 25, To: at + 35}, {From: at + 35, To: 80}, {From: 8, To: 10}}
+			for i := range list {
+				list[i].Layers = held[i]
+			}
+			g := &group{model: m, chainLength: ChainLength, engines: list}
+			best := 0.0
+			for n := 0; n <= lost; n++ {
+				left := g.rangeCapacity(&list[1], backend.Layers{To: unit.Layer(13 + n)})
+				right := g.rangeCapacity(&list[2], backend.Layers{To: unit.Layer(5 + lost - n)})
+				best = max(best, min(left, right))
+			}
+			after := applyTargets(list, plan(m, list))
+			is.Equal(len(gapsIn(m, after)), 0)
+			is.Equal(min(g.rangeCapacity(&after[1], after[1].Layers), g.rangeCapacity(&after[2], after[2].Layers)), best)
+		})
+	}
+}
+
 // Guards against layer loads that slow running requests although these fit.
 func TestNoRebalanceWithCapacity(t *testing.T) {
 	is := is.New(t)
--- a/oleandercove/edge/partitioner/repair.go
+++ b/oleandercove/edge/partitioner/repair.go
@@ -66,15 +66,19 @@
 	return out
 }
 
-// fillGap assigns the layers of a gap as far as the memory of the engines goes.
+// fillGap assigns the layers of a gap as far as the memory of the engines goes. Each layer goes
+// to the neighbour that keeps memory for more requests beside it.
+//
+// Load pattern: a fast card beside a slow one takes over a gap under load. By time alone it would
+// take all layers, and the little memory that it keeps would limit the whole copy.
 func (g *group) fillGap(gap backend.Layers) {
 	gap = g.fillWithEmptyEngines(gap)
 	for gap.Len() > 0 {
-		left, right := g.leastLoadedEndingAt(gap.From), g.leastLoadedBeginningAt(gap.To)
+		left, right := g.largestEndingAt(gap.From), g.largestBeginningAt(gap.To)
 		switch {
 		case left == nil && right == nil:
 			return
-		case right == nil || (left != nil && g.utilisationAfterGrowth(left) <= g.utilisationAfterGrowth(right)):
+		case right == nil || (left != nil && g.capacityAfterGrowth(left) >= g.capacityAfterGrowth(right)):
 			left.Layers.To++
 			gap.From++
 		default:
@@ -109,8 +113,10 @@
 	return out
 }
 
-func (g *group) utilisationAfterGrowth(e *Engine) float64 {
-	return utilisation(g.model, e.Card, e.Layers.Len()+1)
+// capacityAfterGrowth returns the number of requests for which an engine keeps memory beside
+// one more layer.
+func (g *group) capacityAfterGrowth(e *Engine) float64 {
+	return g.rangeCapacity(e, backend.Layers{To: unit.Layer(e.Layers.Len() + 1)})
 }
 
 // canGrow reports whether an engine holds layers and may hold one more.
@@ -118,23 +124,23 @@
 	return e.Layers.Len() > 0 && e.Layers.Len() < maxLayers(g.model, e.Card)
 }
 
-// leastLoadedEndingAt returns the least loaded engine whose range ends at a layer
-// and can grow, or nil.
-func (g *group) leastLoadedEndingAt(at unit.Layer) *Engine {
-	return g.leastLoaded(func(e *Engine) bool { return e.Layers.To == at })
+// largestEndingAt returns the engine with the largest capacity after growth whose range ends at
+// a layer and can grow, or nil.
+func (g *group) largestEndingAt(at unit.Layer) *Engine {
+	return g.largest(func(e *Engine) bool { return e.Layers.To == at })
 }
 
-// leastLoadedBeginningAt returns the least loaded engine whose range begins at a
-// layer and can grow, or nil.
-func (g *group) leastLoadedBeginningAt(at unit.Layer) *Engine {
-	return g.leastLoaded(func(e *Engine) bool { return e.Layers.From == at })
+// largestBeginningAt returns the engine with the largest capacity after growth whose range
+// begins at a layer and can grow, or nil.
+func (g *group) largestBeginningAt(at unit.Layer) *Engine {
+	return g.largest(func(e *Engine) bool { return e.Layers.From == at })
 }
 
-func (g *group) leastLoaded(match func(*Engine) bool) *Engine {
+func (g *group) largest(match func(*Engine) bool) *Engine {
 	var best *Engine
 	for i := range g.engines {
 		e := &g.engines[i]
-		if g.canGrow(e) && match(e) && (best == nil || g.utilisationAfterGrowth(e) < g.utilisationAfterGrowth(best)) {
+		if g.canGrow(e) && match(e) && (best == nil || g.capacityAfterGrowth(e) > g.capacityAfterGrowth(best)) {
 			best = e
 		}
 	}
