assigner: the requests of an engine are rounded to three binary digits

Cause: plans depend on the number of requests of an engine, rounded down to a multiple of 16. An engine with memory for 36 or 58 requests counted as holding 32 or 48 when it was full, which is below the utilisation from which layers are moved away from it. Change: the number is rounded down to its three highest binary digits.

--- a/oleandercove/edge/assigner/assigner.go
+++ b/oleandercove/edge/assigner/assigner.go
@@ -18,6 +18,7 @@
 
 import (
 	"context"
+	"math/bits"
 	"slices"
 	"sync"
 	"time"
@@ -51,9 +52,9 @@
 	// minSharedSlowdown is the slowdown factor from which peers are notified that an
 	// engine is slow.
 	minSharedSlowdown = 1.1
-	// requestRounding is the multiple to which the number of requests on an engine is
-	// rounded down, so that a new plan is made only when it changes by much.
-	requestRounding = 16
+	// significantBits is the number of binary digits of the number of requests on an engine that
+	// a plan depends on, so that a new plan is made only when it changes by much.
+	significantBits = 3
 	// maxConcurrentCalls bounds the concurrent orders and report requests to engines.
 	maxConcurrentCalls = 8
 )
@@ -211,11 +212,17 @@
 	card := m.Card(x.Card)
 	e := partitioner.Engine{ID: x.ID, DataCentre: x.DataCentre, Card: card, Layers: layers, Busy: busy}
 	if n := layers.Len() * m.TypicalRequest.Tokens(); n > 0 {
-		e.Requests = int(a.Ledger.Load(x.ID).Tokens) / n / requestRounding * requestRounding
+		e.Requests = roundDown(int(a.Ledger.Load(x.ID).Tokens) / n)
 	}
 	return e
 }
 
+// roundDown returns a number of requests rounded down to significantBits.
+func roundDown(n int) int {
+	shift := max(0, bits.Len(uint(n))-significantBits)
+	return n >> shift << shift
+}
+
 // placeable returns the engines of a service that may be ordered to hold layers.
 func (a *Assigner) placeable(name routing.ServiceName, now time.Time) []backend.Server {
 	var out []backend.Server
