--- a/oleandercove/edge/partitioner/partitioner_test.go
+++ b/oleandercove/edge/partitioner/partitioner_test.go
@@ -249,6 +249,44 @@
 	}
 }
 
+// Guards against a data centre that has no copy for many seconds after a loss, because nearly
+// all layers are loaded again. All loads share the weight store.
+//
+// Load pattern: an engine that holds the end of the copy is lost, and its only neighbour lacks the
+// memory for its layers.
+func TestGapLargerThanNeighbours(t *testing.T) {
+	m := model()
+	m.Slots, m.TokenBytes = 192, 590000
+	tests := []struct {
+		name string
+		gap  int
+		list []Engine
+		held []backend.Layers
+	}{
+		{"the end of the copy", 12,
+			engines("a", quick, small, small, small, small, tiny, tiny, tiny, tiny, tiny, tiny, tiny),
+			[]backend.Layers{{From: 31, To: 52}, {From: 9, To: 14}, {From: 26, To: 31}, {From: 52, To: 58}, {From: 61, To: 68},
+				{To: 5}, {To: 5}, {From: 5, To: 9}, {From: 14, To: 18}, {From: 18, To: 22}, {From: 22, To: 26}, {From: 58, To: 61}}},
+		{"the middle of the copy", 8,
+			engines("a", quick, tiny, tiny, tiny, small, small, small),
+			[]backend.Layers{{To: 20}, {From: 20, To: 28}, {From: 36, To: 44}, {From: 44, To: 52}, {From: 52, To: 61}, {From: 61, To: 70}, {From: 70, To: 80}}},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			for i := range tt.list {
+				tt.list[i].Layers = tt.held[i]
+			}
+			g := group{model: m, engines: tt.list}
+			is.Equal(g.uncovered(), tt.gap)
+			after := applyTargets(tt.list, plan(m, tt.list))
+			is.Equal(len(gapsIn(m, after)), 0)
+			// Each layer of the gap takes one load, and one more where its engine gave up another.
+			is.True(loads(tt.list, after) <= 2*tt.gap)
+		})
+	}
+}
+
 // Guards against layer loads that slow running requests although these fit.
 func TestNoRebalanceWithCapacity(t *testing.T) {
 	is := is.New(t)
