prover/edge: TestBookingsBesideHungServer

Bookings that are sent to a hung server are lost to their callers. The test has 24 callers and one of four servers that accepts connections, passes health checks and answers nothing; at most 1% of the bookings may be lost.

--- a/oleanderfake/imitator/crash.go
+++ b/oleanderfake/imitator/crash.go
@@ -64,14 +64,14 @@
 // server restarts under another id after CrashTrigger, otherwise under the same.
 func (p *Server) crashOnTrigger(attempt string, body []byte, target string) {
 	s := p.site
-	if hasTrigger(SilenceTrigger, body, target) && p.silent.CompareAndSwap(false, true) {
+	if hasTrigger(SilenceTrigger, body, target) && p.Silent.CompareAndSwap(false, true) {
 		s.mu.Lock()
 		s.crashes = append(s.crashes, Crash{Server: p.ID, Attempt: attempt, At: time.Now()})
 		s.mu.Unlock()
 		time.AfterFunc(restartDelay, func() {
 			p.restarts.Add(1)
 			p.register()
-			p.silent.Store(false)
+			p.Silent.Store(false)
 		})
 	}
 	if hasTrigger(HiddenCrashTrigger, body, target) {
--- a/oleanderfake/imitator/server.go
+++ b/oleanderfake/imitator/server.go
@@ -96,8 +96,9 @@
 	Endless  atomic.Pointer[Endless]
 	draining atomic.Bool
 	running  atomic.Int64
-	// silent is set while the server responds to no request that it runs.
-	silent atomic.Bool
+	// Silent is set while the server responds to no request that it runs. It still answers
+	// health checks.
+	Silent atomic.Bool
 	// restarts counts the restarts of the process under its id.
 	restarts atomic.Int64
 }
@@ -210,7 +211,7 @@
 		return
 	}
 	p.crashOnTrigger(id, body, r.RequestURI)
-	if p.silent.Load() {
+	if p.Silent.Load() {
 		<-r.Context().Done()
 		return
 	}
--- a/prover/edge/crashes_test.go
+++ b/prover/edge/crashes_test.go
@@ -27,6 +27,8 @@
 	bystanders = 2
 	// bystanderPause is the time between two requests of one bystander.
 	bystanderPause = 20 * time.Millisecond
+	// callTimeout is how long the callers of plain servers wait.
+	callTimeout = 600 * time.Millisecond
 )
 
 // copyDataCentres are data centres with a copy of the model each: as many as the request
@@ -83,6 +85,40 @@
 	}
 }
 
+// Guards against bookings that are sent to a hung server to find out whether it has recovered.
+// It accepts connections and passes health checks, and each of these bookings is lost to its
+// caller.
+func TestBookingsBesideHungServer(t *testing.T) {
+	// A server that hangs is known only by the bookings that it leaves unanswered, once on each
+	// daemon.
+	const (
+		lostShare = 0.01
+		daemons   = 3
+		callers   = 24
+		duration  = 6 * time.Second
+	)
+	tests := []struct {
+		name  string
+		kinds []string
+	}{
+		{"bookings alone", []string{"book"}},
+		{"bookings and reads", []string{"book", "read"}},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			s := newSiteWith(t, daemons, imitator.Options{DataCentres: []string{"x"}, Engines: 3, Servers: 4, WorkTime: 10 * time.Millisecond})
+			stop := make(chan struct{})
+			time.AfterFunc(duration, func() { close(stop) })
+			time.AfterFunc(time.Second, func() { s.Servers()[0].Silent.Store(true) })
+			booked := s.sendBystanders(stop, bystanderOptions{kinds: tt.kinds, callers: callers, timeout: callTimeout})["book"]
+			t.Logf("of %d bookings %d were refused and %d failed", booked.sent, booked.refused, booked.failed)
+			is.Equal(booked.refused, 0)
+			is.True(float64(booked.failed) <= lostShare*float64(booked.sent))
+		})
+	}
+}
+
 // bystanderCount counts the requests of bystanders and their outcomes.
 type bystanderCount struct {
 	sent, refused, failed int
@@ -93,22 +129,13 @@
 func (s *site) repeatBesideBystanders(t *testing.T, repeated request) bystanderCount {
 	t.Helper()
 	stop := make(chan struct{})
-	var wg sync.WaitGroup
-	var mu sync.Mutex
 	var count bystanderCount
-	for i := range bystanders {
-		for _, kind := range []string{"read", "book", "stream"} {
-			wg.Go(func() {
-				for n := 0; !isClosed(stop); n++ {
-					a := s.sendBystander(kind, fmt.Sprintf("%s-%d-%d", kind, i, n), n)
-					mu.Lock()
-					count.add(a)
-					mu.Unlock()
-					time.Sleep(bystanderPause)
-				}
-			})
+	var wg sync.WaitGroup
+	wg.Go(func() {
+		for _, c := range s.sendBystanders(stop, bystanderOptions{kinds: []string{"read", "book", "stream"}, callers: bystanders}) {
+			count.merge(*c)
 		}
-	}
+	})
 	var repeats sync.WaitGroup
 	for n, end := 0, time.Now().Add(3*gossipTime); time.Now().Before(end); n++ {
 		repeated.router, repeated.id, repeated.key = s.routers[n%len(s.routers)], fmt.Sprintf("again-%d", n), imitator.Key
@@ -122,10 +149,42 @@
 	return count
 }
 
+// bystanderOptions says who sends requests beside a fault.
+type bystanderOptions struct {
+	kinds []string
+	// callers is the number of callers of each kind.
+	callers int
+	// timeout is how long each caller waits; 0 means defaultTimeout.
+	timeout time.Duration
+}
+
+// sendBystanders sends requests until stop is closed. It returns the outcomes by kind.
+func (s *site) sendBystanders(stop <-chan struct{}, o bystanderOptions) map[string]*bystanderCount {
+	var wg sync.WaitGroup
+	var mu sync.Mutex
+	counts := map[string]*bystanderCount{}
+	for _, kind := range o.kinds {
+		counts[kind] = &bystanderCount{}
+		for i := range o.callers {
+			wg.Go(func() {
+				for n := 0; !isClosed(stop); n++ {
+					a := s.sendBystander(kind, fmt.Sprintf("%s-%d-%d", kind, i, n), n, o.timeout)
+					mu.Lock()
+					counts[kind].add(a)
+					mu.Unlock()
+					time.Sleep(bystanderPause)
+				}
+			})
+		}
+	}
+	wg.Wait()
+	return counts
+}
+
 // sendBystander sends one request of a bystander. A stream that is not complete gets status
 // 502.
-func (s *site) sendBystander(kind, id string, n int) response {
-	a := request{router: s.routers[n%len(s.routers)], id: id, method: "POST", path: imitator.BookPath, key: imitator.OtherKey, body: id}
+func (s *site) sendBystander(kind, id string, n int, timeout time.Duration) response {
+	a := request{router: s.routers[n%len(s.routers)], id: id, method: "POST", path: imitator.BookPath, key: imitator.OtherKey, body: id, timeout: timeout}
 	switch kind {
 	case "read":
 		a.method, a.path, a.body = "GET", imitator.StatusPath+id, ""
@@ -149,6 +208,12 @@
 	}
 }
 
+func (c *bystanderCount) merge(o bystanderCount) {
+	c.sent += o.sent
+	c.refused += o.refused
+	c.failed += o.failed
+}
+
 // countRunsAfter returns how often a request ran on a backend server after a time.
 func (s *site) countRunsAfter(a request, at time.Time) int {
 	n := 0
