--- a/oleandercove/edge/partitioner/partitioner_test.go
+++ b/oleandercove/edge/partitioner/partitioner_test.go
@@ -230,8 +230,16 @@
 			is := is.New(t)
 			list := engines("a", tiny, fast, tiny, small, small, small, small, small)
 			at := unit.Layer(23 + lost)
-			held := []backend.Layers{{To: 8}, {From: 10, To: 23}, {From: at, To: at + 5}, {From: at + 5, To: at + 15}, {From: at + 15, To: at + 25},
-				{From: at + 25, To: at + 35}, {From: at + 35, To: 80}, {From: 8, To: 10}}
+			held := []backend.Layers{
+				{To: 8},
+				{From: 10, To: 23},
+				{From: at, To: at + 5},
+				{From: at + 5, To: at + 15},
+				{From: at + 15, To: at + 25},
+				{From: at + 25, To: at + 35},
+				{From: at + 35, To: 80},
+				{From: 8, To: 10},
+			}
 			for i := range list {
 				list[i].Layers = held[i]
 			}
@@ -263,13 +271,29 @@
 		list []Engine
 		held []backend.Layers
 	}{
-		{"the end of the copy", 12,
+		{
+			"the end of the copy", 12,
 			engines("a", quick, small, small, small, small, tiny, tiny, tiny, tiny, tiny, tiny, tiny),
-			[]backend.Layers{{From: 31, To: 52}, {From: 9, To: 14}, {From: 26, To: 31}, {From: 52, To: 58}, {From: 61, To: 68},
-				{To: 5}, {To: 5}, {From: 5, To: 9}, {From: 14, To: 18}, {From: 18, To: 22}, {From: 22, To: 26}, {From: 58, To: 61}}},
-		{"the middle of the copy", 8,
+			[]backend.Layers{
+				{From: 31, To: 52},
+				{From: 9, To: 14},
+				{From: 26, To: 31},
+				{From: 52, To: 58},
+				{From: 61, To: 68},
+				{To: 5},
+				{To: 5},
+				{From: 5, To: 9},
+				{From: 14, To: 18},
+				{From: 18, To: 22},
+				{From: 22, To: 26},
+				{From: 58, To: 61},
+			},
+		},
+		{
+			"the middle of the copy", 8,
 			engines("a", quick, tiny, tiny, tiny, small, small, small),
-			[]backend.Layers{{To: 20}, {From: 20, To: 28}, {From: 36, To: 44}, {From: 44, To: 52}, {From: 52, To: 61}, {From: 61, To: 70}, {From: 70, To: 80}}},
+			[]backend.Layers{{To: 20}, {From: 20, To: 28}, {From: 36, To: 44}, {From: 44, To: 52}, {From: 52, To: 61}, {From: 61, To: 70}, {From: 70, To: 80}},
+		},
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
