--- a/oleandercove/edge/partitioner/partitioner.go
+++ b/oleandercove/edge/partitioner/partitioner.go
@@ -7,16 +7,19 @@
 //     themselves, because the link between data centres carries less than the
 //     prompts of all requests.
 //   - A data centre whose cards can't hold a copy shares one with others.
-//   - A gap is filled by empty engines and by its neighbours in the copy.
+//   - A gap is filled by empty engines and by its neighbours in the copy. Where these lack
+//     the memory, another engine of the copy migrates to it.
 //   - Without gaps or empty engines, layers migrate to even out the capacity for
 //     requests.
 //
-// Load pattern: the loss of an engine makes its copy unusable until its layers
-// are loaded elsewhere, and the load time is proportional to the number of layers.
-// The neighbours in the copy therefore each take over a part of the gap, and no
-// other layers migrate. Fewer copies leave more memory for requests, and memory
-// runs out before compute. A group therefore holds about one copy for each
-// ChainLength engines, even if more copies would fit.
+// Load pattern: the loss of an engine makes its copy unusable until its layers are
+// loaded elsewhere. All loads share the weight store, so the time is proportional to the
+// number of all layers that are loaded. The neighbours in the copy therefore each take
+// over a part of the gap, and other layers migrate only where that is not enough.
+//
+// Fewer copies leave more memory for requests, and memory runs out before compute. A
+// group therefore holds about one copy for each ChainLength engines, even if more copies
+// would fit.
 //
 // Usage:
 //
