budgeter: unused guaranteed shares of the retry budget are reported

Cause: each daemon may always use its part of 0.3 of the retry budget. Beyond that it retried only while the fleet had made less than 0.45 of it, so that these parts stayed free, also those that their daemons had used already. Change: daemons report how many of their retries used their guaranteed share. Retries that were reported and unused guaranteed shares together may take 0.75 of the budget; with the share for unreported retries the sum stays below 1, as before. A daemon of an earlier version reports none, which leaves the limit as it was.

--- a/oleandercove/edge/announcer/loads.go
+++ b/oleandercove/edge/announcer/loads.go
@@ -131,7 +131,7 @@
 func encodeUsage(usage []budgeter.Usage) []*peer.ServiceUse {
 	out := make([]*peer.ServiceUse, 0, len(usage))
 	for _, u := range usage {
-		out = append(out, &peer.ServiceUse{Service: string(u.Service), First: uint32(u.Requests), Again: uint32(u.Retries)})
+		out = append(out, &peer.ServiceUse{Service: string(u.Service), First: uint32(u.Requests), Again: uint32(u.Retries), Guaranteed: uint32(u.Guaranteed)})
 	}
 	return out
 }
@@ -139,7 +139,7 @@
 func decodeUsage(list []*peer.ServiceUse) []budgeter.Usage {
 	out := make([]budgeter.Usage, 0, len(list))
 	for _, u := range list {
-		out = append(out, budgeter.Usage{Service: routing.ServiceName(u.Service), Requests: int(u.First), Retries: int(u.Again)})
+		out = append(out, budgeter.Usage{Service: routing.ServiceName(u.Service), Requests: int(u.First), Retries: int(u.Again), Guaranteed: int(u.Guaranteed)})
 	}
 	return out
 }
--- a/oleandercove/edge/budgeter/budgeter.go
+++ b/oleandercove/edge/budgeter/budgeter.go
@@ -4,12 +4,13 @@
 // plus a reserve. A daemon may retry if one of these holds:
 //
 //   - its own retries are within a guaranteed share of its part of the budget;
-//   - the retries of the fleet, as far as peers have reported them, leave part of the
-//     budget unused, and it has made few retries that may not have been reported to
-//     peers yet.
+//   - the retries of the fleet and what other daemons have left of their guaranteed
+//     shares, as far as peers have reported them, leave part of the budget unused, and it
+//     has made few retries that may not have been reported to peers yet.
 //
 // Load pattern: when an engine at which many chains begin is lost, the daemons
-// that hold its streams resume some dozen at once, and the others none.
+// that hold its streams resume some dozen at once, and the others none. When engines are
+// replaced one after the other, all daemons soon use more than their guaranteed shares.
 //
 // Usage:
 //
@@ -35,12 +36,12 @@
 	// one slot more, so that its sum never covers less than the window.
 	slots = 20
 	// guaranteedShare is the share of its part of the budget that a daemon may always
-	// use. spareShare is the share of the budget up to which daemons may use retries
-	// that others leave unused. spareBurstShare is the share of the budget that all
-	// daemons together may use before they have exchanged their usage. The three add up
-	// to less than 1, which leaves a margin for late reports.
+	// use. reportedShare is the share of the budget that reported retries and unused
+	// guaranteed shares may take together. spareBurstShare is the share of the budget that
+	// all daemons together may use before they have exchanged their usage. The last two add
+	// up to less than 1, which leaves a margin for late reports.
 	guaranteedShare = 0.3
-	spareShare      = 0.45
+	reportedShare   = 0.75
 	spareBurstShare = 0.2
 	// minRetries is the number of retries that every daemon may use in a window.
 	minRetries = 2
@@ -53,6 +54,8 @@
 	Service routing.ServiceName
 	// Requests is the number of first attempts, Retries that of all later ones.
 	Requests, Retries int
+	// Guaranteed is the number of retries that used the guaranteed share of their daemon.
+	Guaranteed int
 	// RecentRetries is the number of retries that may not have been reported to peers yet.
 	RecentRetries int
 }
@@ -141,7 +144,7 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	c := b.counterOf(s)
-	if !Allowed(b.options, hosts, c.usage(s), b.fleetUsage(s)) {
+	if !Allowed(b.options, hosts, c.usage(s), b.fleetUsage(s, hosts)) {
 		return false
 	}
 	c.retries[c.slot%(slots+1)]++
@@ -149,8 +152,8 @@
 }
 
 // fleetUsage returns the usage of this daemon and of all peers with a recent report.
-func (b *Budgeter) fleetUsage(s routing.ServiceName) Usage {
-	sum := b.own[s].usage(s)
+func (b *Budgeter) fleetUsage(s routing.ServiceName, hosts int) Usage {
+	sum := b.options.withGuaranteed(b.own[s].usage(s), hosts)
 	now := b.options.Timer.Now()
 	for host, p := range b.peers {
 		if now.Sub(p.receivedAt) > peerUsageExpiry {
@@ -159,8 +162,7 @@
 		}
 		for _, u := range p.usage {
 			if u.Service == s {
-				sum.Requests += u.Requests
-				sum.Retries += u.Retries
+				sum.add(u)
 			}
 		}
 	}
@@ -170,22 +172,36 @@
 // Allowed reports whether one more retry fits the budget, given the number of live
 // daemons and the usage of this daemon and of the fleet.
 func Allowed(o Options, hosts int, own, fleet Usage) bool {
-	n := float64(max(1, hosts))
-	guaranteed := max(minRetries, guaranteedShare*(o.Reserve/n+o.Share*float64(own.Requests)))
-	if float64(own.Retries+1) <= guaranteed {
+	if own.Retries < o.guaranteed(own, hosts) {
 		return true
 	}
 	budget := o.Reserve + o.Share*float64(fleet.Requests)
-	return float64(fleet.Retries+1) <= spareShare*budget && float64(own.RecentRetries+1) <= spareBurstShare*budget/n
+	unused := max(0, guaranteedShare*budget-float64(fleet.Guaranteed))
+	return float64(fleet.Retries+1)+unused <= reportedShare*budget &&
+		float64(own.RecentRetries+1) <= spareBurstShare*budget/float64(max(1, hosts))
+}
+
+// guaranteed returns the number of retries that a daemon with the given usage may always
+// use.
+func (o Options) guaranteed(own Usage, hosts int) int {
+	return int(max(minRetries, guaranteedShare*(o.Reserve/float64(max(1, hosts))+o.Share*float64(own.Requests))))
+}
+
+// withGuaranteed returns the usage of a daemon with the retries that used its guaranteed
+// share.
+func (o Options) withGuaranteed(own Usage, hosts int) Usage {
+	own.Guaranteed = min(own.Retries, o.guaranteed(own, hosts))
+	return own
 }
 
 // OwnUsage returns the usage of this daemon for all services.
 func (b *Budgeter) OwnUsage() []Usage {
+	hosts := b.options.Hosts()
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	out := make([]Usage, 0, len(b.own))
 	for s := range b.own {
-		out = append(out, b.counterOf(s).usage(s))
+		out = append(out, b.options.withGuaranteed(b.counterOf(s).usage(s), hosts))
 	}
 	return out
 }
@@ -205,12 +221,18 @@
 	return out
 }
 
+// add adds the usage of another daemon.
+func (u *Usage) add(o Usage) {
+	u.Requests += o.Requests
+	u.Retries += o.Retries
+	u.Guaranteed += o.Guaranteed
+}
+
 // addUsage adds u to the entry of its service, or appends it.
 func addUsage(list []Usage, u Usage) []Usage {
 	for i := range list {
 		if list[i].Service == u.Service {
-			list[i].Requests += u.Requests
-			list[i].Retries += u.Retries
+			list[i].add(u)
 			return list
 		}
 	}
--- a/oleandercove/edge/budgeter/budgeter_test.go
+++ b/oleandercove/edge/budgeter/budgeter_test.go
@@ -25,6 +25,8 @@
 		{"a daemon exceeds its guaranteed retries while the fleet has spent its budget", 10, Usage{Retries: 9}, Usage{Retries: 200}, false},
 		{"the spare budget of other daemons is not used", 10, Usage{Retries: 60}, Usage{Requests: 1000, Retries: 100}, true},
 		{"all daemons use the spare budget at once", 10, Usage{Retries: 60, RecentRetries: 10}, Usage{Requests: 1000, Retries: 100}, false},
+		{"guaranteed shares are kept free for daemons that have used theirs", 8, Usage{Requests: 70, Retries: 20}, Usage{Requests: 570, Retries: 200, Guaranteed: 120}, true},
+		{"the guaranteed shares of other daemons are used", 8, Usage{Requests: 70, Retries: 120}, Usage{Requests: 570, Retries: 220, Guaranteed: 15}, false},
 		{"a large fleet leaves a daemon no retry at all", 1000, Usage{Retries: 1}, Usage{Retries: 300}, true},
 	}
 	for _, tt := range tests {
@@ -84,3 +86,47 @@
 	m.Advance(Window + Window/slots)
 	is.Equal(fleet[0].OwnUsage()[0], Usage{Service: "s"})
 }
+
+// Guards against streams that are cut for lack of retries while a good part of the budget is
+// unused.
+//
+// Load pattern: engines are replaced one after the other for the whole window, and every daemon
+// resumes the streams that it has on each of them.
+func TestEnginesReplaced(t *testing.T) {
+	is := is.New(t)
+	m := timer.NewManual(time.Unix(1000, 0))
+	const (
+		hosts, requests = 8, 70
+		// rounds is the number of engines, each of which had some streams of every daemon.
+		rounds, streams = 9, 3
+	)
+	o := Options{Share: 0.2, Reserve: 200, Hosts: func() int { return hosts }, Timer: m}
+	var fleet []*Budgeter
+	for range hosts {
+		b := New(o)
+		for range requests {
+			b.CountRequest("s")
+		}
+		fleet = append(fleet, b)
+	}
+	granted := 0
+	for range rounds {
+		for i, b := range fleet {
+			for j, p := range fleet {
+				if i != j {
+					b.SetPeerUsage(unit.HostID(fmt.Sprint(j)), p.OwnUsage(), m.Now())
+				}
+			}
+		}
+		for _, b := range fleet {
+			for range streams {
+				if b.TakeRetry("s") {
+					granted++
+				}
+			}
+		}
+		m.Advance(time.Second)
+	}
+	is.True(hosts*rounds*streams < 0.75*(200+0.2*hosts*requests)) // they fit the budget
+	is.Equal(granted, hosts*rounds*streams)
+}
