gateway, budgeter: say what kept a stream from another chain

Cause: 'stream ended early' joined its two causes by a line break, a refusal after a run dropped the reason why the request wasn't sent again, and no metric counted streams that a daemon closes. Change: a typed obstacle in the log line and in streams_ended_early_total, the state of the first engine, the silence and the time left; TakeRetry returns the figures that decided. No decision changes.

--- a/oleandercove/edge/budgeter/budgeter.go
+++ b/oleandercove/edge/budgeter/budgeter.go
@@ -16,11 +16,13 @@
 //
 //	b := budgeter.New(budgeter.Options{Share: 0.2, Reserve: 200, Hosts: live, Timer: t})
 //	b.CountRequest("assistant")
-//	if b.TakeRetry("assistant") {
+//	if err := b.TakeRetry("assistant"); err != nil {
+//		return err
 //	}
 package budgeter
 
 import (
+	"fmt"
 	"sync"
 	"time"
 
@@ -138,17 +140,39 @@
 	c.requests[c.slot%(slots+1)]++
 }
 
-// TakeRetry takes one retry from the budget and reports whether there was one left.
-func (b *Budgeter) TakeRetry(s routing.ServiceName) bool {
+// ExhaustedError is returned for a retry that does not fit the budget. It holds what decided
+// that.
+type ExhaustedError struct {
+	// Own is the usage of this daemon, Fleet that of all daemons as far as it is known.
+	Own, Fleet Usage
+	// Guaranteed is the number of retries that this daemon may always use, Budget that of
+	// the fleet.
+	Guaranteed, Budget int
+	// Hosts is the number of live daemons.
+	Hosts int
+}
+
+// Error states the retries of this daemon and of the fleet in the window.
+func (e *ExhaustedError) Error() string {
+	return fmt.Sprintf("retry budget is used up: this daemon made %d retries, %d of them lately, of %d guaranteed; the fleet made %d of %d on %d hosts",
+		e.Own.Retries, e.Own.RecentRetries, e.Guaranteed, e.Fleet.Retries, e.Budget, e.Hosts)
+}
+
+// TakeRetry takes one retry from the budget. It returns an ExhaustedError if there is none
+// left.
+func (b *Budgeter) TakeRetry(s routing.ServiceName) error {
 	hosts := b.options.Hosts()
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	c := b.counterOf(s)
-	if !Allowed(b.options, hosts, c.usage(s), b.fleetUsage(s, hosts)) {
-		return false
+	own, fleet := c.usage(s), b.fleetUsage(s, hosts)
+	if !Allowed(b.options, hosts, own, fleet) {
+		return &ExhaustedError{
+			Own: own, Fleet: fleet, Guaranteed: b.options.guaranteed(own, hosts), Budget: int(b.options.budget(fleet)), Hosts: hosts,
+		}
 	}
 	c.retries[c.slot%(slots+1)]++
-	return true
+	return nil
 }
 
 // fleetUsage returns the usage of this daemon and of all peers with a recent report.
@@ -175,12 +199,17 @@
 	if own.Retries < o.guaranteed(own, hosts) {
 		return true
 	}
-	budget := o.Reserve + o.Share*float64(fleet.Requests)
+	budget := o.budget(fleet)
 	unused := max(0, guaranteedShare*budget-float64(fleet.Guaranteed))
 	return float64(fleet.Retries+1)+unused <= reportedShare*budget &&
 		float64(own.RecentRetries+1) <= spareBurstShare*budget/float64(max(1, hosts))
 }
 
+// budget returns the number of retries that the fleet may make in a window.
+func (o Options) budget(fleet Usage) float64 {
+	return o.Reserve + o.Share*float64(fleet.Requests)
+}
+
 // guaranteed returns the number of retries that a daemon with the given usage may always
 // use.
 func (o Options) guaranteed(own Usage, hosts int) int {
--- a/oleandercove/edge/budgeter/budgeter_test.go
+++ b/oleandercove/edge/budgeter/budgeter_test.go
@@ -82,7 +82,7 @@
 			for range 40 {
 				m.Advance(10 * time.Millisecond)
 				for _, b := range requesting {
-					if b.TakeRetry("s") {
+					if b.TakeRetry("s") == nil {
 						granted++
 					}
 				}
@@ -118,7 +118,7 @@
 		daemons.exchangeUsage(m.Now())
 		for _, b := range daemons {
 			for range streams {
-				if b.TakeRetry("s") {
+				if b.TakeRetry("s") == nil {
 					granted++
 				}
 			}
--- a/oleandercove/edge/gateway/call.go
+++ b/oleandercove/edge/gateway/call.go
@@ -56,7 +56,7 @@
 		defer release()
 		excluded = exclusions{}
 		s, ok := j.pickServer(tried, j.Screener.CrashedServers(j.fingerprint), &excluded)
-		if !ok || (sent > 0 && !j.Budgeter.TakeRetry(j.service.Name)) {
+		if !ok || (sent > 0 && j.Budgeter.TakeRetry(j.service.Name) != nil) {
 			break
 		}
 		if err := j.checkKeys(); err != nil {
--- a/oleandercove/edge/gateway/failure.go
+++ b/oleandercove/edge/gateway/failure.go
@@ -1,7 +1,7 @@
 package gateway
 
 import (
-	"errors"
+	"fmt"
 	"net/http"
 	"time"
 
@@ -16,7 +16,7 @@
 	case callerLeft:
 		s.Log.Info("caller disconnected", "id", s.call.Request, "last", s.lastEvent, "after", time.Since(s.arrivedAt))
 	case s.started:
-		s.Log.Warn("stream ended early", "id", s.call.Request, "last", s.lastEvent, "runs", s.runs, "after", time.Since(s.arrivedAt), "err", errors.Join(s.failure, asError(err)))
+		s.logEarlyEnd(err)
 	}
 	if callerLeft || s.started {
 		s.stopAttempts()
@@ -25,12 +25,26 @@
 	s.refuse(s.refusal(err))
 }
 
-// asError returns nil for a nil pointer, instead of an interface that holds one.
-func asError(err *verdict.Error) error {
-	if err == nil {
-		return nil
+// logEarlyEnd logs and counts a stream that ends before its last event.
+func (s *stream) logEarlyEnd(err *verdict.Error) {
+	now := s.Timer.Now()
+	first := s.chain[0].ID
+	s.Meter.countEarlyEnd(s.obstacle)
+	s.Log.Warn("stream ended early", "id", s.call.Request, "last", s.lastEvent, "obstacle", s.obstacle, "runs", s.runs, "sends", s.sends,
+		"after", time.Since(s.arrivedAt), "left", s.timeLeft(), "silent", time.Since(s.lastProgressAt),
+		"engine", first, "down", s.Judge.IsDown(first, now), "exited", s.Judge.HasExited(first, now), "err", s.cause(err))
+}
+
+// cause returns why the last attempt failed and why there is no other one, on one line.
+func (s *stream) cause(err *verdict.Error) string {
+	switch {
+	case err == nil:
+		return fmt.Sprint(s.failure)
+	case s.failure == nil:
+		return err.Detail
+	default:
+		return fmt.Sprintf("%v; %s", s.failure, err.Detail)
 	}
-	return err
 }
 
 // refusal returns the verdict on a request without an answer: whether it may have run,
@@ -40,7 +54,7 @@
 	case s.runs > 0 && s.ctx.Err() != nil:
 		return verdict.New(verdict.MayHaveRun, verdict.DeadlineExceeded, "no answer in time")
 	case s.runs > 0:
-		return verdict.New(verdict.MayHaveRun, verdict.BackendFailed, "no usable answer: %v", s.failure)
+		return verdict.New(verdict.MayHaveRun, verdict.BackendFailed, "no usable answer: %v", s.cause(err))
 	case err != nil:
 		return err
 	default:
--- a/oleandercove/edge/gateway/meter.go
+++ b/oleandercove/edge/gateway/meter.go
@@ -32,4 +32,10 @@
 	m.scope.Tagged(map[string]string{"reason": string(r)}).Counter("refused_total").Inc(1)
 }
 
+// countEarlyEnd counts a stream that ended before its last event by what kept it from
+// another chain.
+func (m *Meter) countEarlyEnd(o obstacle) {
+	m.scope.Tagged(map[string]string{"obstacle": string(o)}).Counter("streams_ended_early_total").Inc(1)
+}
+
 func (m *Meter) count(name string) { m.scope.Counter(name).Inc(1) }
--- a/oleandercove/edge/gateway/recover.go
+++ b/oleandercove/edge/gateway/recover.go
@@ -204,7 +204,11 @@
 	r := s.pathRequest()
 	r.SameDataCentre, r.CountQueues = true, true
 	p, ok := s.findPath(r)
-	if !ok || !s.Budgeter.TakeRetry(s.service.Name) {
+	if !ok {
+		s.obstacle = obstacleCapacity
+		return false
+	}
+	if s.takeRetry() != nil {
 		return false
 	}
 	s.reservedPath = &p
@@ -215,7 +219,11 @@
 // centres.
 func (s *stream) reserveAnyPath() bool {
 	p, err := s.choosePath("")
-	if err != nil || !s.Budgeter.TakeRetry(s.service.Name) {
+	if err != nil {
+		s.obstacle = obstacleCapacity
+		return false
+	}
+	if s.takeRetry() != nil {
 		return false
 	}
 	s.reservedPath = &p
--- a/oleandercove/edge/gateway/relay.go
+++ b/oleandercove/edge/gateway/relay.go
@@ -153,13 +153,19 @@
 func (s *stream) nextTry() step {
 	// An engine that crashed does not count as one that ran the request.
 	limit := s.route.Attempts + s.crashedRuns
-	if s.sends >= maxSends || s.runs >= limit || s.timeLeft() < minAttemptTime {
-		return stepFail
-	}
-	if s.runs > 0 && !s.idempotent() {
-		return stepFail
+	switch {
+	case s.timeLeft() < minAttemptTime:
+		s.obstacle = obstacleDeadline
+	case s.sends >= maxSends:
+		s.obstacle = obstacleSends
+	case s.runs >= limit:
+		s.obstacle = obstacleAttempts
+	case s.runs > 0 && !s.idempotent():
+		s.obstacle = obstacleNotIdempotent
+	default:
+		return stepRetry
 	}
-	return stepRetry
+	return stepFail
 }
 
 // forwardEvents writes events to the caller.
--- a/oleandercove/edge/gateway/stream.go
+++ b/oleandercove/edge/gateway/stream.go
@@ -53,6 +53,8 @@
 	usualGap time.Duration
 	timing   timing
 	failure  error
+	// obstacle is what kept the stream from its last search for another chain.
+	obstacle obstacle
 }
 
 // step is what a stream does next.
@@ -164,12 +166,15 @@
 		s.Deferrer.Record(s.service.Name, err == nil, s.Timer.Now())
 	}
 	if err != nil {
+		s.obstacle = obstacleCapacity
 		return p, err
 	}
 	if s.sends == 0 {
 		s.Budgeter.CountRequest(s.service.Name)
-	} else if !s.Budgeter.TakeRetry(s.service.Name) {
-		return p, verdict.New(verdict.NotRun, verdict.Overloaded, "retry budget is used up").WithRetryAfter(faultRetryAfter)
+		return p, nil
+	}
+	if err := s.takeRetry(); err != nil {
+		return p, verdict.New(verdict.NotRun, verdict.Overloaded, "%v", err).WithRetryAfter(faultRetryAfter)
 	}
 	return p, nil
 }
