--- a/oleandercove/edge/gateway/failure.go
+++ b/oleandercove/edge/gateway/failure.go
@@ -14,7 +14,8 @@
 	callerLeft := s.r.Context().Err() != nil
 	switch {
 	case callerLeft:
-		s.Log.Info("caller disconnected", "id", s.call.Request, "last", s.lastEvent, "after", time.Since(s.arrivedAt))
+		s.Log.Info("caller disconnected", "id", s.call.Request, "last", s.lastEvent, "obstacle", s.obstacle, "runs", s.runs, "sends", s.sends,
+			"after", time.Since(s.arrivedAt), "silent", time.Since(s.lastProgressAt))
 	case s.started:
 		s.logEarlyEnd(err)
 	}
