budgeter: the part of a daemon in the retry budget is its part of the requests

Callers saw streams that broke off, or left after two seconds of silence, beside engines that had fallen silent; requests that had not begun were answered with 502 'no usable answer'. Cause: beyond its guaranteed share a daemon could use 0.2 of the budget divided by the number of hosts, and the reserve was divided equally, too. The load balancer gives some hosts many times the requests of others, so a busy daemon of a large fleet was out of retries while the fleet had made a tenth of what it may. Change: parts follow the requests of the last window, once peers have reported for a window. Retries within the guaranteed share no longer count against the burst beyond it: the fleet keeps them free already.

--- a/oleandercove/edge/budgeter/budgeter.go
+++ b/oleandercove/edge/budgeter/budgeter.go
@@ -6,11 +6,16 @@
 //   - its own retries are within a guaranteed share of its part of the budget;
 //   - the retries of the fleet and what other daemons have left of their guaranteed
 //     shares, as far as peers have reported them, leave part of the budget unused, and it
-//     has made few retries that may not have been reported to peers yet.
+//     has made few retries, by its part, that may not have been reported to peers yet.
+//
+// The part of a daemon is its share of the requests of the fleet. A daemon that has not
+// heard from its peers for a whole window has an equal part.
 //
 // Load pattern: when an engine at which many chains begin is lost, the daemons
 // that hold its streams resume some dozen at once, and the others none. When engines are
 // replaced one after the other, all daemons soon use more than their guaranteed shares.
+// In a large fleet a few daemons have most of the requests, and so most of the streams of
+// any engine.
 //
 // Usage:
 //
@@ -111,14 +116,18 @@
 // Budgeter decides whether a request may be retried. It is safe for concurrent use.
 type Budgeter struct {
 	options Options
-	mu      sync.Mutex
-	own     map[routing.ServiceName]*counter
-	peers   map[unit.HostID]peerUsage
+	// settledAt is when peers have reported their usage for a whole window.
+	settledAt time.Time
+	mu        sync.Mutex
+	own       map[routing.ServiceName]*counter
+	peers     map[unit.HostID]peerUsage
 }
 
 // New returns a Budgeter without counted requests.
 func New(o Options) *Budgeter {
-	return &Budgeter{options: o, own: map[routing.ServiceName]*counter{}, peers: map[unit.HostID]peerUsage{}}
+	return &Budgeter{
+		options: o, settledAt: o.Timer.Now().Add(Window), own: map[routing.ServiceName]*counter{}, peers: map[unit.HostID]peerUsage{},
+	}
 }
 
 // counterOf returns the counter of a service, advanced to the current time.
@@ -140,22 +149,19 @@
 	c.requests[c.slot%(slots+1)]++
 }
 
-// ExhaustedError is returned for a retry that does not fit the budget. It holds what decided
-// that.
+// ExhaustedError is returned for a retry that does not fit the budget.
 type ExhaustedError struct {
-	// Own is the usage of this daemon, Fleet that of all daemons as far as it is known.
-	Own, Fleet Usage
+	// View is what decided that.
+	View View
 	// Guaranteed is the number of retries that this daemon may always use, Budget that of
 	// the fleet.
 	Guaranteed, Budget int
-	// Hosts is the number of live daemons.
-	Hosts int
 }
 
 // Error states the retries of this daemon and of the fleet in the window.
 func (e *ExhaustedError) Error() string {
 	return fmt.Sprintf("retry budget is used up: this daemon made %d retries, %d of them lately, of %d guaranteed; the fleet made %d of %d on %d hosts",
-		e.Own.Retries, e.Own.RecentRetries, e.Guaranteed, e.Fleet.Retries, e.Budget, e.Hosts)
+		e.View.Own.Retries, e.View.Own.RecentRetries, e.Guaranteed, e.View.Fleet.Retries, e.Budget, e.View.Hosts)
 }
 
 // TakeRetry takes one retry from the budget. It returns an ExhaustedError if there is none
@@ -165,19 +171,44 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	c := b.counterOf(s)
-	own, fleet := c.usage(s), b.fleetUsage(s, hosts)
-	if !Allowed(b.options, hosts, own, fleet) {
-		return &ExhaustedError{
-			Own: own, Fleet: fleet, Guaranteed: b.options.guaranteed(own, hosts), Budget: int(b.options.budget(fleet)), Hosts: hosts,
-		}
+	v := b.view(s, hosts)
+	if !Allowed(b.options, v) {
+		return &ExhaustedError{View: v, Guaranteed: b.options.guaranteed(v), Budget: int(b.options.budget(v.Fleet))}
 	}
 	c.retries[c.slot%(slots+1)]++
 	return nil
 }
 
-// fleetUsage returns the usage of this daemon and of all peers with a recent report.
-func (b *Budgeter) fleetUsage(s routing.ServiceName, hosts int) Usage {
-	sum := b.options.withGuaranteed(b.own[s].usage(s), hosts)
+// View is what a daemon knows when it decides on a retry.
+type View struct {
+	// Hosts is the number of live daemons.
+	Hosts int
+	// Own is the usage of this daemon, Fleet that of all daemons as far as it is known.
+	Own, Fleet Usage
+	// Settled is set once peers have reported their usage for a whole window.
+	Settled bool
+}
+
+// part returns the part of the budget of the fleet that belongs to this daemon, from 0 to 1.
+func (v View) part() float64 {
+	if !v.Settled || v.Fleet.Requests <= 0 {
+		return 1 / float64(max(1, v.Hosts))
+	}
+	return float64(v.Own.Requests) / float64(v.Fleet.Requests)
+}
+
+// view returns what this daemon knows about the usage of a service.
+func (b *Budgeter) view(s routing.ServiceName, hosts int) View {
+	v := View{Hosts: hosts, Own: b.counterOf(s).usage(s), Settled: !b.options.Timer.Now().Before(b.settledAt)}
+	v.Fleet = v.Own
+	b.addPeers(&v.Fleet)
+	v.Own.Guaranteed = min(v.Own.Retries, b.options.guaranteed(v))
+	v.Fleet.Guaranteed += v.Own.Guaranteed
+	return v
+}
+
+// addPeers adds the usage of all peers with a recent report.
+func (b *Budgeter) addPeers(sum *Usage) {
 	now := b.options.Timer.Now()
 	for host, p := range b.peers {
 		if now.Sub(p.receivedAt) > peerUsageExpiry {
@@ -185,24 +216,28 @@
 			continue
 		}
 		for _, u := range p.usage {
-			if u.Service == s {
+			if u.Service == sum.Service {
 				sum.add(u)
 			}
 		}
 	}
-	return sum
 }
 
-// Allowed reports whether one more retry fits the budget, given the number of live
-// daemons and the usage of this daemon and of the fleet.
-func Allowed(o Options, hosts int, own, fleet Usage) bool {
-	if own.Retries < o.guaranteed(own, hosts) {
+// Allowed reports whether one more retry fits the budget.
+func Allowed(o Options, v View) bool {
+	if v.Own.Retries < o.guaranteed(v) {
 		return true
 	}
-	budget := o.budget(fleet)
-	unused := max(0, guaranteedShare*budget-float64(fleet.Guaranteed))
-	return float64(fleet.Retries+1)+unused <= reportedShare*budget &&
-		float64(own.RecentRetries+1) <= spareBurstShare*budget/float64(max(1, hosts))
+	budget := o.budget(v.Fleet)
+	unused := max(0, guaranteedShare*budget-float64(v.Fleet.Guaranteed))
+	return float64(v.Fleet.Retries+1)+unused <= reportedShare*budget &&
+		float64(v.Own.recentSpare()+1) <= spareBurstShare*budget*v.part()
+}
+
+// recentSpare returns the number of retries beyond the guaranteed share that may not have been
+// reported to peers yet.
+func (u Usage) recentSpare() int {
+	return min(u.RecentRetries, u.Retries-u.Guaranteed)
 }
 
 // budget returns the number of retries that the fleet may make in a window.
@@ -210,17 +245,9 @@
 	return o.Reserve + o.Share*float64(fleet.Requests)
 }
 
-// guaranteed returns the number of retries that a daemon with the given usage may always
-// use.
-func (o Options) guaranteed(own Usage, hosts int) int {
-	return int(max(minRetries, guaranteedShare*(o.Reserve/float64(max(1, hosts))+o.Share*float64(own.Requests))))
-}
-
-// withGuaranteed returns the usage of a daemon with the retries that used its guaranteed
-// share.
-func (o Options) withGuaranteed(own Usage, hosts int) Usage {
-	own.Guaranteed = min(own.Retries, o.guaranteed(own, hosts))
-	return own
+// guaranteed returns the number of retries that a daemon may always use.
+func (o Options) guaranteed(v View) int {
+	return int(max(minRetries, guaranteedShare*(o.Reserve*v.part()+o.Share*float64(v.Own.Requests))))
 }
 
 // OwnUsage returns the usage of this daemon for all services.
@@ -230,7 +257,7 @@
 	defer b.mu.Unlock()
 	out := make([]Usage, 0, len(b.own))
 	for s := range b.own {
-		out = append(out, b.options.withGuaranteed(b.counterOf(s).usage(s), hosts))
+		out = append(out, b.view(s, hosts).Own)
 	}
 	return out
 }
--- a/oleandercove/edge/budgeter/budgeter_test.go
+++ b/oleandercove/edge/budgeter/budgeter_test.go
@@ -16,22 +16,23 @@
 func TestAllowed(t *testing.T) {
 	o := Options{Share: 0.2, Reserve: 300}
 	tests := []struct {
-		name       string
-		hosts      int
-		own, fleet Usage
-		want       bool
+		name string
+		view View
+		want bool
 	}{
-		{"a daemon is refused its guaranteed retries", 10, Usage{Retries: 8}, Usage{Retries: 500}, true},
-		{"a daemon exceeds its guaranteed retries while the fleet has spent its budget", 10, Usage{Retries: 9}, Usage{Retries: 200}, false},
-		{"the spare budget of other daemons is not used", 10, Usage{Retries: 60}, Usage{Requests: 1000, Retries: 100}, true},
-		{"all daemons use the spare budget at once", 10, Usage{Retries: 60, RecentRetries: 10}, Usage{Requests: 1000, Retries: 100}, false},
-		{"guaranteed shares are kept free for daemons that have used theirs", 8, Usage{Requests: 70, Retries: 20}, Usage{Requests: 570, Retries: 200, Guaranteed: 120}, true},
-		{"the guaranteed shares of other daemons are used", 8, Usage{Requests: 70, Retries: 120}, Usage{Requests: 570, Retries: 220, Guaranteed: 15}, false},
-		{"a large fleet leaves a daemon no retry at all", 1000, Usage{Retries: 1}, Usage{Retries: 300}, true},
+		{"a daemon is refused its guaranteed retries", View{Hosts: 10, Own: Usage{Retries: 8}, Fleet: Usage{Retries: 500}}, true},
+		{"a daemon exceeds its guaranteed retries while the fleet has spent its budget", View{Hosts: 10, Own: Usage{Retries: 9}, Fleet: Usage{Retries: 200}}, false},
+		{"the spare budget of other daemons is not used", View{Hosts: 10, Own: Usage{Retries: 60}, Fleet: Usage{Requests: 1000, Retries: 100}}, true},
+		{"all daemons use the spare budget at once", View{Hosts: 10, Own: Usage{Retries: 60, RecentRetries: 10}, Fleet: Usage{Requests: 1000, Retries: 100}}, false},
+		{"guaranteed shares are kept free for daemons that have used theirs", View{Hosts: 8, Own: Usage{Requests: 70, Retries: 20}, Fleet: Usage{Requests: 570, Retries: 200, Guaranteed: 120}}, true},
+		{"the guaranteed shares of other daemons are used", View{Hosts: 8, Own: Usage{Requests: 70, Retries: 120}, Fleet: Usage{Requests: 570, Retries: 220, Guaranteed: 15}}, false},
+		{"a busy daemon gets the part of an idle one", View{Hosts: 100, Own: Usage{Requests: 200, Retries: 20, RecentRetries: 5}, Fleet: Usage{Requests: 1000, Retries: 50}, Settled: true}, true},
+		{"a daemon that has not heard from its peers yet considers all requests its own", View{Hosts: 100, Own: Usage{Requests: 200, Retries: 20, RecentRetries: 5}, Fleet: Usage{Requests: 200, Retries: 50}}, false},
+		{"a large fleet leaves a daemon no retry at all", View{Hosts: 1000, Own: Usage{Retries: 1}, Fleet: Usage{Retries: 300}}, true},
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
-			is.New(t).Equal(Allowed(o, tt.hosts, tt.own, tt.fleet), tt.want)
+			is.New(t).Equal(Allowed(o, tt.view), tt.want)
 		})
 	}
 }
@@ -128,3 +129,53 @@
 	is.Equal(granted, hosts*rounds*streams)
 	is.True(float64(granted) <= o.Reserve+o.Share*hosts*requests)
 }
+
+// Guards against streams of busy daemons that are cut while most of the budget is unused.
+//
+// Load pattern: the load balancer gives a few hosts of a large fleet most of the requests, and
+// engines are lost under a tenth of all streams at the same moment.
+func TestBusyDaemonsOfLargeFleet(t *testing.T) {
+	const (
+		hosts, busy             = 190, 19
+		busyRequests, idleCount = 200, 10
+		lostShare               = 0.1
+	)
+	is := is.New(t)
+	m := timer.NewManual(time.Unix(1000, 0))
+	o := Options{Share: 0.2, Reserve: 570, Hosts: func() int { return hosts }, Timer: m}
+	daemons := newFleet(o, busy, 0)
+	daemons = append(daemons, newFleet(o, hosts-busy, 0)...)
+	requests := func(i int) int {
+		if i < busy {
+			return busyRequests
+		}
+		return idleCount
+	}
+	m.Advance(Window)
+	for i, b := range daemons {
+		for range requests(i) {
+			b.CountRequest("s")
+		}
+	}
+	daemons.exchangeUsage(m.Now())
+	refused, granted := 0, 0
+	for i, b := range daemons {
+		for range int(lostShare * float64(requests(i))) {
+			if b.TakeRetry("s") == nil {
+				granted++
+			} else {
+				refused++
+			}
+		}
+	}
+	is.Equal(refused, 0)
+	// All daemons at once stay within the budget, also when they ask for more.
+	for range busyRequests / 4 {
+		for _, b := range daemons {
+			if b.TakeRetry("s") == nil {
+				granted++
+			}
+		}
+	}
+	is.True(float64(granted) <= o.Reserve+o.Share*(busy*busyRequests+(hosts-busy)*idleCount))
+}
