gateway: an earlier attempt whose engines have recovered continues

Callers saw streams that stayed silent although the engines of their first attempt answered again. Cause: while a second attempt had not begun to answer, the first one was kept, but its events were read only after the second one had failed. A second engine that is silent does not fail. Change: both are read; the first one that has something for the caller becomes the running attempt. TestFallbackContinues failed before.

--- a/oleandercove/edge/gateway/attempt.go
+++ b/oleandercove/edge/gateway/attempt.go
@@ -69,11 +69,37 @@
 	if s.fallback == nil || s.Screener.QuarantineRefusal(s.fingerprint) != nil {
 		return false
 	}
+	s.resumeFallback()
+	s.replaceTimer = time.After(resumeInterval(time.Since(s.lastProgressAt)))
+	return true
+}
+
+// resumeFallback ends the running attempt and makes the fallback the running one.
+func (s *stream) resumeFallback() {
 	s.attempt.stop()
 	s.attempt, s.fallback = *s.fallback, nil
 	s.setChain(s.path)
-	s.replaceTimer = time.After(resumeInterval(time.Since(s.lastProgressAt)))
-	return true
+}
+
+// fallbackMessages returns the messages of the fallback, or nil if there is none.
+func (s *stream) fallbackMessages() <-chan message {
+	if s.fallback == nil {
+		return nil
+	}
+	return s.fallback.messages
+}
+
+// handleFallbackMessage handles a message of the fallback, which comes before the running
+// attempt has begun to answer: the engines of the fallback have recovered, or it has ended. The
+// channel is closed if ok is false.
+func (s *stream) handleFallbackMessage(m message, ok bool) step {
+	if !ok || m.failed() {
+		s.stopFallback()
+		return stepWait
+	}
+	s.resumeFallback()
+	s.Log.Info("earlier attempt continues", "id", s.call.Request, "engine", s.chain[0].ID, "last", s.lastEvent, "silent", time.Since(s.lastProgressAt))
+	return s.handleMessage(m)
 }
 
 // stopFallback ends the fallback, if there is one.
--- a/oleandercove/edge/gateway/events.go
+++ b/oleandercove/edge/gateway/events.go
@@ -31,6 +31,14 @@
 	err      error
 }
 
+// failed reports whether the message says that the attempt has no more events.
+func (m message) failed() bool {
+	if m.exchange != nil {
+		return m.exchange.Response.StatusCode != http.StatusOK
+	}
+	return m.err != nil && !errors.Is(m.err, io.EOF)
+}
+
 // events is a sequence of complete events.
 type events struct {
 	data []byte
--- a/oleandercove/edge/gateway/relay.go
+++ b/oleandercove/edge/gateway/relay.go
@@ -49,6 +49,9 @@
 			}
 			next = s.handleMessage(m)
 			timer.Reset(s.stallTime())
+		case m, ok := <-s.fallbackMessages():
+			next = s.handleFallbackMessage(m, ok)
+			timer.Reset(s.stallTime())
 		case <-timer.C:
 			next = s.checkStall()
 			timer.Reset(s.stallTime())
--- a/oleandercove/edge/gateway/stream_test.go
+++ b/oleandercove/edge/gateway/stream_test.go
@@ -5,12 +5,14 @@
 	"encoding/json"
 	"io"
 	"net/http"
+	"net/http/httptest"
 	"sync"
 	"syscall"
 	"testing"
 	"time"
 
 	"github.com/matryer/is"
+	"github.com/uber-go/tally/v4"
 
 	"oleandercove.example/core/backend"
 	"oleandercove.example/core/logger"
@@ -197,6 +199,46 @@
 	}
 }
 
+// Guards against events that are not forwarded because a second attempt was started, which
+// stays silent, while the engines of the first one have recovered.
+func TestFallbackContinues(t *testing.T) {
+	tests := []struct {
+		name string
+		give message
+		// running is set if the second attempt stays the running one.
+		running bool
+		want    string
+	}{
+		{"events of the first attempt", message{events: events{data: []byte("id:8\n\n"), first: "8", last: "8"}}, false, "id:8\n\n"},
+		{"the first attempt breaks off", message{err: io.ErrUnexpectedEOF}, true, ""},
+		{"the first attempt is rejected", message{exchange: &exchanger.Exchange{Response: &http.Response{StatusCode: http.StatusServiceUnavailable}}}, true, ""},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			s, _ := newTestStream(t, 0)
+			w := httptest.NewRecorder()
+			s.w, s.lastEvent, s.usualGap, s.Meter = w, "7", time.Second, NewMeter(tally.NoopScope)
+			ctx, cancel := context.WithCancel(t.Context())
+			defer cancel()
+			s.ctx = ctx
+			first := make(chan message, 1)
+			s.messages = first
+			s.keepFallback()
+			stopped := false
+			s.attempt = attempt{messages: make(chan message), cancel: func() { stopped = true }}
+			s.setChain(pathfinder.Path{Chain: backend.Chain{{ID: "other"}}})
+			first <- tt.give
+			time.AfterFunc(50*time.Millisecond, cancel)
+			is.Equal(s.relay(), stepFail) // the caller disconnects
+			is.Equal(w.Body.String(), tt.want)
+			is.Equal(stopped, !tt.running)
+			is.Equal(s.usesEngine("other"), tt.running)
+			is.True(s.fallback == nil)
+		})
+	}
+}
+
 // Guards against a quarantined stream that is rerouted to other engines, which would
 // crash too, and against a caller that is held, which happen when a stream crashes the
 // later engines of its chain while the first one keeps running.
