receiver: a head that contains another status line is an error

One way to it: a faulty server writes an earlier refusal once more, breaks off in its head, and goes on with the response to the request that it runs. net/http decodes both as one head: the status and X-Oleandercove-Not-Executed of the refusal, the request id of the response. The exchanger saw a refusal with the id of the request, and the request ran at a second server as well.

Next now returns ErrJoinedHead for a status or header value that contains a status line. Such a request counts as MayHaveRun, as after any response that never came whole, and the connection is closed.

--- a/core/receiver/receiver.go
+++ b/core/receiver/receiver.go
@@ -8,6 +8,10 @@
 //   - the number of interim responses before a response, and
 //   - the body of a late response to an earlier request that Discard skips.
 //
+// A faulty server may also break off in the head of one response and continue with another
+// one. The joined head decodes without an error, with the status of the first response and
+// headers of both, and is rejected.
+//
 // The standard library bounds chunk sizes, chunk extensions and trailers. The caller
 // bounds the body of the response.
 //
@@ -25,6 +29,8 @@
 	"errors"
 	"io"
 	"net/http"
+	"regexp"
+	"slices"
 )
 
 // MaxHeadBytes bounds the head of one response, in bytes. Web servers accept 8 to 64 KiB
@@ -48,6 +54,8 @@
 	ErrTooManyInterim = errors.New("too many interim responses")
 	// ErrBodyTooLarge is returned by Discard if the body is too long to be discarded.
 	ErrBodyTooLarge = errors.New("body of an unwanted response is too large")
+	// ErrJoinedHead is returned by Next if a head contains the status line of another one.
+	ErrJoinedHead = errors.New("head contains the status line of another response")
 )
 
 // Receiver reads the responses that arrive on one connection. It is not safe for
@@ -73,8 +81,9 @@
 func (r *Receiver) Pending() bool { return r.br.Buffered() > 0 }
 
 // Next blocks until the head of the next response that is not an interim one has
-// arrived, and returns that response. It returns ErrHeadTooLarge, ErrTooManyInterim or the
-// error of a failed read or of a malformed head; the connection is unusable then.
+// arrived, and returns that response. It returns ErrHeadTooLarge, ErrTooManyInterim,
+// ErrJoinedHead or the error of a failed read or of a malformed head; the connection is
+// unusable then.
 func (r *Receiver) Next(method string) (*http.Response, error) {
 	for range maxInterimResponses {
 		r.src.setLimit(MaxHeadBytes)
@@ -86,6 +95,9 @@
 		if err != nil {
 			return nil, err
 		}
+		if isJoined(resp) {
+			return nil, ErrJoinedHead
+		}
 		if resp.StatusCode >= http.StatusOK {
 			return resp, nil
 		}
@@ -93,6 +105,22 @@
 	return nil, ErrTooManyInterim
 }
 
+// statusLine matches the beginning of a status line.
+var statusLine = regexp.MustCompile(`HTTP/1\.[01] \d{3}`)
+
+// isJoined reports whether the head of a response continues with another status line.
+func isJoined(resp *http.Response) bool {
+	if statusLine.MatchString(resp.Status) {
+		return true
+	}
+	for _, values := range resp.Header {
+		if slices.ContainsFunc(values, statusLine.MatchString) {
+			return true
+		}
+	}
+	return false
+}
+
 // Discard reads the rest of an unwanted body, so that the next response can be read. It
 // returns ErrBodyTooLarge if the body is longer than maxDiscardBytes, or the error of a
 // failed read.
--- a/core/receiver/receiver_test.go
+++ b/core/receiver/receiver_test.go
@@ -68,6 +68,29 @@
 	is.Equal(Discard(resp), ErrBodyTooLarge)
 }
 
+// Guards against a request that counts as not run although the server runs it, which happens
+// when a faulty server breaks off in the head of an earlier refusal and sends the response:
+// together they are a refusal with the id of the request.
+func TestJoinedHeads(t *testing.T) {
+	const whole = "HTTP/1.1 200 OK\r\nId: 2\r\nContent-Length: 0\r\n\r\n"
+	tests := []struct{ name, text string }{
+		{"broken off in the status line", "HTTP/1.1 421 Misdir" + whole},
+		{"broken off in a header", "HTTP/1.1 503 Service Unavailable\r\nNot-Run: 1" + whole},
+		{"broken off between headers", "HTTP/1.1 503 Service Unavailable\r\nNot-Run: 1\r\n" + whole},
+		{"an interim response is broken off", "HTTP/1.1 103 Early" + whole + whole},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			_, err := New(strings.NewReader(tt.text), 4<<10).Next(http.MethodGet)
+			is.New(t).True(err != nil)
+		})
+	}
+	is := is.New(t)
+	resp, err := New(strings.NewReader("HTTP/1.1 200 OK\r\nVia: HTTP/1.1 proxy\r\n\r\n"), 4<<10).Next(http.MethodGet)
+	is.NoErr(err) // a usual header with the name of the protocol
+	is.Equal(resp.StatusCode, http.StatusOK)
+}
+
 // Guards against input that crashes the process or exceeds the bounds.
 func FuzzNext(f *testing.F) {
 	f.Add("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok")
