exchanger: a response counts only if it surely belongs to its request

Cause: a response counted as that of the request unless it carried another id. A copy without an id therefore counted, and so did a copy of the refusal that the same request had received on the connection before. A copy that comes behind its original or on an idle connection was found already, by the check for bytes; one that arrives after the next request was written was not.

Change: a response without an id counts only as the first one on its connection, which then carries no other request. On a connection that was used before, it is an error after which the request may have run, and the connection is closed. A request is not sent again on a connection on which it received a response other than a success, because both responses would have the same id. A connection on which a response to another request was skipped is used to the end of its request and then closed. A request without an id gets a new connection.

Not chosen: closing the connection after each refusal. Overloaded servers refuse hundreds of requests a second, and a refused request is seldom sent to the same server again; a connection now remembers 64 of them and is closed then, which is 1 new connection for 64 refusals.

--- a/oleandercove/edge/exchanger/exchanger.go
+++ b/oleandercove/edge/exchanger/exchanger.go
@@ -5,9 +5,17 @@
 // request may have reached the server. A connection returns to the pool only if the
 // response was complete, belonged to the request and left no bytes behind.
 //
+// A faulty server may write a response once more while the next request is under way. The
+// request id tells whose response it is, and so
+//   - a response to another request is skipped, and its connection is not used again;
+//   - a response without an id counts only as the first one on its connection, which
+//     carries no other request;
+//   - a request that was unsuccessful on a connection is not sent on it again, because the
+//     ids of both responses would be equal.
+//
 // Usage:
 //
-//	x := exchanger.New(exchanger.Options{MaxIdle: 64})
+//	x := exchanger.New(exchanger.Options{MaxIdle: 64, Identify: identify})
 //	e, err := x.Send(ctx, "10.1.64.9:8080", &exchanger.Request{Method: "GET", Target: "/a", Host: "h"})
 //	defer e.Close()
 //	n, err := e.Response.Body.Read(buf)
@@ -85,7 +93,7 @@
 type Options struct {
 	// MaxIdle bounds the idle connections to one server.
 	MaxIdle int
-	// Identify detects responses to other requests; nil accepts all responses.
+	// Identify returns the id by which a response is matched to its request.
 	Identify Identify
 }
 
@@ -116,15 +124,18 @@
 	stopAbort func() bool
 	// bodyWritten receives the result of writing a large request body; nil for others.
 	bodyWritten chan error
-	complete    atomic.Bool
-	closed      atomic.Bool
+	// unclear is set if later responses on the connection could not be matched to their
+	// requests.
+	unclear  bool
+	complete atomic.Bool
+	closed   atomic.Bool
 }
 
 // Send writes the request and blocks until the head of the response has arrived, the
 // connection fails or ctx is done. The end of ctx also aborts reading the body. Each
 // error is an Error.
 func (x *Exchanger) Send(ctx context.Context, a backend.Address, r *Request) (*Exchange, error) {
-	c, err := x.connect(ctx, a)
+	c, err := x.connect(ctx, a, r.ID)
 	if err != nil {
 		return nil, &Error{Unreachable: ctx.Err() == nil, Err: err}
 	}
@@ -141,9 +152,10 @@
 	return e, nil
 }
 
-// connect returns an idle connection, or a new one if there is none.
-func (x *Exchanger) connect(ctx context.Context, a backend.Address) (*conn, error) {
-	if c := x.pool.takeUsable(a, time.Now()); c != nil {
+// connect returns an idle connection that may carry the request with the id, or a new one
+// if there is none.
+func (x *Exchanger) connect(ctx context.Context, a backend.Address, id unit.RequestID) (*conn, error) {
+	if c := x.pool.takeUsable(a, id, time.Now()); c != nil {
 		return c, nil
 	}
 	return x.dial(ctx, a)
@@ -209,22 +221,31 @@
 	b.WriteString("\r\n")
 }
 
-// errStray is returned if maxStrayResponses responses belonged to other requests.
-var errStray = errors.New("only responses to other requests")
+var (
+	// errStray is returned if maxStrayResponses responses belonged to other requests.
+	errStray = errors.New("only responses to other requests")
+	// errNoID is returned for a response without an id that may belong to another request.
+	errNoID = errors.New("response without the id of a request")
+)
 
 // readHead reads response heads until one belongs to the request. Late responses to
 // earlier requests are discarded.
 func (e *Exchange) readHead(r *Request) error {
+	first := !e.conn.used
+	e.conn.used = true
 	for range maxStrayResponses {
 		resp, err := e.conn.receiver.Next(r.Method)
 		if err != nil {
 			return err
 		}
-		if !e.exchanger.isStray(r, resp) {
-			e.Response = resp
-			resp.Body = &body{ReadCloser: resp.Body, exchange: e}
+		switch id := e.exchanger.identify(resp); {
+		case id == r.ID && id != "", first && (id == "" || r.ID == ""):
+			e.accept(id, resp)
 			return nil
+		case id == "":
+			return errNoID
 		}
+		first, e.unclear = false, true
 		if err := receiver.Discard(resp); err != nil {
 			return fmt.Errorf("response to another request: %w", err)
 		}
@@ -232,13 +253,21 @@
 	return errStray
 }
 
-// isStray reports whether a response belongs to another request.
-func (x *Exchanger) isStray(r *Request, resp *http.Response) bool {
-	if x.options.Identify == nil || r.ID == "" {
-		return false
+// identify returns the request id of a response, or an empty one.
+func (x *Exchanger) identify(resp *http.Response) unit.RequestID {
+	return x.options.Identify(resp.StatusCode, resp.Header)
+}
+
+// accept makes resp, which carries the id, the response to the request.
+func (e *Exchange) accept(id unit.RequestID, resp *http.Response) {
+	if id == "" {
+		e.unclear = true
+	}
+	if resp.StatusCode >= http.StatusMultipleChoices {
+		e.conn.recordUnsuccessful(id)
 	}
-	id := x.options.Identify(resp.StatusCode, resp.Header)
-	return id != "" && id != r.ID
+	e.Response = resp
+	resp.Body = &body{ReadCloser: resp.Body, exchange: e}
 }
 
 // SetReadDeadline sets the deadline of the next reads of the body; a zero time removes
@@ -262,7 +291,7 @@
 // reusable reports whether the next response on the connection will belong to the next
 // request. If so, it prepares the connection for the pool.
 func (e *Exchange) reusable() bool {
-	if e.Response.Close || e.conn.receiver.Pending() {
+	if e.Response.Close || e.unclear || e.conn.receiver.Pending() || e.conn.isFull() {
 		return false
 	}
 	if e.bodyWritten != nil {
--- a/oleandercove/edge/exchanger/exchanger_test.go
+++ b/oleandercove/edge/exchanger/exchanger_test.go
@@ -149,7 +149,7 @@
 		_, err = io.ReadAll(e.Response.Body)
 		is.True(err != nil)
 		e.Close()
-		is.True(x.pool.pop(a) == nil)
+		is.True(x.pool.pop(a, "2") == nil)
 	})
 }
 
--- a/oleandercove/edge/exchanger/pool.go
+++ b/oleandercove/edge/exchanger/pool.go
@@ -1,7 +1,9 @@
 package exchanger
 
 import (
+	"hash/maphash"
 	"net"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -12,6 +14,7 @@
 
 	"oleandercove.example/core/backend"
 	"oleandercove.example/core/receiver"
+	"oleandercove.example/core/unit"
 )
 
 const (
@@ -21,8 +24,15 @@
 	// idleTimeoutPercent is the share of a timeout after which a connection is no
 	// longer used, so that no request is sent while the server closes the connection.
 	idleTimeoutPercent = 75
+	// maxUnsuccessful is the number of unsuccessful requests after which a connection is
+	// closed, because it remembers each of them. An overloaded server refuses hundreds of
+	// requests a second, and a new connection for each of them would cost more than the
+	// refusals.
+	maxUnsuccessful = 64
 )
 
+var idSeed = maphash.MakeSeed()
+
 // conn is a connection to a backend server.
 type conn struct {
 	net.Conn
@@ -30,6 +40,30 @@
 	// idleDeadline is when the idle connection is no longer used, before the server
 	// closes it.
 	idleDeadline time.Time
+	// used is set once a request has been sent on the connection.
+	used bool
+	// unsuccessful holds hashes of the ids of the requests that received no success on the
+	// connection and may therefore be sent again. Callers choose ids of any length.
+	unsuccessful []uint64
+}
+
+func hashID(id unit.RequestID) uint64 { return maphash.String(idSeed, string(id)) }
+
+// recordUnsuccessful records that a request received a response other than a success.
+func (c *conn) recordUnsuccessful(id unit.RequestID) {
+	c.unsuccessful = append(c.unsuccessful, hashID(id))
+}
+
+// isFull reports whether the connection has had maxUnsuccessful unsuccessful requests.
+func (c *conn) isFull() bool { return len(c.unsuccessful) >= maxUnsuccessful }
+
+// mayCarry reports whether a response on the connection could be matched to the request
+// with the id. One without an id needs an unused connection.
+func (c *conn) mayCarry(id unit.RequestID) bool {
+	if id == "" {
+		return !c.used
+	}
+	return !slices.Contains(c.unsuccessful, hashID(id))
 }
 
 // abort closes the connection. A failed close is ignored, because nothing can be done
@@ -99,11 +133,11 @@
 	return &pool{maxPerServer: maxIdle, idle: map[backend.Address][]*conn{}}
 }
 
-// takeUsable returns the most recently used usable connection, or nil. It closes those
-// that are no longer usable.
-func (p *pool) takeUsable(a backend.Address, now time.Time) *conn {
+// takeUsable returns the most recently used usable connection that may carry the request
+// with the id, or nil. It closes those that are no longer usable.
+func (p *pool) takeUsable(a backend.Address, id unit.RequestID, now time.Time) *conn {
 	for {
-		c := p.pop(a)
+		c := p.pop(a, id)
 		if c == nil {
 			return nil
 		}
@@ -114,17 +148,19 @@
 	}
 }
 
-// pop removes and returns the most recently used connection, or nil.
-func (p *pool) pop(a backend.Address) *conn {
+// pop removes and returns the most recently used connection that may carry the request with
+// the id, or nil.
+func (p *pool) pop(a backend.Address, id unit.RequestID) *conn {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	list := p.idle[a]
-	if len(list) == 0 {
-		return nil
+	for i, c := range slices.Backward(list) {
+		if c.mayCarry(id) {
+			p.idle[a] = slices.Delete(list, i, i+1)
+			return c
+		}
 	}
-	c := list[len(list)-1]
-	p.idle[a] = list[:len(list)-1]
-	return c
+	return nil
 }
 
 // put adds an idle connection, or closes it if the server has maxPerServer of them.
