caller: a refused attempt doesn't hide one that may have run

A caller of `oleandercove run` was told NotRun, with status 503, for a read whose first attempt had run: the first server broke the connection, the second one refused, and Serve returned the error of the last attempt only. It now returns the error of the last attempt that may have run, if there is one. Calls that may not be repeated were not affected: they end with such an attempt.

caller_test.go:153: NotRun != MayHaveRun --- FAIL: TestVerdictOfAllAttempts/a_refusal_hides_a_broken_connection --- FAIL: TestVerdictOfAllAttempts/a_closed_server_hides_a_broken_connection

--- a/oleandercove/caller/attempt.go
+++ b/oleandercove/caller/attempt.go
@@ -36,6 +36,8 @@
 	r          *request.Request
 	idempotent bool
 	tried      map[unit.BackendID]bool
+	// mayHaveRun is the error of the last attempt that may have run; nil if there is none.
+	mayHaveRun *verdict.Error
 }
 
 // failure is a failed attempt.
--- a/oleandercove/caller/caller.go
+++ b/oleandercove/caller/caller.go
@@ -104,9 +104,12 @@
 			return nil
 		}
 		c.options.Recorder.Record(recorder.Event{Request: r.ID, Part: "caller", Decision: string(f.err.Verdict), Cause: string(b.ID) + ": " + f.err.Detail})
+		if f.err.Verdict != verdict.NotRun {
+			p.mayHaveRun = f.err
+		}
 		next, ok := p.nextServer(ctx, b, f, number)
 		if !ok {
-			return f.err.WithRetryAfter(max(f.err.RetryAfter, retryAfter))
+			return p.finalError(f)
 		}
 		// The failure of a reused connection is little evidence against its backend
 		// server, so the next attempt uses a new connection.
@@ -114,6 +117,16 @@
 	}
 }
 
+// finalError returns the error of a call after its last attempt. An attempt that was refused
+// says nothing about an earlier one that may have run.
+func (c *call) finalError(last *failure) error {
+	err := last.err
+	if c.mayHaveRun != nil {
+		err = c.mayHaveRun
+	}
+	return err.WithRetryAfter(max(err.RetryAfter, retryAfter))
+}
+
 // nextServer waits for the retry delay and returns the backend server of the next
 // attempt, or false if the call is not sent again. After a failure on a reused connection it
 // returns the same server.
--- a/oleandercove/caller/caller_test.go
+++ b/oleandercove/caller/caller_test.go
@@ -127,6 +127,35 @@
 	}
 }
 
+// Guards against a caller that is told that its call has not run although an earlier attempt
+// may have run it, which happens when a later attempt is refused.
+func TestVerdictOfAllAttempts(t *testing.T) {
+	rows := []struct {
+		name          string
+		first, second http.HandlerFunc // nil: the server refuses connections
+		verdict       verdict.Verdict
+	}{
+		{"a refusal hides a broken connection", abortConnection, status(503, verdict.NotRun), verdict.MayHaveRun},
+		{"a closed server hides a broken connection", abortConnection, nil, verdict.MayHaveRun},
+		{"two refusals count as a run", status(503, verdict.NotRun), status(503, verdict.NotRun), verdict.NotRun},
+	}
+	for _, row := range rows {
+		t.Run(row.name, func(t *testing.T) {
+			is := is.New(t)
+			var ran atomic.Int64
+			second := closedAddress(t)
+			if row.second != nil {
+				second = newServer(t, &ran, row.second)
+			}
+			c := newCaller(newServer(t, &ran, row.first), second)
+			v, ok := verdict.FromError(c.Serve(t.Context(), newCall(http.MethodGet, 30*time.Second)))
+			is.True(ok)
+			is.Equal(v.Verdict, row.verdict)
+			is.Equal(v.Reason.Status() == http.StatusServiceUnavailable, row.verdict == verdict.NotRun)
+		})
+	}
+}
+
 // Guards against a read that fails, or is sent to another backend server, which happens
 // when a reused connection is silent while new ones work.
 func TestSilentReusedConnection(t *testing.T) {
