classifier: a refusal on a reused connection doesn't prove that a call has not run

A read on a kept connection, and the call that opens a stream at an engine, counted as NotRun then, and the caller was told so if the retry was refused as well. Bookings were not affected: each has a connection of its own.

An outcome now states whether the connection carried an earlier call, and 408, 429 and 503 with X-Verdict: NotRun are MayHaveRun on such a connection. The read is still sent again, on a new connection.

--- a/oleandercove/caller/attempt.go
+++ b/oleandercove/caller/attempt.go
@@ -62,8 +62,9 @@
 }
 
 // sendAttempt makes one attempt. It blocks until the response is complete, the attempt
-// fails or receives no byte for its limit, or ctx is done. It returns nil once the
-// result is in c.r.Call.
+// fails or receives no byte for its limit, or ctx is done. A complete response which states
+// that the call has not run counts as a failed attempt. It returns nil once the result is in
+// c.r.Call.
 func (c *call) sendAttempt(ctx context.Context, b watcher.Backend, reuse bool) *failure {
 	defer c.options.Tracker.Start(b.ID)()
 	client := c.freshClient
@@ -87,7 +88,7 @@
 		body, err = readResponse(res.Body)
 	}
 	o := trace.Outcome(res, err == nil, tracer.Failure(ctx, err))
-	if err == nil && !c.isNotRun(o) {
+	if err == nil && !o.IsRefusal() {
 		res.Header.Del(api.HeaderVerdict)
 		c.r.Call.Result = &request.Result{Status: res.StatusCode, Header: res.Header, Body: body}
 		return nil
@@ -95,12 +96,6 @@
 	return c.newFailure(b, o, trace.Reused(), err)
 }
 
-// isNotRun reports whether the outcome is NotRun; a complete response with that verdict
-// counts as a failed attempt.
-func (c *call) isNotRun(o classifier.Outcome) bool {
-	return classifier.Classify(o) == verdict.NotRun
-}
-
 func readResponse(r io.Reader) ([]byte, error) {
 	body, err := io.ReadAll(io.LimitReader(r, maxResponseBytes+1))
 	if err == nil && len(body) > maxResponseBytes {
@@ -125,6 +120,9 @@
 		return verdict.DeadlineExceeded
 	case o.Failure == classifier.FailureCanceled:
 		return verdict.Canceled
+	case o.Failure == classifier.FailureNone && o.Reused:
+		// The refusal may be that of an earlier call.
+		return verdict.BackendFailed
 	case o.Failure == classifier.FailureNone:
 		return verdict.Overloaded
 	case !o.Connected:
--- a/oleandercove/caller/caller_test.go
+++ b/oleandercove/caller/caller_test.go
@@ -156,6 +156,32 @@
 	}
 }
 
+// Guards against a caller that is told that its read has not run, which happens when a faulty
+// server writes an earlier refusal once more on a kept connection, and refuses the retry.
+func TestStaleRefusal(t *testing.T) {
+	is := is.New(t)
+	var ran atomic.Int64
+	const refusal = "HTTP/1.1 503 Service Unavailable\r\nX-Verdict: NotRun\r\nContent-Length: 0\r\n\r\n"
+	c := newCaller(newServer(t, &ran, func(w http.ResponseWriter, _ *http.Request) {
+		switch ran.Load() {
+		case 2: // the read runs; an earlier refusal comes before its response
+			conn, _, err := http.NewResponseController(w).Hijack()
+			is.NoErr(err)
+			defer conn.Close()
+			_, err = io.WriteString(conn, refusal)
+			is.NoErr(err)
+		case 3:
+			status(503, verdict.NotRun)(w, nil)
+		}
+	}))
+	is.NoErr(c.Serve(t.Context(), newCall(http.MethodGet, 30*time.Second)))
+	v, ok := verdict.FromError(c.Serve(t.Context(), newCall(http.MethodGet, 30*time.Second)))
+	is.True(ok)
+	is.Equal(ran.Load(), int64(3)) // the read is sent again on a new connection
+	is.Equal(v.Verdict, verdict.MayHaveRun)
+	is.Equal(v.Reason, verdict.BackendFailed)
+}
+
 // Guards against a read that fails, or is sent to another backend server, which happens
 // when a reused connection is silent while new ones work.
 func TestSilentReusedConnection(t *testing.T) {
--- a/oleandercove/classifier/classifier.go
+++ b/oleandercove/classifier/classifier.go
@@ -72,6 +72,19 @@
 	Status int
 	// NotRunHeader is true if the response carries the header X-Verdict: NotRun.
 	NotRunHeader bool
+	// Reused is true if the connection carried an earlier call, whose response a faulty
+	// server may have written once more.
+	Reused bool
+}
+
+// IsRefusal reports whether the response states that the call has not run. On a reused
+// connection this may concern an earlier call.
+func (o Outcome) IsRefusal() bool {
+	switch o.Status {
+	case http.StatusRequestTimeout, http.StatusTooManyRequests, http.StatusServiceUnavailable:
+		return o.NotRunHeader
+	}
+	return false
 }
 
 // Classify returns the verdict of an attempt:
@@ -84,7 +97,8 @@
 //   - With a status received, the code decides, although it proves nothing about
 //     execution by itself: 408, 429 and 503 are NotRun only with the header
 //     X-Verdict, because a server may send them in the middle of a call. Without
-//     the header they are MayHaveRun, as are 502 and 504. All other codes are Ran.
+//     the header they are MayHaveRun, as are 502 and 504, and so is any of them on a
+//     reused connection. All other codes are Ran.
 func Classify(o Outcome) verdict.Verdict {
 	switch {
 	case !o.Connected && o.Received == ReceivedNothing:
@@ -103,7 +117,7 @@
 func classifyStatus(o Outcome) verdict.Verdict {
 	switch o.Status {
 	case http.StatusRequestTimeout, http.StatusTooManyRequests, http.StatusServiceUnavailable:
-		if o.NotRunHeader {
+		if o.IsRefusal() && !o.Reused {
 			return verdict.NotRun
 		}
 		return verdict.MayHaveRun
--- a/oleandercove/classifier/classifier_test.go
+++ b/oleandercove/classifier/classifier_test.go
@@ -64,6 +64,12 @@
 			})
 		}
 	}
+	for _, status := range []int{408, 429, 503} {
+		t.Run(fmt.Sprintf("%d of an earlier call trusted", status), func(t *testing.T) {
+			o := Outcome{Connected: true, Sent: SentAll, Received: ReceivedAll, Status: status, NotRunHeader: true, Reused: true}
+			is.New(t).Equal(Classify(o), verdict.MayHaveRun)
+		})
+	}
 	t.Run("a refused connection counted as run", func(t *testing.T) {
 		is.New(t).Equal(Classify(Outcome{Failure: FailureRefused}), verdict.NotRun)
 	})
--- a/oleandercove/dispatcher/dispatcher_test.go
+++ b/oleandercove/dispatcher/dispatcher_test.go
@@ -45,3 +45,21 @@
 		})
 	}
 }
+
+// Guards against a stream that counts as not run although the engine runs it, which happens
+// when the engine writes an earlier refusal once more on a kept connection.
+func TestRefusalOnKeptConnection(t *testing.T) {
+	is := is.New(t)
+	s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set("X-Verdict", string(verdict.NotRun))
+		w.WriteHeader(http.StatusServiceUnavailable)
+	}))
+	defer s.Close()
+	d := New(Options{})
+	for _, want := range []verdict.Verdict{verdict.NotRun, verdict.MayHaveRun} {
+		_, err := d.Open(t.Context(), engine.StreamRequest{Chain: []engine.Stage{{Address: s.Listener.Addr().String()}}})
+		var e *OpenError
+		is.True(errors.As(err, &e))
+		is.Equal(classifier.Classify(e.Outcome), want)
+	}
+}
--- a/oleandercove/tracer/tracer.go
+++ b/oleandercove/tracer/tracer.go
@@ -155,7 +155,7 @@
 func (t *Trace) Outcome(res *http.Response, complete bool, f classifier.Failure) classifier.Outcome {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	o := classifier.Outcome{Connected: t.connected, Sent: t.sentPart(), Failure: f}
+	o := classifier.Outcome{Connected: t.connected, Sent: t.sentPart(), Failure: f, Reused: t.reused}
 	switch {
 	case res != nil && complete:
 		o.Received = classifier.ReceivedAll
