caller: kept connections only to servers that repeat the id of a request

A response on a reused connection now counts only if it carries the id of its call. Otherwise the read is sent again on a new connection. A server gets kept connections once a response of it has carried the id; one that doesn't repeat ids gets a new connection for each read, as bookings always had. The simulated service repeats ids. TestStaleRefusal and TestSilentReusedConnection send one more read, because the first one to a server opens a connection that is not kept, and their servers repeat ids; what they check is unchanged.

--- a/oleandercove/caller/attempt.go
+++ b/oleandercove/caller/attempt.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"errors"
 	"io"
 	"net/http"
 	"time"
@@ -85,6 +86,11 @@
 	var body []byte
 	if err == nil {
 		defer res.Body.Close()
+		if err = c.checkID(b, res, trace.Reused()); err != nil {
+			res = nil // says nothing about this call
+		}
+	}
+	if err == nil {
 		body, err = readResponse(res.Body)
 	}
 	o := trace.Outcome(res, err == nil, tracer.Failure(ctx, err))
@@ -96,6 +102,28 @@
 	return c.newFailure(b, o, trace.Reused(), err)
 }
 
+// errOtherID is the failure of an attempt that received the response to another request.
+var errOtherID = errors.New("response without the id of the request")
+
+// checkID returns an error if a response on a reused connection does not carry the id of the
+// request, and so may belong to an earlier one. It records whether the backend server repeats
+// ids.
+func (c *call) checkID(b watcher.Backend, res *http.Response, reused bool) error {
+	repeats := res.Header.Get(api.HeaderRequestID) == string(c.r.ID)
+	if reused && !repeats {
+		return errOtherID
+	}
+	c.repeatsIDs.Store(b.Address, repeats)
+	return nil
+}
+
+// mayReuse reports whether the call may use a kept connection to a backend server: the call
+// can be repeated, and responses can be matched to their requests.
+func (c *call) mayReuse(b watcher.Backend) bool {
+	repeats, ok := c.repeatsIDs.Load(b.Address)
+	return c.idempotent && ok && repeats == true
+}
+
 func readResponse(r io.Reader) ([]byte, error) {
 	body, err := io.ReadAll(io.LimitReader(r, maxResponseBytes+1))
 	if err == nil && len(body) > maxResponseBytes {
--- a/oleandercove/caller/caller.go
+++ b/oleandercove/caller/caller.go
@@ -2,8 +2,12 @@
 //
 // A call that may not be repeated is sent on a new connection: the HTTP transport resends
 // a request by itself if a reused connection breaks and the request carries an
-// Idempotency-Key header. The verdict of each attempt is derived from the bytes that its
-// connection carried, and the retrier decides whether the call is sent again.
+// Idempotency-Key header. Other calls use kept connections to backend servers that repeat the
+// id of a request, X-Request-Id, in its response: a faulty server may write a response once
+// more while the next call is running.
+//
+// The verdict of each attempt is derived from the bytes that its connection carried, and the
+// retrier decides whether the call is sent again.
 //
 // Usage:
 //
@@ -18,6 +22,7 @@
 	"net/http"
 	"slices"
 	"strings"
+	"sync"
 	"time"
 
 	"github.com/charmbracelet/log"
@@ -61,6 +66,9 @@
 	budget  *retrier.Budget
 	// reusingClient keeps connections open; freshClient opens one for each attempt.
 	reusingClient, freshClient *http.Client
+	// repeatsIDs holds by address whether the last response from there repeated the id of its
+	// request.
+	repeatsIDs sync.Map
 }
 
 // New returns a Caller.
@@ -96,7 +104,7 @@
 		return verdict.New(verdict.NotRun, verdict.NoBackend, "no healthy worker serves %s", r.Name).WithRetryAfter(retryAfter)
 	}
 	c.budget.Deposit(b.ID)
-	reuse := p.idempotent
+	reuse := p.mayReuse(b)
 	for number := 1; ; number++ {
 		p.tried[b.ID] = true
 		f := p.sendAttempt(ctx, b, reuse)
--- a/oleandercove/caller/caller_test.go
+++ b/oleandercove/caller/caller_test.go
@@ -73,6 +73,12 @@
 
 func silent(_ http.ResponseWriter, r *http.Request) { <-r.Context().Done() }
 
+// repeatID repeats the id of a request in its response, as servers do whose connections are
+// kept.
+func repeatID(w http.ResponseWriter, r *http.Request) {
+	w.Header().Set("X-Request-Id", r.Header.Get("X-Request-Id"))
+}
+
 func status(code int, v verdict.Verdict) http.HandlerFunc {
 	return func(w http.ResponseWriter, _ *http.Request) {
 		w.Header().Set("X-Verdict", string(v))
@@ -156,28 +162,75 @@
 	}
 }
 
+// Guards against a caller that gets the response to another read, which happens when a faulty
+// server writes an earlier response once more on a kept connection.
+func TestStaleSuccess(t *testing.T) {
+	rows := []struct {
+		name    string
+		repeats bool // the server repeats the ids of requests
+		stale   string
+	}{
+		{"the earlier response has an id", true, "X-Request-Id: earlier\r\n"},
+		{"the earlier response has no id", true, ""},
+		{"the server repeats no ids", false, ""},
+	}
+	for _, row := range rows {
+		t.Run(row.name, func(t *testing.T) {
+			is := is.New(t)
+			var ran atomic.Int64
+			reads := sync.Map{} // by connection
+			c := newCaller(newServer(t, &ran, func(w http.ResponseWriter, r *http.Request) {
+				if row.repeats {
+					repeatID(w, r)
+				}
+				if _, kept := reads.LoadOrStore(r.RemoteAddr, true); kept {
+					conn, _, err := http.NewResponseController(w).Hijack()
+					is.NoErr(err)
+					defer conn.Close()
+					_, err = io.WriteString(conn, "HTTP/1.1 200 OK\r\n"+row.stale+"Content-Length: 7\r\n\r\nearlier")
+					is.NoErr(err)
+					return
+				}
+				_, err := io.WriteString(w, "answer")
+				is.NoErr(err)
+			}))
+			for range 4 {
+				r := newCall(http.MethodGet, 30*time.Second)
+				is.NoErr(c.Serve(t.Context(), r))
+				is.Equal(string(r.Call.Result.Body), "answer")
+			}
+			if row.repeats {
+				is.True(ran.Load() > 4) // some read was sent on a kept connection and then again
+			}
+		})
+	}
+}
+
 // Guards against a caller that is told that its read has not run, which happens when a faulty
 // server writes an earlier refusal once more on a kept connection, and refuses the retry.
 func TestStaleRefusal(t *testing.T) {
 	is := is.New(t)
 	var ran atomic.Int64
-	const refusal = "HTTP/1.1 503 Service Unavailable\r\nX-Verdict: NotRun\r\nContent-Length: 0\r\n\r\n"
-	c := newCaller(newServer(t, &ran, func(w http.ResponseWriter, _ *http.Request) {
+	const refusal = "HTTP/1.1 503 Service Unavailable\r\nX-Request-Id: r\r\nX-Verdict: NotRun\r\nContent-Length: 0\r\n\r\n"
+	c := newCaller(newServer(t, &ran, func(w http.ResponseWriter, r *http.Request) {
+		repeatID(w, r)
 		switch ran.Load() {
-		case 2: // the read runs; an earlier refusal comes before its response
+		case 3: // the read runs; an earlier refusal comes before its response
 			conn, _, err := http.NewResponseController(w).Hijack()
 			is.NoErr(err)
 			defer conn.Close()
 			_, err = io.WriteString(conn, refusal)
 			is.NoErr(err)
-		case 3:
-			status(503, verdict.NotRun)(w, nil)
+		case 4:
+			status(503, verdict.NotRun)(w, r)
 		}
 	}))
-	is.NoErr(c.Serve(t.Context(), newCall(http.MethodGet, 30*time.Second)))
+	for range 2 {
+		is.NoErr(c.Serve(t.Context(), newCall(http.MethodGet, 30*time.Second)))
+	}
 	v, ok := verdict.FromError(c.Serve(t.Context(), newCall(http.MethodGet, 30*time.Second)))
 	is.True(ok)
-	is.Equal(ran.Load(), int64(3)) // the read is sent again on a new connection
+	is.Equal(ran.Load(), int64(4)) // the read is sent again on a new connection
 	is.Equal(v.Verdict, verdict.MayHaveRun)
 	is.Equal(v.Reason, verdict.BackendFailed)
 }
@@ -189,16 +242,17 @@
 	var ran, other atomic.Int64
 	var seen sync.Map
 	first := newServer(t, &ran, func(w http.ResponseWriter, r *http.Request) {
+		repeatID(w, r)
 		if _, again := seen.LoadOrStore(r.RemoteAddr, true); again {
 			silent(w, r)
 		}
 	})
 	c := newCaller(first, newServer(t, &other, ok))
-	for range 2 {
+	for range 3 {
 		r := newCall(http.MethodGet, 2*time.Second)
 		is.NoErr(c.Serve(t.Context(), r))
 		is.Equal(r.Call.Result.Status, http.StatusOK)
 	}
-	is.Equal(ran.Load(), int64(3))
+	is.Equal(ran.Load(), int64(4))
 	is.Equal(other.Load(), int64(0))
 }
--- a/oleanderfake/booker/booker.go
+++ b/oleanderfake/booker/booker.go
@@ -106,6 +106,7 @@
 }
 
 func (s *Service) handleCall(w http.ResponseWriter, r *http.Request) {
+	w.Header().Set("X-Request-Id", r.Header.Get("X-Request-Id"))
 	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxBodyBytes))
 	if err != nil {
 		http.Error(w, err.Error(), http.StatusBadRequest)
