gateway: an engine's error response is read before its connection is closed

A caller got 502, or its request ran again, although an engine had answered it with an error: the goroutine that had sent the request closed the connection as soon as it had passed on the head, and the stream found the body broken off if it hadn't arrived together with the head. The stream now closes the exchange of a response that is not a stream, after it has read it.

Before, with an engine that sends status 500 and three parts of a body, a millisecond apart:

response_test.go:49: 1 != 2 (the stream tried again instead of delivering the response) --- FAIL: TestEngineError

--- a/oleandercove/edge/gateway/events.go
+++ b/oleandercove/edge/gateway/events.go
@@ -54,7 +54,8 @@
 var errEventSize = errors.New("event is too large")
 
 // sendAsync sends the request and reads its response in the background. The channel is
-// closed after the last message; cancelling ctx ends the attempt.
+// closed after the last message; cancelling ctx ends the attempt. The receiver of the
+// exchange closes it, unless its status is 200.
 func (j *job) sendAsync(ctx context.Context, a backend.Address, m backend.RequestMetadata) <-chan message {
 	out := make(chan message, messageBacklog)
 	go func() {
@@ -64,8 +65,12 @@
 			sendMessage(ctx, out, message{err: err})
 			return
 		}
+		sent := sendMessage(ctx, out, message{exchange: e})
+		if sent && e.Response.StatusCode != http.StatusOK {
+			return
+		}
 		defer e.Close()
-		if sendMessage(ctx, out, message{exchange: e}) && e.Response.StatusCode == http.StatusOK {
+		if sent {
 			readEvents(ctx, e.Response.Body, out)
 		}
 	}()
--- a/oleandercove/edge/gateway/relay.go
+++ b/oleandercove/edge/gateway/relay.go
@@ -85,6 +85,7 @@
 	resp := e.Response
 	a := platform.DecodeResponseMetadata(resp.StatusCode, resp.Header)
 	if a.NotRun {
+		e.Close()
 		return s.handleRejection(resp.StatusCode, a)
 	}
 	if resp.StatusCode == http.StatusOK && !a.Signed {
@@ -105,6 +106,7 @@
 
 // deliverComplete delivers a complete response that is not a stream.
 func (s *stream) deliverComplete(e *exchanger.Exchange) step {
+	defer e.Close()
 	o := s.readResponse(e)
 	if s.started || !o.usable() {
 		return s.handleFailure(errTruncated)
