exchanger: a response without a body is complete at once

A stream doesn't read the body of a refusal, and the exchanger found out that a response was complete when its body was read to the end.

Before: TestReuseWithoutBody: dials 2 != 1

--- a/oleandercove/edge/exchanger/exchanger.go
+++ b/oleandercove/edge/exchanger/exchanger.go
@@ -266,6 +266,7 @@
 	if resp.StatusCode >= http.StatusMultipleChoices {
 		e.conn.recordUnsuccessful(id)
 	}
+	e.complete.Store(resp.Body == http.NoBody)
 	e.Response = resp
 	resp.Body = &body{ReadCloser: resp.Body, exchange: e}
 }
--- a/oleandercove/edge/exchanger/exchanger_test.go
+++ b/oleandercove/edge/exchanger/exchanger_test.go
@@ -98,6 +98,20 @@
 	}
 }
 
+// Guards against a new connection for each refusal of a stream, whose body nobody reads.
+func TestReuseWithoutBody(t *testing.T) {
+	is := is.New(t)
+	const empty = "HTTP/1.1 503 Service Unavailable\r\nId: 1\r\nContent-Length: 0\r\n\r\n"
+	a, _ := server(t, empty, strings.Replace(empty, "Id: 1", "Id: 2", 1))
+	x := newExchanger()
+	for _, id := range []string{"1", "2"} {
+		e, err := x.Send(t.Context(), a, get(id))
+		is.NoErr(err)
+		e.Close()
+	}
+	is.Equal(x.Dials(), int64(1))
+}
+
 // Guards against a late response to another request that is returned for this one.
 func TestStray(t *testing.T) {
 	is := is.New(t)
