--- a/oleanderfake/imitator/server.go
+++ b/oleanderfake/imitator/server.go
@@ -1,6 +1,7 @@
 package imitator
 
 import (
+	"fmt"
 	"io"
 	"net/http"
 	"slices"
@@ -93,7 +94,12 @@
 	// requests before they run.
 	Failing, Full atomic.Bool
 	// Endless replaces the response to each request that runs, if it is set.
-	Endless  atomic.Pointer[Endless]
+	Endless atomic.Pointer[Endless]
+	// Stale is written before the response to a request that runs on a connection on which
+	// an earlier one was rejected, if it is set. The connection is closed then.
+	Stale    atomic.Pointer[string]
+	rejected sync.Map // by address of the connection's other end
+	stale    atomic.Int64
 	draining atomic.Bool
 	running  atomic.Int64
 	// Silent is set while the server responds to no request that it runs. It still answers
@@ -109,6 +115,22 @@
 	Beginning, Piece string
 }
 
+// StaleSent returns how often Stale was written.
+func (p *Server) StaleSent() int64 { return p.stale.Load() }
+
+// sendStale writes text and the response to a request, and closes the connection.
+func (p *Server) sendStale(w http.ResponseWriter, text, id string) {
+	conn, _, err := http.NewResponseController(w).Hijack()
+	if err != nil {
+		panic(http.ErrAbortHandler)
+	}
+	p.stale.Add(1)
+	answer := "answer of " + p.ID
+	_, _ = fmt.Fprintf(conn, "%sHTTP/1.1 200 OK\r\n%s: %s\r\n%s: %s\r\nContent-Length: %d\r\n\r\n%s",
+		text, headerAttempt, id, headerStamp, stampPrefix+p.ID, len(answer), answer)
+	_ = conn.Close()
+}
+
 // send writes the response to the connection of a request until the caller closes it.
 func (e *Endless) send(w http.ResponseWriter) {
 	conn, _, err := http.NewResponseController(w).Hijack()
@@ -200,6 +222,7 @@
 	if limit := p.site.options.Slots; p.Full.Load() || (limit > 0 && running > limit) {
 		w.Header().Set(headerNotRun, "1")
 		w.WriteHeader(http.StatusServiceUnavailable)
+		p.rejected.Store(r.RemoteAddr, true)
 		return
 	}
 	p.site.Runs.add(id, Run{Server: p.ID, Method: r.Method, Target: r.RequestURI, Body: string(body), Header: r.Header.Clone(), At: time.Now()})
@@ -216,6 +239,12 @@
 		return
 	}
 	time.Sleep(p.site.options.WorkTime)
+	if text := p.Stale.Load(); text != nil {
+		if _, ok := p.rejected.LoadAndDelete(r.RemoteAddr); ok {
+			p.sendStale(w, *text, id)
+			return
+		}
+	}
 	w.Header().Set(headerStamp, stampPrefix+p.ID)
 	// A write error means that the caller has closed the connection.
 	_, _ = io.WriteString(w, "answer of "+p.ID)
