--- a/oleandercove/caller/attempt.go
+++ b/oleandercove/caller/attempt.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"errors"
 	"io"
 	"net/http"
 	"time"
@@ -36,6 +37,8 @@
 	r          *request.Request
 	idempotent bool
 	tried      map[unit.BackendID]bool
+	// mayHaveRun is the error of the last attempt that may have run; nil if there is none.
+	mayHaveRun *verdict.Error
 }
 
 // failure is a failed attempt.
@@ -60,8 +63,9 @@
 }
 
 // sendAttempt makes one attempt. It blocks until the response is complete, the attempt
-// fails or receives no byte for its limit, or ctx is done. It returns nil once the
-// result is in c.r.Call.
+// fails or receives no byte for its limit, or ctx is done. A complete response which states
+// that the call has not run counts as a failed attempt. It returns nil once the result is in
+// c.r.Call.
 func (c *call) sendAttempt(ctx context.Context, b watcher.Backend, reuse bool) *failure {
 	defer c.options.Tracker.Start(b.ID)()
 	client := c.freshClient
@@ -82,10 +86,15 @@
 	var body []byte
 	if err == nil {
 		defer res.Body.Close()
+		if err = c.checkID(b, res, trace.Reused()); err != nil {
+			res = nil // says nothing about this call
+		}
+	}
+	if err == nil {
 		body, err = readResponse(res.Body)
 	}
 	o := trace.Outcome(res, err == nil, tracer.Failure(ctx, err))
-	if err == nil && !c.isNotRun(o) {
+	if err == nil && !o.IsRefusal() {
 		res.Header.Del(api.HeaderVerdict)
 		c.r.Call.Result = &request.Result{Status: res.StatusCode, Header: res.Header, Body: body}
 		return nil
@@ -93,10 +102,26 @@
 	return c.newFailure(b, o, trace.Reused(), err)
 }
 
-// isNotRun reports whether the outcome is NotRun; a complete response with that verdict
-// counts as a failed attempt.
-func (c *call) isNotRun(o classifier.Outcome) bool {
-	return classifier.Classify(o) == verdict.NotRun
+// errOtherID is the failure of an attempt that received the response to another request.
+var errOtherID = errors.New("response without the id of the request")
+
+// checkID returns an error if a response on a reused connection does not carry the id of the
+// request, and so may belong to an earlier one. It records whether the backend server repeats
+// ids.
+func (c *call) checkID(b watcher.Backend, res *http.Response, reused bool) error {
+	repeats := res.Header.Get(api.HeaderRequestID) == string(c.r.ID)
+	if reused && !repeats {
+		return errOtherID
+	}
+	c.repeatsIDs.Store(b.Address, repeats)
+	return nil
+}
+
+// mayReuse reports whether the call may use a kept connection to a backend server: the call
+// can be repeated, and responses can be matched to their requests.
+func (c *call) mayReuse(b watcher.Backend) bool {
+	repeats, ok := c.repeatsIDs.Load(b.Address)
+	return c.idempotent && ok && repeats == true
 }
 
 func readResponse(r io.Reader) ([]byte, error) {
@@ -123,6 +148,9 @@
 		return verdict.DeadlineExceeded
 	case o.Failure == classifier.FailureCanceled:
 		return verdict.Canceled
+	case o.Failure == classifier.FailureNone && o.Reused:
+		// The refusal may be that of an earlier call.
+		return verdict.BackendFailed
 	case o.Failure == classifier.FailureNone:
 		return verdict.Overloaded
 	case !o.Connected:
