--- a/oleandercove/edge/gateway/stream_test.go
+++ b/oleandercove/edge/gateway/stream_test.go
@@ -199,6 +199,19 @@
 	}
 }
 
+// newExchange returns an exchange with a server that answers with the given status.
+func newExchange(t *testing.T, status int) *exchanger.Exchange {
+	t.Helper()
+	s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(status) }))
+	t.Cleanup(s.Close)
+	x := exchanger.New(exchanger.Options{Identify: func(int, http.Header) unit.RequestID { return "" }})
+	e, err := x.Send(t.Context(), backend.Address(s.Listener.Addr().String()), &exchanger.Request{Method: http.MethodPost, Target: "/", Host: "h"})
+	if err != nil {
+		t.Fatal(err)
+	}
+	return e
+}
+
 // Guards against events that are not forwarded because a second attempt was started, which
 // stays silent, while the engines of the first one have recovered.
 func TestFallbackContinues(t *testing.T) {
@@ -211,7 +224,7 @@
 	}{
 		{"events of the first attempt", message{events: events{data: []byte("id:8\n\n"), first: "8", last: "8"}}, false, "id:8\n\n"},
 		{"the first attempt breaks off", message{err: io.ErrUnexpectedEOF}, true, ""},
-		{"the first attempt is rejected", message{exchange: &exchanger.Exchange{Response: &http.Response{StatusCode: http.StatusServiceUnavailable}}}, true, ""},
+		{"the first attempt is rejected", message{exchange: newExchange(t, http.StatusServiceUnavailable)}, true, ""},
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
