gateway, sequencer: only the next events of a stream reach its caller

Cause: the body of a response with status 200 and a signature was cut at blank lines and forwarded, whatever it held. Of each read only the first id was compared with the last event of the caller; text without an id, and an id that is no number, followed everything.

Change: the new package sequencer splits a body into events (CR, LF and CRLF line ends; comments, retry times and a first line with a version are allowed) and checks that they are next. Each attempt, and the first one of a request with Last-Event-Id, starts from the last event that the caller has. The first other bytes end the attempt as failed; the events before them are forwarded. The rest is as for a stream that broke off: resumed elsewhere or aborted.

The platform's pages say that ids increase, not by how much. A gap is therefore an error only in an attempt that resumes a stream, and only if all events so far (three at least) were the same distance apart. Within one attempt ids must increase. A stream that begins with events without numbers is forwarded as before.

TestEventIDOrder is replaced by rows of TestAccept, which check the same pairs and more.

The tests on the code before (20 rows fail):

--- FAIL: TestResumedAttempt/a_body_that_is_declared_as_JSON --- FAIL: TestResumedAttempt/an_error_text_as_body --- FAIL: TestResumedAttempt/an_error_text_without_a_type --- FAIL: TestResumedAttempt/a_head_as_body --- FAIL: TestResumedAttempt/a_head_in_two_chunks_as_body --- FAIL: TestResumedAttempt/text_before_the_first_event --- FAIL: TestResumedAttempt/text_on_the_lines_before_the_first_event --- FAIL: TestResumedAttempt/text_between_events --- FAIL: TestResumedAttempt/text_after_the_last_event --- FAIL: TestResumedAttempt/an_error_event --- FAIL: TestResumedAttempt/an_error_event_after_an_event --- FAIL: TestResumedAttempt/a_gap_at_the_start --- FAIL: TestResumedAttempt/a_gap_within_a_chunk --- FAIL: TestResumedAttempt/an_event_twice_within_a_chunk --- FAIL: TestResumedAttempt/a_second_response_in_a_body_without_a_length --- FAIL: TestResumedAttempt/events_with_CR_are_cut --- FAIL: TestCallerResumes/an_error_text_as_body --- FAIL: TestCallerResumes/a_head_as_body --- FAIL: TestCallerResumes/an_error_event --- FAIL: TestCallerResumes/text_after_an_event

After: both pass, go test -race ./oleandercove/edge/gateway ./oleandercove/edge/sequencer.

--- a/oleandercove/edge/gateway/events.go
+++ b/oleandercove/edge/gateway/events.go
@@ -6,10 +6,10 @@
 	"errors"
 	"io"
 	"net/http"
-	"strconv"
 
 	"oleandercove.example/core/backend"
 	"oleandercove.example/oleandercove/edge/exchanger"
+	"oleandercove.example/oleandercove/edge/sequencer"
 )
 
 const (
@@ -37,36 +37,31 @@
 	// first and last are the ids of the first and last event; empty if the events have
 	// none.
 	first, last eventID
+	// sequence is the position in the stream after the events.
+	sequence sequencer.Sequence
 }
 
 // eventID is the id of an event as the backend server wrote it.
-type eventID string
-
-// follows reports whether an id comes after another one. Ids that are not numbers have
-// no order and always follow.
-func (e eventID) follows(o eventID) bool {
-	a, errA := strconv.ParseInt(string(e), 10, 64)
-	b, errB := strconv.ParseInt(string(o), 10, 64)
-	return errA != nil || errB != nil || a > b
-}
+type eventID = sequencer.EventID
 
 // errEventSize is the failure of an attempt that sent an event larger than maxEvent.
 var errEventSize = errors.New("event is too large")
 
 // sendAsync sends the request and reads its response in the background. The channel is
 // closed after the last message; cancelling ctx ends the attempt.
-func (j *job) sendAsync(ctx context.Context, a backend.Address, m backend.RequestMetadata) <-chan message {
+func (s *stream) sendAsync(ctx context.Context, a backend.Address, m backend.RequestMetadata) <-chan message {
 	out := make(chan message, messageBacklog)
+	q := s.attemptSequence()
 	go func() {
 		defer close(out)
-		e, err := j.send(ctx, a, m)
+		e, err := s.send(ctx, a, m)
 		if err != nil {
 			sendMessage(ctx, out, message{err: err})
 			return
 		}
 		defer e.Close()
 		if sendMessage(ctx, out, message{exchange: e}) && e.Response.StatusCode == http.StatusOK {
-			readEvents(ctx, e.Response.Body, out)
+			readEvents(ctx, e.Response.Body, q, out)
 		}
 	}()
 	return out
@@ -83,9 +78,10 @@
 	}
 }
 
-// readEvents splits a body into complete events. An incomplete event before an error is
-// dropped, so that a resumed stream continues after the last complete event.
-func readEvents(ctx context.Context, body io.Reader, out chan<- message) {
+// readEvents splits a body into complete events that come next after q. An incomplete event
+// before an error is dropped, so that a resumed stream continues after the last complete
+// event. So is everything from the first bytes that are no event, or not the next one.
+func readEvents(ctx context.Context, body io.Reader, q sequencer.Sequence, out chan<- message) {
 	buf := make([]byte, 0, streamBuffer)
 	for {
 		if len(buf) == cap(buf) {
@@ -93,68 +89,48 @@
 		}
 		n, err := body.Read(buf[len(buf):cap(buf)])
 		buf = buf[:len(buf)+n]
-		if end := lastEventEnd(buf); end > 0 {
-			data := bytes.Clone(buf[:end])
-			buf = append(buf[:0], buf[end:]...)
-			if !sendMessage(ctx, out, message{events: events{data: data, first: firstID(data), last: lastID(data)}}) {
+		ev, splitErr := nextEvents(buf, &q)
+		if len(ev.data) > 0 {
+			buf = append(buf[:0], buf[len(ev.data):]...)
+			if !sendMessage(ctx, out, message{events: ev}) {
 				return
 			}
 		}
-		if len(buf) > maxEvent {
-			err = errEventSize
-		}
-		if err == io.EOF && len(bytes.TrimSpace(buf)) > 0 {
-			err = io.ErrUnexpectedEOF
-		}
-		if err != nil {
+		if err = endError(buf, err, splitErr); err != nil {
 			sendMessage(ctx, out, message{err: err})
 			return
 		}
 	}
 }
 
-// lastEventEnd returns the length of the complete events in a buffer.
-func lastEventEnd(b []byte) int {
-	end := 0
-	if i := bytes.LastIndex(b, []byte("\n\n")); i >= 0 {
-		end = i + 2
-	}
-	if i := bytes.LastIndex(b, []byte("\r\n\r\n")); i >= 0 {
-		end = max(end, i+4)
+// endError returns why an attempt ends, or nil if its body continues after rest.
+func endError(rest []byte, readErr, splitErr error) error {
+	switch {
+	case splitErr != nil:
+		return splitErr
+	case len(rest) > maxEvent:
+		return errEventSize
+	case readErr == io.EOF && sequencer.IsIncomplete(rest):
+		return io.ErrUnexpectedEOF
+	default:
+		return readErr
 	}
-	return end
 }
 
-var idField = []byte("id:")
-
-// parseID returns the event id on a line, and whether the line is an id field.
-func parseID(line []byte) (eventID, bool) {
-	v, ok := bytes.CutPrefix(line, idField)
-	return eventID(bytes.TrimSpace(v)), ok
-}
-
-// firstID returns the first event id in data, or an empty one.
-func firstID(data []byte) eventID {
-	for line := range bytes.Lines(data) {
-		if id, ok := parseID(line); ok {
-			return id
-		}
+// nextEvents returns a copy of the complete events at the start of b that come next after q,
+// and moves q behind them. The error says why other bytes can't follow.
+func nextEvents(b []byte, q *sequencer.Sequence) (events, error) {
+	list, err := sequencer.Split(b)
+	n, orderErr := q.Accept(list)
+	if orderErr != nil {
+		list, err = list[:n], orderErr
 	}
-	return ""
-}
-
-// lastID returns the last event id in data, or an empty one.
-func lastID(data []byte) eventID {
-	i := bytes.LastIndex(data, []byte("\nid:"))
-	switch {
-	case i >= 0:
-		i++
-	case bytes.HasPrefix(data, idField):
-		i = 0
-	default:
-		return ""
+	if len(list) == 0 {
+		return events{}, err
+	}
+	size := 0
+	for _, e := range list {
+		size += e.Size
 	}
-	line, _, _ := bytes.Cut(data[i:], []byte("\n"))
-	id, _ := parseID(line)
-	return id
+	return events{data: bytes.Clone(b[:size]), first: list[0].ID, last: list[n-1].ID, sequence: *q}, err
 }
--- a/oleandercove/edge/gateway/events_test.go
+++ b/oleandercove/edge/gateway/events_test.go
@@ -11,6 +11,8 @@
 	"time"
 
 	"github.com/matryer/is"
+
+	"oleandercove.example/oleandercove/edge/sequencer"
 )
 
 // Guards against events that are split, lost or forwarded in part, which happen when a
@@ -37,7 +39,7 @@
 			out := make(chan message, 100)
 			go func() {
 				defer close(out)
-				readEvents(context.Background(), tt.body, out)
+				readEvents(context.Background(), tt.body, sequencer.Sequence{}, out)
 			}()
 			var got string
 			var last eventID
@@ -56,15 +58,6 @@
 	}
 }
 
-// Guards against events that a resumed stream repeats, which happen when the new engine
-// starts before the last event that the caller has.
-func TestEventIDOrder(t *testing.T) {
-	is := is.New(t)
-	is.True(eventID("10").follows("9"))
-	is.True(!eventID("9").follows("9"))
-	is.True(eventID("1").follows(""))
-}
-
 // Guards against a Retry-After beyond the deadline of the caller, and against one that
 // is the same for all callers.
 func TestRetryAfter(t *testing.T) {
--- a/oleandercove/edge/gateway/relay.go
+++ b/oleandercove/edge/gateway/relay.go
@@ -165,9 +165,6 @@
 // forwardEvents writes events to the caller.
 func (s *stream) forwardEvents(ev events) step {
 	now := time.Now()
-	if !ev.first.follows(s.lastEvent) {
-		return s.handleFailure(errOrder)
-	}
 	if s.ticket != nil {
 		s.ticket.PrefillDone()
 	}
@@ -182,6 +179,7 @@
 		return stepFail
 	}
 	s.recordGap(now, ev.first)
+	s.sequence = ev.sequence
 	if ev.last != "" {
 		s.lastEvent = ev.last
 	}
@@ -189,9 +187,6 @@
 	return stepWait
 }
 
-// errOrder is the failure of an attempt that sent an event the caller already has.
-var errOrder = errors.New("events out of order")
-
 // recordGap records the time since the previous event. For the first event it records
 // the time since the arrival of the request.
 func (s *stream) recordGap(now time.Time, id eventID) {
--- a/oleandercove/edge/gateway/stream.go
+++ b/oleandercove/edge/gateway/stream.go
@@ -9,6 +9,7 @@
 	"oleandercove.example/core/unit"
 	"oleandercove.example/core/verdict"
 	"oleandercove.example/oleandercove/edge/pathfinder"
+	"oleandercove.example/oleandercove/edge/sequencer"
 )
 
 // maxSends bounds how often a request is sent, including sends that engines reject.
@@ -46,6 +47,8 @@
 	// started is set once the headers have been sent to the caller.
 	started   bool
 	lastEvent eventID
+	// sequence is the position after the last event that the caller has.
+	sequence sequencer.Sequence
 	// lastProgressAt is the time of the last event, or of a later reroute; the time of
 	// the last send while there is no event.
 	lastProgressAt time.Time
@@ -73,6 +76,7 @@
 // the stream is complete or fails.
 func (j *job) runModel(ctx context.Context) {
 	s := &stream{job: j, ctx: ctx, rejectedBy: map[unit.BackendID]bool{}, engineDown: make(chan struct{}, 1), lastEvent: eventID(j.call.LastEvent)}
+	s.sequence = sequencer.After(s.lastEvent)
 	j.servedModel.Store(true)
 	j.streams.add(s)
 	defer j.streams.remove(s)
