gateway: check the head of a response before its events are forwarded

What callers would see: events of a response with a Content-Encoding, which is not the server's body, and of one that the server declares as text. A response with status 200 that is no stream was cut at its last blank line, and the request was sent to another server or failed.

Cause: of a head with status 200 only the signature was checked.

Change: a response is a stream if its status is 200 and its type is text/event-stream or absent. With a part of the stream at the caller, any other one ends the attempt as failed, without reading its body. A caller that resumes a stream itself gets no other success, but still the server's own failure. Without a part of the stream at the caller the response is delivered whole, as for plain services.

--- FAIL: TestResumedAttempt/events_with_an_encoding --- FAIL: TestResumedAttempt/events_that_are_declared_as_text --- FAIL: TestCallerResumes/events_that_are_declared_as_text --- FAIL: TestWholeResponse/a_response_that_is_no_stream

After: pass, go test -race ./oleandercove/edge/gateway.

--- a/oleandercove/edge/gateway/events.go
+++ b/oleandercove/edge/gateway/events.go
@@ -5,7 +5,6 @@
 	"context"
 	"errors"
 	"io"
-	"net/http"
 
 	"oleandercove.example/core/backend"
 	"oleandercove.example/oleandercove/edge/exchanger"
@@ -60,7 +59,7 @@
 			return
 		}
 		defer e.Close()
-		if sendMessage(ctx, out, message{exchange: e}) && e.Response.StatusCode == http.StatusOK {
+		if sendMessage(ctx, out, message{exchange: e}) && isStream(e.Response) {
 			readEvents(ctx, e.Response.Body, q, out)
 		}
 	}()
--- a/oleandercove/edge/gateway/relay.go
+++ b/oleandercove/edge/gateway/relay.go
@@ -87,10 +87,10 @@
 	if a.NotRun {
 		return s.handleRejection(resp.StatusCode, a)
 	}
-	if resp.StatusCode == http.StatusOK && !a.Signed {
-		return s.handleFailure(errUnsigned)
+	if err := s.headError(resp, a); err != nil {
+		return s.handleFailure(err)
 	}
-	if resp.StatusCode != http.StatusOK {
+	if !isStream(resp) {
 		return s.deliverComplete(e)
 	}
 	s.stopFallback()
@@ -106,7 +106,7 @@
 // deliverComplete delivers a complete response that is not a stream.
 func (s *stream) deliverComplete(e *exchanger.Exchange) step {
 	o := s.readResponse(e)
-	if s.started || !o.usable() {
+	if !o.usable() {
 		return s.handleFailure(errTruncated)
 	}
 	s.deliver(o)
--- a/oleandercove/edge/gateway/resumed_test.go
+++ b/oleandercove/edge/gateway/resumed_test.go
@@ -129,7 +129,9 @@
 		{"a signed part of a body", withLength("HTTP/1.1 206 Partial Content\r\n"+signed+eventType, numbered(4)), "", stepRetry},
 		{"a redirection", withLength("HTTP/1.1 307 Temporary Redirect\r\nLocation: /b\r\n"+signed, ""), "", stepRetry},
 		{"events without a signature", chunked("HTTP/1.1 200 OK\r\n"+eventType, numbered(4)), "", stepRetry},
+		{"events with an encoding", chunked(okHead+"Content-Encoding: gzip\r\n", numbered(4)), "", stepRetry},
 		{"a body that is declared as JSON", withLength("HTTP/1.1 200 OK\r\n"+signed+"Content-Type: application/json\r\n", "{}\n\n"), "", stepRetry},
+		{"events that are declared as text", withLength("HTTP/1.1 200 OK\r\n"+signed+"Content-Type: text/plain\r\n", numbered(4)), "", stepRetry},
 		{"an error text as body", withLength(okHead, errorText), "", stepRetry},
 		{"an error text without a type", withLength("HTTP/1.1 200 OK\r\n"+signed, errorText), "", stepRetry},
 		{"an error text without a blank line", chunked(okHead, "internal error"), "", stepRetry},
@@ -193,6 +195,7 @@
 		{"an error event", chunked(okHead, "event: error\ndata: internal error\n\n"), "", stepRetry},
 		{"the whole stream again", chunked(okHead, numbered(1, 2, 3, 4)), "", stepRetry},
 		{"text after an event", chunked(okHead, numbered(4), errorText), numbered(4), stepRetry},
+		{"events that are declared as text", withLength("HTTP/1.1 200 OK\r\n"+signed+"Content-Type: text/plain\r\n", numbered(4)), "", stepRetry},
 		{"the rest of a stream is cut", chunked(okHead, numbered(4, 5)), numbered(4, 5), stepDone},
 		{"a stream that only lacks its end is cut", chunked(okHead), "", stepDone},
 		{"the server's own error is hidden", withLength(failHead+signed, errorText), errorText, stepDone},
@@ -206,3 +209,30 @@
 		})
 	}
 }
+
+// Guards against a response that is changed or lost although it is the whole response of its
+// server, which happens when it is taken for a stream that broke off.
+func TestWholeResponse(t *testing.T) {
+	const object = `{"a":1}`
+	tests := []struct {
+		name     string
+		response string
+		status   int
+		body     string
+	}{
+		{"a response that is no stream", withLength("HTTP/1.1 200 OK\r\n"+signed+"Content-Type: application/json\r\n", object), http.StatusOK, object},
+		{"an error of the server", withLength(failHead+signed, errorText), http.StatusInternalServerError, errorText},
+		{"a stream without a type", chunked("HTTP/1.1 200 OK\r\n"+signed, numbered(1, 2)), http.StatusOK, numbered(1, 2)},
+		{"a stream whose type has a parameter", chunked("HTTP/1.1 200 OK\r\n"+signed+"Content-Type: text/event-stream; charset=utf-8\r\n", numbered(1)), http.StatusOK, numbered(1)},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			s, w := newCallerStream(t, "")
+			is.Equal(s.runAttempt(scriptedEngine(t, tt.response)), stepDone)
+			is.Equal(w.Code, tt.status)
+			is.Equal(w.Body.String(), tt.body)
+			is.Equal(w.Header().Get("X-Oleandercove-Response-Stamp"), "s")
+		})
+	}
+}
