gateway: a resumed attempt without events completes a stream only if it declares its end

Cause: the end of a body with status 200 and a signature ended the stream. A server that resumes it and closes the connection behind the head, as one that crashes does, completed it; so did an empty response of any type.

Change: if the caller has events and the attempt has sent none, its end counts only if the response is declared as text/event-stream and has a length or chunks. Otherwise the attempt has failed. An empty body that is declared so stays a proper end: the first server may have lost its connection behind the last event.

--- FAIL: TestResumedAttempt/no_event_and_no_length --- FAIL: TestResumedAttempt/blank_lines_and_no_length --- FAIL: TestResumedAttempt/an_empty_body_without_a_type --- FAIL: TestCallerResumes/no_event_and_no_length --- FAIL: TestCallerResumes/an_empty_body_without_a_type

After: pass, go test -race ./oleandercove/edge/gateway.

--- a/oleandercove/edge/gateway/attempt.go
+++ b/oleandercove/edge/gateway/attempt.go
@@ -23,6 +23,8 @@
 	release func()
 	// progressed is set once the attempt has sent an event.
 	progressed bool
+	// declaresEnd is set if the response is complete even if it has no event.
+	declaresEnd bool
 	// crashRecorded is set once a crash record has been made for the chain.
 	crashRecorded *atomic.Bool
 	// firstEngineCrashed is set once the first engine is known to have crashed.
--- a/oleandercove/edge/gateway/continuation.go
+++ b/oleandercove/edge/gateway/continuation.go
@@ -53,3 +53,23 @@
 		return nil
 	}
 }
+
+// declaresEnd reports whether the end of a stream without events is certain: the server
+// declares it as a stream, and its end does not depend on that of the connection, which also
+// closes if the server crashes.
+func declaresEnd(r *http.Response) bool {
+	return hasEventType(r) && (r.ContentLength >= 0 || len(r.TransferEncoding) > 0)
+}
+
+// errNoEvents is the failure of an attempt that should continue a stream and sent no event.
+var errNoEvents = errors.New("response without events")
+
+// endBody handles the end of a body. A server that resumes a stream behind its last event
+// has no event left, so that an empty body can be its end.
+func (s *stream) endBody() step {
+	if s.lastEvent != "" && !s.progressed && !s.declaresEnd {
+		return s.handleFailure(errNoEvents)
+	}
+	s.finish()
+	return stepDone
+}
--- a/oleandercove/edge/gateway/relay.go
+++ b/oleandercove/edge/gateway/relay.go
@@ -73,8 +73,7 @@
 	case m.err == nil:
 		return s.forwardEvents(m.events)
 	case errors.Is(m.err, io.EOF):
-		s.finish()
-		return stepDone
+		return s.endBody()
 	default:
 		return s.handleFailure(m.err)
 	}
@@ -93,6 +92,7 @@
 	if !isStream(resp) {
 		return s.deliverComplete(e)
 	}
+	s.declaresEnd = declaresEnd(resp)
 	s.stopFallback()
 	if s.started {
 		return stepWait
--- a/oleandercove/edge/gateway/resumed_test.go
+++ b/oleandercove/edge/gateway/resumed_test.go
@@ -152,6 +152,9 @@
 		{"an incomplete event that ends with a line", withLength(okHead, numbered(4)+"id: 5\ndata: piece 5\n"), numbered(4), stepRetry},
 		{"a broken end", cutChunked(okHead, numbered(4, 5)), numbered(4, 5), stepRetry},
 		{"a broken end of an empty body", cutChunked(okHead), "", stepRetry},
+		{"no event and no length", okHead + "\r\n", "", stepRetry},
+		{"blank lines and no length", okHead + "\r\n\n\n\n\n", "", stepRetry},
+		{"an empty body without a type", withLength("HTTP/1.1 200 OK\r\n"+signed, ""), "", stepRetry},
 		{"a second response in a body without a length", okHead + "\r\n" + numbered(4, 5) + withLength(okHead, numbered(6)), numbered(4, 5), stepRetry},
 		{"a second response after a complete one reaches the caller", withLength(okHead, numbered(4, 5)) + withLength(okHead, numbered(6)), numbered(4, 5), stepDone},
 		{"a resumed stream is cut", chunked(okHead, numbered(4), numbered(5)), numbered(4, 5), stepDone},
@@ -196,7 +199,10 @@
 		{"the whole stream again", chunked(okHead, numbered(1, 2, 3, 4)), "", stepRetry},
 		{"text after an event", chunked(okHead, numbered(4), errorText), numbered(4), stepRetry},
 		{"events that are declared as text", withLength("HTTP/1.1 200 OK\r\n"+signed+"Content-Type: text/plain\r\n", numbered(4)), "", stepRetry},
+		{"no event and no length", okHead + "\r\n", "", stepRetry},
+		{"an empty body without a type", withLength("HTTP/1.1 200 OK\r\n"+signed, ""), "", stepRetry},
 		{"the rest of a stream is cut", chunked(okHead, numbered(4, 5)), numbered(4, 5), stepDone},
+		{"a rest without a length is cut", okHead + "\r\n" + numbered(4, 5), numbered(4, 5), stepDone},
 		{"a stream that only lacks its end is cut", chunked(okHead), "", stepDone},
 		{"the server's own error is hidden", withLength(failHead+signed, errorText), errorText, stepDone},
 	}
@@ -223,6 +229,7 @@
 		{"a response that is no stream", withLength("HTTP/1.1 200 OK\r\n"+signed+"Content-Type: application/json\r\n", object), http.StatusOK, object},
 		{"an error of the server", withLength(failHead+signed, errorText), http.StatusInternalServerError, errorText},
 		{"a stream without a type", chunked("HTTP/1.1 200 OK\r\n"+signed, numbered(1, 2)), http.StatusOK, numbered(1, 2)},
+		{"a stream without events", chunked(okHead), http.StatusOK, ""},
 		{"a stream whose type has a parameter", chunked("HTTP/1.1 200 OK\r\n"+signed+"Content-Type: text/event-stream; charset=utf-8\r\n", numbered(1)), http.StatusOK, numbered(1)},
 	}
 	for _, tt := range tests {
