gateway: an engine's own error is not cut off before its body has arrived

What callers saw: 502 or a second run instead of the status and body that the engine gave.

Cause: the goroutine that sends the request closed the exchange as soon as it had handed the head over, if the response is no stream. The body was read at the same time, and only bytes that had arrived with the head could be read.

Change: the receiver of such a response closes the exchange after it has read the body. If nobody receives it, the end of the attempt closes the connection.

Before (4 runs of 4; the body arrives 5 and 10 ms after the head):

resumed_test.go:240: 1 != 2 --- FAIL: TestWholeResponse/an_error_of_the_server_in_pieces

After: pass, go test -race -count=3 ./oleandercove/edge/gateway.

--- a/oleandercove/edge/gateway/events.go
+++ b/oleandercove/edge/gateway/events.go
@@ -23,7 +23,8 @@
 )
 
 // message is one part of the response of an attempt: first the exchange, then events,
-// last an error, which is io.EOF at the end of a complete stream.
+// last an error, which is io.EOF at the end of a complete stream. If the response is no
+// stream, the exchange is the only message, and its receiver closes it.
 type message struct {
 	exchange *exchanger.Exchange
 	events   events
@@ -58,8 +59,14 @@
 			sendMessage(ctx, out, message{err: err})
 			return
 		}
+		if !isStream(e.Response) {
+			// The receiver reads the body and closes the exchange; otherwise the end of ctx
+			// closes the connection.
+			sendMessage(ctx, out, message{exchange: e})
+			return
+		}
 		defer e.Close()
-		if sendMessage(ctx, out, message{exchange: e}) && isStream(e.Response) {
+		if sendMessage(ctx, out, message{exchange: e}) {
 			readEvents(ctx, e.Response.Body, q, out)
 		}
 	}()
--- a/oleandercove/edge/gateway/relay.go
+++ b/oleandercove/edge/gateway/relay.go
@@ -82,6 +82,9 @@
 // handleHead handles the status and headers of a response.
 func (s *stream) handleHead(e *exchanger.Exchange) step {
 	resp := e.Response
+	if !isStream(resp) {
+		defer e.Close()
+	}
 	a := platform.DecodeResponseMetadata(resp.StatusCode, resp.Header)
 	if a.NotRun {
 		return s.handleRejection(resp.StatusCode, a)
--- a/oleandercove/edge/gateway/resumed_test.go
+++ b/oleandercove/edge/gateway/resumed_test.go
@@ -227,6 +227,7 @@
 		body     string
 	}{
 		{"a response that is no stream", withLength("HTTP/1.1 200 OK\r\n"+signed+"Content-Type: application/json\r\n", object), http.StatusOK, object},
+		{"an error of the server in pieces", failHead + signed + "Content-Length: 14\r\n\r\n|internal| error", http.StatusInternalServerError, "internal error"},
 		{"an error of the server", withLength(failHead+signed, errorText), http.StatusInternalServerError, errorText},
 		{"a stream without a type", chunked("HTTP/1.1 200 OK\r\n"+signed, numbered(1, 2)), http.StatusOK, numbered(1, 2)},
 		{"a stream without events", chunked(okHead), http.StatusOK, ""},
