gateway: a stream whose events have no numbers is not sent to another server

Cause: a stream that broke off was sent again with the last id that the caller has. Without one the other server starts again. (Since "only the next events of a stream reach its caller" the second attempt fails, but it is sent.)

Change: a stream that has sent such events counts as one that may not be sent again.

resumed_test.go:254: 1 != 3 --- FAIL: TestUnnumberedStream

After: pass, go test -race ./oleandercove/edge/gateway.

--- a/oleandercove/edge/gateway/continuation.go
+++ b/oleandercove/edge/gateway/continuation.go
@@ -73,3 +73,7 @@
 	s.finish()
 	return stepDone
 }
+
+// idempotent reports whether the stream may be sent again. Only a stream whose events have
+// numbers can be continued by another server.
+func (s *stream) idempotent() bool { return s.job.idempotent() && s.sequence.Resumable() }
--- a/oleandercove/edge/gateway/resumed_test.go
+++ b/oleandercove/edge/gateway/resumed_test.go
@@ -244,3 +244,13 @@
 		})
 	}
 }
+
+// Guards against the events of two runs in one stream, which happens when a stream breaks off
+// whose events have no numbers: no server can know where to continue.
+func TestUnnumberedStream(t *testing.T) {
+	is := is.New(t)
+	a := scriptedEngine(t, cutChunked(okHead, "data: a\n\n"), chunked(okHead, "data: a\n\ndata: b\n\n"))
+	s, w := newCallerStream(t, "")
+	is.Equal(s.runAttempt(a), stepFail)
+	is.Equal(w.Body.String(), "data: a\n\n")
+}
