prover, imitator: streams that are resumed with an error

The stand-in breaks a stream off in the middle of an event and answers the resumed request with a signed response of a chosen status and body.

--- a/oleanderfake/imitator/engine.go
+++ b/oleanderfake/imitator/engine.go
@@ -278,16 +278,20 @@
 	}
 	w.Header().Set(headerStamp, stampPrefix+e.ID)
 	w.Header().Set("Content-Type", "text/event-stream")
+	if e.site.writeResumeFault(w, r) {
+		return
+	}
 	e.sendEvents(w, r, s)
 }
 
 // sendEvents sends the events after the last one that the caller has received.
 func (e *Engine) sendEvents(w http.ResponseWriter, r *http.Request, s *stream) {
 	_, output, _ := strings.Cut(r.Header.Get(headerTokens), ",")
-	for n := numberOrZero(r.Header.Get("Last-Event-Id")) + 1; n <= numberOrZero(output); n++ {
+	for n := numberOrZero(r.Header.Get(headerLastEvent)) + 1; n <= numberOrZero(output); n++ {
 		if !s.waitForEvent(r, e) {
 			panic(http.ErrAbortHandler)
 		}
+		s.breakOff(w, r, n)
 		if _, err := fmt.Fprint(w, Event(r.Header.Get(headerAttempt), n)); err != nil {
 			return
 		}
--- a/oleanderfake/imitator/server.go
+++ b/oleanderfake/imitator/server.go
@@ -17,6 +17,7 @@
 	headerChain     = "X-Oleandercove-Hop-Count"
 	headerTokens    = "X-Oleandercove-Token-Count"
 	headerRefusedBy = "At-Server"
+	headerLastEvent = "Last-Event-Id"
 	kindServers     = "servers"
 	stampPrefix     = "stamp-"
 	stateReady      = "ready"
--- a/oleanderfake/imitator/site.go
+++ b/oleanderfake/imitator/site.go
@@ -22,6 +22,7 @@
 	"net/http"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
@@ -69,6 +70,8 @@
 	listeners  map[string]*http.Server
 	stop       chan struct{}
 	closeOnce  sync.Once
+
+	resumeFault atomic.Pointer[ResumeFault]
 }
 
 // New starts the store and the backend servers of a site, which register in the store. It
