streamer: an answer without some of its tokens is not complete

What callers of `oleandercove run` would see: an answer that lacks tokens and ends with `[DONE]`.

Cause: a token behind a gap was dropped, and so were all after it, as none of them was at the next position. The end that the engine sends was believed whatever the number of tokens.

Change: a token behind a gap, and an end for length before that many tokens, make the first stage fail; the stream is resumed on another chain. Events arrive in order on one connection, so that a missing token doesn't come later. The cause is Refused, as the engine responds and has not crashed. An end because the model stops can't be checked, nor can the position of the first token, which only engines know.

short_test.go:111: a != abcd short_test.go:111: abc != abcd short_test.go:111: != abcd --- FAIL: TestShortAnswer/a_token_is_missing --- FAIL: TestShortAnswer/the_last_token_is_missing --- FAIL: TestShortAnswer/all_tokens_are_missing

--- a/oleandercove/streamer/streamer.go
+++ b/oleandercove/streamer/streamer.go
@@ -185,6 +185,9 @@
 		if f := t.checkProgress(e); f != nil {
 			return false, t.stageFailed(ctx, f)
 		}
+		if f := t.checkMissing(e); f != nil {
+			return false, t.stageFailed(ctx, f)
+		}
 		done, err := t.handleEvent(ctx, e)
 		if done || err != nil || e.Kind == engine.EventFailed {
 			return done, err
