dispatcher: a redirection by an engine is a failure

What could happen: the prompt of a stream is sent to any address that an engine names in a redirection, and the events from there count as those of the engine.

Cause: the client followed redirections, and statuses below 400 counted as a stream. The client for plain services does neither.

Change: redirections are not followed; a status of 300 or above is a StatusError.

dispatcher_test.go:61: not true: errors.As(err, &status) --- FAIL: TestRedirection

After: pass, go test -race ./oleandercove/dispatcher.

--- a/oleandercove/dispatcher/dispatcher.go
+++ b/oleandercove/dispatcher/dispatcher.go
@@ -60,7 +60,7 @@
 // Unwrap returns the underlying error.
 func (e *OpenError) Unwrap() error { return e.Err }
 
-// StatusError is returned when a backend server responds with a status of 400 or
+// StatusError is returned when a backend server responds with a status of 300 or
 // above. The request was sent, possibly without its whole body.
 type StatusError struct{ Status int }
 
@@ -80,7 +80,7 @@
 	Cancel(ctx context.Context, s engine.Stage, r engine.CancelRequest)
 	// Import makes an engine fetch the KV state of a stream from another engine.
 	// It blocks until the engine has replied or ctx is done. The error is a
-	// *StatusError if the engine responds with a status of 400 or above.
+	// *StatusError if the engine responds with a status of 300 or above.
 	Import(ctx context.Context, to engine.Stage, k engine.KVState) error
 }
 
@@ -111,11 +111,13 @@
 		o.SilenceLimit = DefaultSilenceLimit
 	}
 	d := tracer.Dial(&net.Dialer{Timeout: dialTimeout})
-	return &httpDispatcher{options: o, http: &http.Client{Transport: &http.Transport{
+	return &httpDispatcher{options: o, http: &http.Client{CheckRedirect: noRedirect, Transport: &http.Transport{
 		DialContext: d, MaxIdleConnsPerHost: 512, IdleConnTimeout: 30 * time.Second, MaxResponseHeaderBytes: receiver.MaxHeadBytes,
 	}}}
 }
 
+func noRedirect(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }
+
 func (d *httpDispatcher) Open(ctx context.Context, r engine.StreamRequest) (Stream, error) {
 	body, err := json.Marshal(r)
 	if err != nil {
@@ -143,7 +145,7 @@
 	if err != nil {
 		return nil, err
 	}
-	if res.StatusCode >= http.StatusBadRequest {
+	if res.StatusCode >= http.StatusMultipleChoices {
 		res.Body.Close()
 		return res, &StatusError{Status: res.StatusCode}
 	}
--- a/oleandercove/dispatcher/dispatcher_test.go
+++ b/oleandercove/dispatcher/dispatcher_test.go
@@ -5,6 +5,7 @@
 	"io"
 	"net/http"
 	"net/http/httptest"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -45,3 +46,19 @@
 		})
 	}
 }
+
+// Guards against a prompt that an engine's redirection sends to another host, and against its
+// response that counts as that of the engine.
+func TestRedirection(t *testing.T) {
+	is := is.New(t)
+	var received atomic.Int64
+	other := httptest.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) { received.Add(1) }))
+	defer other.Close()
+	s := httptest.NewServer(http.RedirectHandler(other.URL, http.StatusTemporaryRedirect))
+	defer s.Close()
+	_, err := New(Options{}).Open(t.Context(), engine.StreamRequest{Chain: []engine.Stage{{Address: s.Listener.Addr().String()}}})
+	var status *StatusError
+	is.True(errors.As(err, &status))
+	is.Equal(status.Status, http.StatusTemporaryRedirect)
+	is.Equal(received.Load(), int64(0))
+}
