--- a/oleandercove/edge/gateway/relay.go
+++ b/oleandercove/edge/gateway/relay.go
@@ -76,8 +76,7 @@
 	case m.err == nil:
 		return s.forwardEvents(m.events)
 	case errors.Is(m.err, io.EOF):
-		s.finish()
-		return stepDone
+		return s.endBody()
 	default:
 		return s.handleFailure(m.err)
 	}
@@ -86,17 +85,20 @@
 // handleHead handles the status and headers of a response.
 func (s *stream) handleHead(e *exchanger.Exchange) step {
 	resp := e.Response
+	if !isStream(resp) {
+		defer e.Close()
+	}
 	a := platform.DecodeResponseMetadata(resp.StatusCode, resp.Header)
 	if a.NotRun {
-		e.Close()
 		return s.handleRejection(resp.StatusCode, a)
 	}
-	if resp.StatusCode == http.StatusOK && !a.Signed {
-		return s.handleFailure(errUnsigned)
+	if err := s.headError(resp, a); err != nil {
+		return s.handleFailure(err)
 	}
-	if resp.StatusCode != http.StatusOK {
+	if !isStream(resp) {
 		return s.deliverComplete(e)
 	}
+	s.declaresEnd = declaresEnd(resp)
 	s.stopFallback()
 	if s.started {
 		return stepWait
@@ -109,9 +111,8 @@
 
 // deliverComplete delivers a complete response that is not a stream.
 func (s *stream) deliverComplete(e *exchanger.Exchange) step {
-	defer e.Close()
 	o := s.readResponse(e)
-	if s.started || !o.usable() {
+	if !o.usable() {
 		return s.handleFailure(errTruncated)
 	}
 	s.deliver(o)
@@ -180,9 +181,6 @@
 // forwardEvents writes events to the caller.
 func (s *stream) forwardEvents(ev events) step {
 	now := time.Now()
-	if !ev.first.follows(s.lastEvent) {
-		return s.handleFailure(errOrder)
-	}
 	if s.ticket != nil {
 		s.ticket.PrefillDone()
 	}
@@ -197,6 +195,7 @@
 		return stepFail
 	}
 	s.recordGap(now, ev.first)
+	s.sequence = ev.sequence
 	if ev.last != "" {
 		s.lastEvent = ev.last
 	}
@@ -204,9 +203,6 @@
 	return stepWait
 }
 
-// errOrder is the failure of an attempt that sent an event the caller already has.
-var errOrder = errors.New("events out of order")
-
 // recordGap records the time since the previous event. For the first event it records
 // the time since the arrival of the request.
 func (s *stream) recordGap(now time.Time, id eventID) {
--- a/oleanderfake/imitator/site.go
+++ b/oleanderfake/imitator/site.go
@@ -74,6 +74,8 @@
 	listeners  map[string]*http.Server
 	stop       chan struct{}
 	closeOnce  sync.Once
+
+	resumeFault atomic.Pointer[ResumeFault]
 }
 
 // New starts the store and the backend servers of a site, which register in the store. It
