gateway: an earlier attempt is kept until another one has sent an event

Callers saw streams that ended early although an earlier attempt still ran. Cause: a good head ended the earlier attempt. The events after it may turn out to be none, or the connection may break, and then nothing is left. Change: the first event ends it. TestFallback, row 'other chain breaks off after its head', failed before (stepFail instead of stepWait). The row 'other chain answers' now gives an event in place of a head.

--- a/oleandercove/edge/gateway/relay.go
+++ b/oleandercove/edge/gateway/relay.go
@@ -99,7 +99,6 @@
 		return s.deliverComplete(e)
 	}
 	s.declaresEnd = declaresEnd(resp)
-	s.stopFallback()
 	if s.started {
 		return stepWait
 	}
@@ -181,6 +180,7 @@
 // forwardEvents writes events to the caller.
 func (s *stream) forwardEvents(ev events) step {
 	now := time.Now()
+	s.stopFallback()
 	if s.ticket != nil {
 		s.ticket.PrefillDone()
 	}
--- a/oleandercove/edge/gateway/stream_test.go
+++ b/oleandercove/edge/gateway/stream_test.go
@@ -172,9 +172,15 @@
 			return s.handleRejection(http.StatusServiceUnavailable, backend.ResponseMetadata{NotRun: true})
 		}, stepWait, true},
 		{"other chain breaks off", func(s *stream) step { return s.handleFailure(io.EOF) }, stepWait, true},
-		{"other chain answers", func(s *stream) step {
+		{"other chain breaks off after its head", func(s *stream) step {
 			resp := &http.Response{StatusCode: http.StatusOK, Header: http.Header{"X-Oleandercove-Response-Stamp": {"x"}}}
-			return s.handleHead(&exchanger.Exchange{Response: resp})
+			if next := s.handleHead(&exchanger.Exchange{Response: resp}); next != stepWait {
+				return next
+			}
+			return s.handleFailure(io.EOF)
+		}, stepWait, true},
+		{"other chain answers", func(s *stream) step {
+			return s.forwardEvents(events{data: []byte("id:8\n\n"), first: "8", last: "8"})
 		}, stepWait, false},
 	}
 	for _, tt := range tests {
@@ -182,6 +188,7 @@
 			is := is.New(t)
 			s, _ := newTestStream(t, 0)
 			s.runs, s.sends = 2, 2
+			s.w, s.usualGap, s.Meter = httptest.NewRecorder(), time.Second, NewMeter(tally.NoopScope)
 			stopped := false
 			s.cancel = func() { stopped = true }
 			old := make(chan message)
