prover/edge: test of streams whose engines are silent

No test had engines that are silent for longer than 1.4 s while there is no other copy with room.

TestSilentEngines silences the engines of a site for 2.2 s under 12 streams: they continue, or restart without their requests, or others load their layers. The streams must be complete, and none may end before its caller leaves. The simulated engines can now be frozen with their requests, restart behind open connections, and take time to load layers.

--- a/oleanderfake/imitator/engine.go
+++ b/oleanderfake/imitator/engine.go
@@ -1,6 +1,8 @@
 package imitator
 
 import (
+	"cmp"
+	"context"
 	"encoding/json"
 	"fmt"
 	"io"
@@ -14,7 +16,7 @@
 const (
 	acceleratorKind = "card"
 	engineSlots     = 64
-	// eventTime is the time between two events of a stream.
+	// eventTime is the time between two events of a stream if Options sets none.
 	eventTime = 15 * time.Millisecond
 	// stallTime is how long the first engine of a chain holds a request while an engine
 	// of the chain is unavailable.
@@ -34,7 +36,11 @@
 	layers   layersSpec
 	sequence int64
 	dead     bool
-	streams  map[string]*stream
+	// busy is set while the engine loads layers.
+	busy bool
+	// frozen is set while a dead engine keeps its requests.
+	frozen  bool
+	streams map[string]*stream
 }
 
 type layersSpec struct {
@@ -77,9 +83,31 @@
 func (e *Engine) SetDead(dead bool) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	e.dead = dead
+	e.dead, e.frozen = dead, false
 }
 
+// SetFrozen makes the engine stop answering, or continue with all its requests, as a process
+// that is paused. Its connections stay open.
+func (e *Engine) SetFrozen(frozen bool) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.dead, e.frozen = frozen, frozen
+}
+
+// RestartSilently starts a dead engine again under its id. It holds no layers and no requests,
+// and the connections of before stay open, as after a power failure of its host.
+func (e *Engine) RestartSilently() {
+	e.mu.Lock()
+	e.layers, e.sequence, e.startedMS = layersSpec{}, 0, time.Now().UnixMilli()
+	e.dead, e.frozen, e.busy = false, false, false
+	e.streams = map[string]*stream{}
+	e.mu.Unlock()
+	e.register()
+}
+
+// Crash crashes the process of the engine. It restarts like after CrashTrigger.
+func (e *Engine) Crash() { e.crash("") }
+
 // Address returns the address of the engine.
 func (e *Engine) Address() string { return e.address }
 
@@ -92,6 +120,26 @@
 	return !e.dead
 }
 
+// awaitAlive blocks while the engine is frozen and reports whether it answers. For a dead
+// engine it blocks until the request has ended.
+func (e *Engine) awaitAlive(ctx context.Context) bool {
+	for {
+		e.mu.Lock()
+		dead, frozen := e.dead, e.frozen
+		e.mu.Unlock()
+		if !dead {
+			return true
+		}
+		if !frozen {
+			<-ctx.Done()
+		}
+		if ctx.Err() != nil {
+			return false
+		}
+		time.Sleep(eventTime)
+	}
+}
+
 // register writes the entry of the engine to the store.
 func (e *Engine) register() {
 	e.mu.Lock()
@@ -107,9 +155,8 @@
 
 // ServeHTTP answers reports, orders and requests.
 func (e *Engine) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	if !e.alive() {
-		// A dead engine doesn't answer; its connections stay open.
-		<-r.Context().Done()
+	// A dead engine doesn't answer; its connections stay open.
+	if !e.awaitAlive(r.Context()) {
 		return
 	}
 	e.setLeavingHeader(w)
@@ -142,7 +189,7 @@
 func (e *Engine) writeReport(w http.ResponseWriter) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	a := reportAnswer{Sequence: e.sequence, Born: e.startedMS, Pace: 1, Running: len(e.streams), Layers: e.layers}
+	a := reportAnswer{Busy: e.busy, Sequence: e.sequence, Born: e.startedMS, Pace: 1, Running: len(e.streams), Layers: e.layers}
 	for id, s := range e.streams {
 		s.mu.Lock()
 		if s.stalled != "" {
@@ -188,13 +235,32 @@
 	case o.Expect != nil && *o.Expect != e.sequence:
 		w.WriteHeader(http.StatusConflict)
 	default:
-		e.layers = layersSpec{o.From, o.To}
 		e.sequence++
 		w.WriteHeader(http.StatusAccepted)
+		e.busy = true
+		if d := time.Duration(e.site.loadTime.Load()); d > 0 {
+			time.AfterFunc(d, func() { e.finishOrder(o) })
+			return
+		}
+		e.setLayers(o)
 		go e.register()
 	}
 }
 
+// finishOrder replaces the layers of the engine, unless it is dead.
+func (e *Engine) finishOrder(o orderSpec) {
+	e.mu.Lock()
+	dead := e.dead
+	e.setLayers(o)
+	e.mu.Unlock()
+	if !dead {
+		e.register()
+	}
+}
+
+// setLayers makes the layers of an order the current ones; the caller holds the lock.
+func (e *Engine) setLayers(o orderSpec) { e.layers, e.busy = layersSpec{o.From, o.To}, false }
+
 // stage is one stage of a chain: an engine and the layers that it runs.
 type stage struct {
 	address  string
@@ -267,7 +333,9 @@
 	defer func() {
 		e.mu.Lock()
 		defer e.mu.Unlock()
-		delete(e.streams, id)
+		if e.streams[id] == s {
+			delete(e.streams, id)
+		}
 	}()
 	e.site.Runs.add(id, Run{Server: e.ID, Method: r.Method, Target: r.RequestURI, Body: string(body), Header: r.Header.Clone(), At: time.Now()})
 	if x := e.crashTarget(body, path); x != nil {
@@ -313,7 +381,7 @@
 // and reports whether the chain produced the event. It returns false if a stage is
 // unavailable for longer than stallTime, or once the request has ended.
 func (s *stream) waitForEvent(r *http.Request, e *Engine) bool {
-	time.Sleep(eventTime)
+	time.Sleep(cmp.Or(e.site.options.EventTime, eventTime))
 	end := time.Now().Add(stallTime)
 	for {
 		s.mu.Lock()
@@ -323,8 +391,7 @@
 		s.mu.Lock()
 		s.stalled = o.address
 		s.mu.Unlock()
-		if !e.alive() {
-			<-r.Context().Done()
+		if !e.awaitAlive(r.Context()) {
 			return false
 		}
 		if o.address == "" {
--- a/oleanderfake/imitator/site.go
+++ b/oleanderfake/imitator/site.go
@@ -22,6 +22,7 @@
 	"net/http"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
@@ -45,6 +46,8 @@
 	DataCentres []string
 	// Engines is the number of engines in each data centre.
 	Engines int
+	// EventTime is the time between two events of a stream; 0 means 15 ms.
+	EventTime time.Duration
 	// Servers is the number of servers of the plain service.
 	Servers int
 	// WorkTime is how long a request to the plain service takes.
@@ -59,7 +62,9 @@
 	Store *Store
 	Runs  *Runs
 
-	options    Options
+	options Options
+	// loadTime is how long engines load layers, in nanoseconds.
+	loadTime   atomic.Int64
 	mu         sync.Mutex
 	engines    []*Engine
 	servers    []*Server
@@ -116,6 +121,9 @@
 	}
 }
 
+// SetLoadTime sets how long engines load layers from now on. It is 0 at first.
+func (s *Site) SetLoadTime(d time.Duration) { s.loadTime.Store(int64(d)) }
+
 // Close closes all listeners and their connections.
 func (s *Site) Close() error {
 	s.mu.Lock()
--- a/prover/edge/site_test.go
+++ b/prover/edge/site_test.go
@@ -139,7 +139,10 @@
 	output int
 	// timeout is how long the client waits; 0 means defaultTimeout.
 	timeout time.Duration
-	client  *http.Client
+	// patience is the pause in the response after which the client disconnects; 0 means that
+	// it never does.
+	patience time.Duration
+	client   *http.Client
 }
 
 // response is a response as a client received it.
@@ -151,6 +154,8 @@
 	took   time.Duration
 	// gap is the longest pause between two reads of the body.
 	gap time.Duration
+	// left is set if the client disconnected because of a pause.
+	left bool
 }
 
 // checkStream returns an error unless the body has all events of a stream, each once.
@@ -161,10 +166,21 @@
 	return nil
 }
 
+// waits returns how long the client waits for the response.
+func (a request) waits() time.Duration { return cmp.Or(a.timeout, defaultTimeout) }
+
+// stream returns the request as one for a stream through a daemon.
+func (a request) stream(r *launcher.Router, id string) request {
+	a.router, a.id, a.method, a.path, a.key = r, id, http.MethodPost, imitator.ModelPath, imitator.Key
+	return a
+}
+
 func (a request) do() response {
 	began := time.Now()
-	call := imitator.Call{ID: a.id, Method: a.method, Path: a.path, Key: a.key, Body: a.body, Tokens: a.output, Timeout: cmp.Or(a.timeout, defaultTimeout)}
-	r, err := call.Request(context.Background(), a.router.CallerAddress)
+	call := imitator.Call{ID: a.id, Method: a.method, Path: a.path, Key: a.key, Body: a.body, Tokens: a.output, Timeout: a.waits()}
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	r, err := call.Request(ctx, a.router.CallerAddress)
 	if err != nil {
 		return response{err: err}
 	}
@@ -178,17 +194,25 @@
 	}
 	defer resp.Body.Close()
 	out := response{status: resp.StatusCode, header: resp.Header}
-	out.read(resp.Body)
+	patience := cmp.Or(a.patience, time.Hour)
+	leave := time.AfterFunc(patience, cancel)
+	defer leave.Stop()
+	out.read(resp.Body, func() { leave.Reset(patience) })
+	out.left = ctx.Err() != nil
 	out.took = time.Since(began)
 	return out
 }
 
-// read reads the body to its end and measures the longest pause.
-func (a *response) read(r io.Reader) {
+// read reads the body to its end and measures the longest pause. It calls progress after each
+// read that returned data.
+func (a *response) read(r io.Reader, progress func()) {
 	buf, last := make([]byte, 4096), time.Now()
 	for {
 		n, err := r.Read(buf)
 		a.body += string(buf[:n])
+		if n > 0 {
+			progress()
+		}
 		a.gap = max(a.gap, time.Since(last))
 		last = time.Now()
 		if err == io.EOF {
