--- a/oleanderfake/imitator/engine.go
+++ b/oleanderfake/imitator/engine.go
@@ -156,7 +156,7 @@
 // ServeHTTP answers reports, orders and requests.
 func (e *Engine) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	// A dead engine doesn't answer; its connections stay open.
-	if !e.awaitAlive(r.Context()) {
+	if !e.begin(r) {
 		return
 	}
 	e.setLeavingHeader(w)
@@ -170,6 +170,21 @@
 	}
 }
 
+// begin blocks while the engine is frozen and reports whether it answers a request. It counts
+// the requests that a dead engine doesn't answer.
+func (e *Engine) begin(r *http.Request) bool {
+	if e.alive() {
+		return true
+	}
+	id := r.Header.Get(headerAttempt)
+	e.site.Runs.countUnanswered(id, 1)
+	if !e.awaitAlive(r.Context()) {
+		return false
+	}
+	e.site.Runs.countUnanswered(id, -1)
+	return true
+}
+
 type (
 	reportAnswer struct {
 		Busy     bool          `json:"busy"`
--- a/oleanderfake/imitator/server.go
+++ b/oleanderfake/imitator/server.go
@@ -42,6 +42,24 @@
 	mu       sync.Mutex
 	byID     map[string][]Run
 	arrivals []Arrival
+	// unanswered counts the sends of each attempt that dead engines got.
+	unanswered map[string]int
+}
+
+func (r *Runs) countUnanswered(id string, n int) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.unanswered == nil {
+		r.unanswered = map[string]int{}
+	}
+	r.unanswered[id] += n
+}
+
+// Sends returns how often an attempt ran or reached an engine that didn't answer.
+func (r *Runs) Sends(id string) int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return len(r.byID[id]) + r.unanswered[id]
 }
 
 // All returns all runs in order of time.
