--- a/oleanderfake/imitator/engine.go
+++ b/oleanderfake/imitator/engine.go
@@ -108,6 +108,13 @@
 // Crash crashes the process of the engine. It restarts like after CrashTrigger.
 func (e *Engine) Crash() { e.crash("") }
 
+// Running returns the number of requests that the engine runs as the first of their chains.
+func (e *Engine) Running() int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return len(e.streams)
+}
+
 // Address returns the address of the engine.
 func (e *Engine) Address() string { return e.address }
 
