--- a/oleanderfake/imitator/engine.go
+++ b/oleanderfake/imitator/engine.go
@@ -86,6 +86,13 @@
 	e.dead, e.frozen = dead, false
 }
 
+// Running returns the number of requests that the engine runs as the first of their chains.
+func (e *Engine) Running() int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return len(e.streams)
+}
+
 // SetFrozen makes the engine stop answering, or continue with all its requests, as a process
 // that is paused. Its connections stay open.
 func (e *Engine) SetFrozen(frozen bool) {
@@ -156,7 +163,7 @@
 // ServeHTTP answers reports, orders and requests.
 func (e *Engine) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	// A dead engine doesn't answer; its connections stay open.
-	if !e.awaitAlive(r.Context()) {
+	if !e.begin(r) {
 		return
 	}
 	e.setLeavingHeader(w)
@@ -170,6 +177,21 @@
 	}
 }
 
+// begin blocks while the engine is frozen and reports whether it answers a request. It counts
+// the requests that a dead engine doesn't answer.
+func (e *Engine) begin(r *http.Request) bool {
+	if e.alive() {
+		return true
+	}
+	id := r.Header.Get(headerAttempt)
+	e.site.Runs.countUnanswered(id, 1)
+	if !e.awaitAlive(r.Context()) {
+		return false
+	}
+	e.site.Runs.countUnanswered(id, -1)
+	return true
+}
+
 type (
 	reportAnswer struct {
 		Busy     bool          `json:"busy"`
