platform: an odd registry entry names no backend server

Seen: reported by other operators, a port out of range and a number too large in an entry of another writer. Here 65536 was rejected, but these entries were used: port 0, the address 0.0.0.0, which is the daemon's own host, an IPv6 zone, which may hold any text and went into the header that lists the chain ("[fe80::1%x,10.0.0.9:80=0-1]:80"), no or negative slots, 1e400 or text in a known field that isn't read, reversed or overflowing layers, negative sequences and start times, missing fields, and ids that are empty, hold a line break or are longer than a beacon. An entry with the address of a sound server in another spelling counted as another server.

Cause: DecodeServer checked the types of the fields that it reads, the syntax of the address, the service and the state, and nothing else.

Change: it checks the ranges, the id and that the fields which are used are present. Addresses are kept in their usual form. Fields that a daemon doesn't use may be missing, but not be of another type.

Fixtures: the entry that TestDecodeServer called complete, and the entries in tests of directory, gateway, observer and prober, lacked fields that every server writes; they have them now. No expectation has changed, except that FuzzDecode checks more of the result.

--- FAIL: TestDecodeServer/a_port_of_0_is_used --- FAIL: TestDecodeServer/a_zone_in_an_address_forges_a_chain --- FAIL: TestDecodeServer/a_request_is_sent_to_this_host --- FAIL: TestDecodeServer/layers_whose_number_overflows_are_used (20 of 46 rows), TestDecodeServerFields, and 6 of 7 rows of --- FAIL: TestServerIDs/an_id_with_a_line_break_is_used platform_test.go:177: true != false

After: all pass.

--- a/oleandercove/edge/directory/directory_test.go
+++ b/oleandercove/edge/directory/directory_test.go
@@ -21,7 +21,7 @@
 }
 
 func server(name, address, state string, revision unit.Revision, born int64) objects.Object {
-	value := fmt.Sprintf(`{"service":"s","address":%q,"zone":"x","state":%q,"sequence":1,"born":%d}`, address, state, born)
+	value := fmt.Sprintf(`{"service":"s","slots":1,"address":%q,"zone":"x","state":%q,"sequence":1,"born":%d}`, address, state, born)
 	return objects.Object{Name: name, Value: json.RawMessage(value), Revision: revision}
 }
 
--- a/oleandercove/edge/directory/notices_test.go
+++ b/oleandercove/edge/directory/notices_test.go
@@ -17,7 +17,7 @@
 // serverEntry returns a registry entry of the instance of server "a" that started at
 // born.
 func serverEntry(revision unit.Revision, born int, state string) objects.Object {
-	value := fmt.Sprintf(`{"service":"s","address":"10.0.0.1:80","state":%q,"born":%d}`, state, born)
+	value := fmt.Sprintf(`{"service":"s","zone":"x","slots":1,"sequence":1,"address":"10.0.0.1:80","state":%q,"born":%d}`, state, born)
 	return objects.Object{Name: "a", Revision: revision, Version: unit.Version(revision), Value: json.RawMessage(value)}
 }
 
--- a/oleandercove/edge/gateway/stream_test.go
+++ b/oleandercove/edge/gateway/stream_test.go
@@ -242,7 +242,7 @@
 			is := is.New(t)
 			s, j := newTestStream(t, 0)
 			entry := func(name string, a backend.Address) objects.Object {
-				return objects.Object{Name: name, Revision: 6, Value: json.RawMessage(`{"service":"model","state":"ready","address":"` + string(a) + `"}`)}
+				return objects.Object{Name: name, Revision: 6, Value: json.RawMessage(`{"service":"model","zone":"x","slots":1,"sequence":1,"state":"ready","address":"` + string(a) + `"}`)}
 			}
 			is.NoErr(s.Directory.Install(5, json.RawMessage(`{"version":1,"services":[{"name":"model","engine":{"layers":4}}]}`), s.Timer.Now()))
 			s.Directory.Replace([]objects.Object{entry("head", head), entry("tail", tail)}, s.Timer.Now(), s.Timer.Now())
