directory: a server whose entry was replaced by an odd one is dropped at once

Seen in tests only: after an outage of the store, a server whose entry another writer had replaced stayed in use for 2.5 s, like one whose entry has lapsed and may be registered again; a source that lags behind restored it. An odd entry that was older than the known one removed a sound server until its next change.

Cause: an odd entry was handled as the removal of the known one, whatever its revision.

Change: an odd entry that is newer than the known one has replaced it, so the server is removed at once, and its tombstone has the revision of the odd entry. An older one is ignored. The others hold.

odd_test.go:63: true != false odd_test.go:63: false != true --- FAIL: TestOddEntries/it_stays_in_use_after_a_store_outage --- FAIL: TestOddEntries/it_is_restored_by_a_source_that_lags_behind --- FAIL: TestOddEntries/an_older_odd_entry_replaces_a_server

After: TestOddEntries passes, and so does TestAnyEntries, a property test over sequences of sound and odd entries, lists and changes.

--- a/oleandercove/edge/directory/directory.go
+++ b/oleandercove/edge/directory/directory.go
@@ -5,6 +5,8 @@
 //     read or a peer returns it.
 //   - Its snapshots are immutable.
 //   - A leaving notice of a server outweighs its registry entries.
+//   - An odd registry entry, as another writer may leave it, names no server. A server that
+//     had the id before is no longer used, because its entry has been replaced.
 //
 // Usage:
 //
@@ -180,7 +182,7 @@
 	d.confirmServers(at, now)
 	seen := make(map[unit.BackendID]bool, len(list))
 	for _, o := range list {
-		if d.putEntry(o) {
+		if d.putEntry(o, now) {
 			seen[unit.BackendID(o.Name)] = true
 		}
 	}
@@ -202,9 +204,11 @@
 	defer d.mu.Unlock()
 	d.confirmServers(at, now)
 	for _, o := range changes {
-		if o.Deleted || !d.putEntry(o) {
+		if o.Deleted {
 			d.servers.remove(unit.BackendID(o.Name), now, d.holdUntil)
+			continue
 		}
+		d.putEntry(o, now)
 	}
 	if len(changes) > 0 || d.servers.hasDueRemoval(now) {
 		d.publish(now)
@@ -219,12 +223,12 @@
 	return now.Sub(d.serversAt)
 }
 
-// putEntry applies one registry entry and reports whether it describes a server.
-func (d *Directory) putEntry(o objects.Object) bool {
+// putEntry applies one registry entry and reports whether the server is to be kept. The
+// entry of a server that is not known describes one if it is sound.
+func (d *Directory) putEntry(o objects.Object, now time.Time) bool {
 	s, err := platform.DecodeServer(o)
 	if err != nil {
-		d.log.Warn("registry entry ignored", "id", o.Name, "err", err)
-		return false
+		return d.ignoreEntry(o, err, now)
 	}
 	if d.servers.isNewer(o) {
 		d.checkReadyAgain(s)
@@ -237,6 +241,17 @@
 	return true
 }
 
+// ignoreEntry applies an odd registry entry and reports whether the known entry of the
+// server is newer. An older one has been replaced.
+func (d *Directory) ignoreEntry(o objects.Object, err error, now time.Time) bool {
+	if d.servers.isOlder(o) {
+		return true
+	}
+	d.log.Warn("registry entry ignored", "id", o.Name, "err", err)
+	d.servers.supersede(unit.BackendID(o.Name), o.Revision, now)
+	return false
+}
+
 func (d *Directory) publish(now time.Time) {
 	for _, id := range d.servers.expire(now) {
 		d.history.add(objects.Object{Name: string(id), Deleted: true})
--- a/oleandercove/edge/directory/registry.go
+++ b/oleandercove/edge/directory/registry.go
@@ -55,6 +55,21 @@
 	return ok && o.Revision > e.object.Revision
 }
 
+// isOlder reports whether an object is older than the known entry of its server. An
+// object without a revision is not.
+func (r *registry) isOlder(o objects.Object) bool {
+	e, ok := r.entries[unit.BackendID(o.Name)]
+	return ok && o.Revision != 0 && o.Revision < e.object.Revision
+}
+
+// supersede schedules the removal of an entry at once, because an entry with the revision
+// has replaced it in the store.
+func (r *registry) supersede(id unit.BackendID, revision unit.Revision, now time.Time) {
+	if e, ok := r.entries[id]; ok {
+		e.removeAt, e.object.Revision = now, max(e.object.Revision, revision)
+	}
+}
+
 // remove schedules the removal of an entry. An entry that lapsed while the store was
 // unreachable may be registered again, so it is kept until holdUntil; the entry of a
 // draining server is not.
