directory: one log line for each odd entry and change

Seen in tests only: each list wrote a line for each odd entry again. A line held the whole id and the number that was too large, up to the megabyte that an entry may have.

Cause: the line was written whenever an entry could not be decoded.

The line has the revision.

odd_test.go:107: 3 != 1 odd_test.go:102: not true: len(line) < 1000 --- FAIL: TestOddEntriesLogged (4 of 7 rows)

After: all rows pass.

--- a/oleandercove/edge/directory/directory.go
+++ b/oleandercove/edge/directory/directory.go
@@ -57,6 +57,7 @@
 	// configured is closed once the first configuration is installed.
 	configured   chan struct{}
 	servers      registry
+	odd          oddEntries
 	notices      notices
 	onReadyAgain func(backend.Server)
 	snapshot     atomic.Pointer[Servers]
@@ -69,7 +70,7 @@
 
 // New returns an empty Directory.
 func New(l *log.Logger) *Directory {
-	d := &Directory{log: l, notices: notices{}, configured: make(chan struct{})}
+	d := &Directory{log: l, notices: notices{}, odd: oddEntries{}, configured: make(chan struct{})}
 	d.servers = registry{entries: map[unit.BackendID]*entry{}, tombstones: map[unit.BackendID]unit.Revision{}}
 	d.history = newHistory()
 	d.snapshot.Store(newServers(nil))
@@ -191,6 +192,7 @@
 			d.servers.remove(id, now, d.holdUntil)
 		}
 	}
+	d.odd.keep(list)
 	d.publish(now)
 	// A list may come from a peer that has not seen a server yet, so a server that is
 	// missing from it may be listed again with the same revision.
@@ -205,6 +207,7 @@
 	d.confirmServers(at, now)
 	for _, o := range changes {
 		if o.Deleted {
+			d.odd.remove(o)
 			d.servers.remove(unit.BackendID(o.Name), now, d.holdUntil)
 			continue
 		}
@@ -230,6 +233,7 @@
 	if err != nil {
 		return d.ignoreEntry(o, err, now)
 	}
+	d.odd.remove(o)
 	if d.servers.isNewer(o) {
 		d.checkReadyAgain(s)
 	}
@@ -247,7 +251,9 @@
 	if d.servers.isOlder(o) {
 		return true
 	}
-	d.log.Warn("registry entry ignored", "id", o.Name, "err", err)
+	if d.odd.add(o) {
+		d.log.Warn("registry entry ignored", "id", shorten(o.Name), "revision", o.Revision, "err", shorten(err.Error()))
+	}
 	d.servers.supersede(unit.BackendID(o.Name), o.Revision, now)
 	return false
 }
--- a/oleandercove/edge/directory/odd_test.go
+++ b/oleandercove/edge/directory/odd_test.go
@@ -1,11 +1,13 @@
 package directory
 
 import (
+	"bytes"
 	"encoding/json"
 	"strings"
 	"testing"
 	"time"
 
+	"github.com/charmbracelet/log"
 	"github.com/matryer/is"
 	"pgregory.net/rapid"
 
@@ -65,6 +67,47 @@
 	}
 }
 
+// Guards against a log line for an odd entry at each read, and against one as long as the
+// entry.
+func TestOddEntriesLogged(t *testing.T) {
+	long := objects.Object{Name: strings.Repeat("n", 1<<20), Value: json.RawMessage(`{"slots":` + strings.Repeat("9", 1<<20) + `}`), Revision: 3}
+	a, b := oddEntry("a", 7), oddEntry("b", 8)
+	tests := []struct {
+		name  string
+		lists [][]objects.Object
+		want  int
+	}{
+		{"each list logs it again", [][]objects.Object{{a}, {a}, {a}}, 1},
+		{"one of two is not logged", [][]objects.Object{{a, b}, {b, a}}, 2},
+		{"a change is not logged", [][]objects.Object{{a}, {oddEntry("a", 9)}}, 2},
+		{"its return is not logged", [][]objects.Object{{a}, {}, {a}}, 2},
+		{"it is not logged again after it was sound", [][]objects.Object{{a}, {server("a", "10.0.0.1:1", "ready", 8, 1)}, {oddEntry("a", 9)}}, 2},
+		{"a long entry fills the log", [][]objects.Object{{long}, {long}}, 1},
+		{"entries without a name are logged at each list", [][]objects.Object{{{}, {}}, {{}, {}}}, 1},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			var out bytes.Buffer
+			l := log.New(&out)
+			l.SetFormatter(log.JSONFormatter)
+			d := New(l)
+			for _, list := range tt.lists {
+				d.Replace(list, start, start)
+				d.Apply(nil, start, start)
+			}
+			lines := 0
+			for _, line := range strings.Split(out.String(), "\n") {
+				is.True(len(line) < 1000)
+				if strings.Contains(line, "registry entry ignored") {
+					lines++
+				}
+			}
+			is.Equal(lines, tt.want)
+		})
+	}
+}
+
 // Guards against any sequence of odd and sound entries after which a server is used whose
 // entry is odd, or one is lost whose entry is sound.
 func TestAnyEntries(t *testing.T) {
