directory: an entry with a start time in the future doesn't hide a server

Seen in tests only: an entry of another writer with the address of a sound server and a start time in the year 2100 hid that server for as long as it stayed in the store.

Cause: of several entries with one address, the one that started last is used, because a server that restarts under a new id leaves its old entry behind.

If the clock of this daemon is wrong, all start times are in the future and are compared as before.

--- FAIL: TestOddEntries/a_server_that_started_in_the_future_hides_the_one_at_its_address odd_test.go:63: false != true

After: it passes.

--- a/oleandercove/edge/directory/directory.go
+++ b/oleandercove/edge/directory/directory.go
@@ -263,5 +263,5 @@
 		d.history.add(objects.Object{Name: string(id), Deleted: true})
 		d.log.Info("backend server removed", "id", id)
 	}
-	d.snapshot.Store(newServers(d.servers.current(d.notices)))
+	d.snapshot.Store(newServers(d.servers.current(d.notices, now)))
 }
--- a/oleandercove/edge/directory/odd_test.go
+++ b/oleandercove/edge/directory/odd_test.go
@@ -42,6 +42,7 @@
 		{"an older odd entry has a lapsed server removed at once", []objects.Object{sound(9), removed, oddEntry("a", 8)}, unavailable, true},
 		{"an entry whose revision can't be read leaves a server in use", []objects.Object{{Name: "a"}}, 0, false},
 		{"an entry without a readable name affects others", []objects.Object{{}}, 0, true},
+		{"a server that started in the future hides the one at its address", []objects.Object{server("z", "10.0.0.1:1", "ready", 9, 4102444800000)}, 0, true},
 	}
 	for _, tt := range tests {
 		for _, asList := range []bool{false, true} {
--- a/oleandercove/edge/directory/registry.go
+++ b/oleandercove/edge/directory/registry.go
@@ -11,8 +11,12 @@
 	"oleandercove.example/core/unit"
 )
 
-// maxTombstones is the largest number of removed entries whose revision is kept.
-const maxTombstones = 1024
+const (
+	// maxTombstones is the largest number of removed entries whose revision is kept.
+	maxTombstones = 1024
+	// maxClockError is more than the clocks of two hosts differ.
+	maxClockError = 24 * time.Hour
+)
 
 // entry is a backend server with the time at which it is to be removed.
 type entry struct {
@@ -115,14 +119,24 @@
 	r.tombstones[id] = revision
 }
 
+// startedLater reports whether an entry describes a later server at the address of another
+// one. A start time in the future, which another writer may have left, counts as early.
+func (e *entry) startedLater(o *entry, now time.Time) bool {
+	latest := backend.Incarnation(now.Add(maxClockError).UnixMilli())
+	if future := e.server.Born > latest; future != (o.server.Born > latest) {
+		return !future
+	}
+	return e.server.Born > o.server.Born || (e.server.Born == o.server.Born && e.object.Revision > o.object.Revision)
+}
+
 // current returns the servers, with the leaving notices applied. Of several entries
 // with one address it returns the server that started last: a server that crashed and
 // started under a new id leaves its old entry behind until that lapses.
-func (r *registry) current(n notices) []backend.Server {
+func (r *registry) current(n notices, now time.Time) []backend.Server {
 	latest := make(map[backend.Address]*entry, len(r.entries))
 	for _, e := range r.entries {
 		o := latest[e.server.Address]
-		if o == nil || e.server.Born > o.server.Born || (e.server.Born == o.server.Born && e.object.Revision > o.object.Revision) {
+		if o == nil || e.startedLater(o, now) {
 			latest[e.server.Address] = e
 		}
 	}
