core/platform: one odd object no longer makes a list unreadable

List, Watch and Hosts failed as a whole for one object or row that is nested too deeply or has a number out of range. The daemon then saw no change of the catalogue, the drain marks and the host list, the failed calls were retried, and they opened the circuit breaker for all calls.

Cause: as in platform.Store, the whole response was decoded at once.

Change: the same splitter, so that each object and row is decoded by itself. An object that can't be read has no value; its readers skip it, as they skip an invalid one.

client_test.go:50: err: platform unavailable: invalid character '[' exceeded max depth --- FAIL: TestOddObjects (7 of 8 rows)

After: all rows pass.

--- a/core/platform/client.go
+++ b/core/platform/client.go
@@ -40,7 +40,8 @@
 type Client interface {
 	// Get reads one object. It returns ErrNotFound if the object does not exist.
 	Get(ctx context.Context, kind Kind, name string) (Object, error)
-	// List reads all objects of a kind.
+	// List reads all objects of a kind. An object that can't be read has no value, and no
+	// name if that can't be read either.
 	List(ctx context.Context, kind Kind) (List, error)
 	// Put writes an object if it has the expected version; 0 creates the object. It
 	// returns ErrConflict if the write was refused and ErrOutcomeUnknown if it may have
@@ -49,7 +50,8 @@
 	// Watch blocks until there are changes after the revision, wait has passed or ctx is
 	// done.
 	Watch(ctx context.Context, kind Kind, after unit.Revision, wait time.Duration) (List, error)
-	// Hosts reads the list of live and leaving hosts, which lags.
+	// Hosts reads the list of live and leaving hosts, which lags. Rows that can't be
+	// read are left out.
 	Hosts(ctx context.Context) ([]Host, error)
 }
 
@@ -98,9 +100,9 @@
 }
 
 func (c *client) Hosts(ctx context.Context) ([]Host, error) {
-	var hosts []Host
-	err := c.read(ctx, CallHosts, "/v1/hosts", &hosts)
-	return hosts, err
+	var rows hostRows
+	err := c.read(ctx, CallHosts, "/v1/hosts", &rows)
+	return rows, err
 }
 
 func (c *client) Watch(ctx context.Context, kind Kind, after unit.Revision, wait time.Duration) (List, error) {
@@ -111,7 +113,7 @@
 }
 
 // read retries an unavailable read with backoff, unless the circuit breaker is open.
-func (c *client) read(ctx context.Context, call Call, path string, out any) error {
+func (c *client) read(ctx context.Context, call Call, path string, out decoder) error {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	delay := newRetryDelay()
--- a/core/platform/sender.go
+++ b/core/platform/sender.go
@@ -3,7 +3,6 @@
 import (
 	"bytes"
 	"context"
-	"encoding/json"
 	"errors"
 	"fmt"
 	"io"
@@ -80,13 +79,13 @@
 
 // do makes one HTTP call under the call budget and the circuit breaker, and counts its
 // outcome.
-func (c *client) do(ctx context.Context, a attempt, out any) error {
+func (c *client) do(ctx context.Context, a attempt, out decoder) error {
 	err := c.doGuarded(ctx, a, out)
 	c.counts.add(a.call, outcomeOf(err))
 	return err
 }
 
-func (c *client) doGuarded(ctx context.Context, a attempt, out any) error {
+func (c *client) doGuarded(ctx context.Context, a attempt, out decoder) error {
 	if !c.breaker.allow(time.Now()) {
 		return fmt.Errorf("%w: %w", ErrUnavailable, ErrBreakerOpen)
 	}
@@ -110,7 +109,7 @@
 	return err
 }
 
-func (c *client) send(ctx context.Context, a attempt, out any) error {
+func (c *client) send(ctx context.Context, a attempt, out decoder) error {
 	req, err := http.NewRequestWithContext(ctx, a.method, c.base+a.path, bytes.NewReader(a.body))
 	if err != nil {
 		return err
@@ -139,10 +138,10 @@
 	return fmt.Errorf("%w: %v", ErrOutcomeUnknown, err)
 }
 
-func decode(method string, status int, data []byte, out any) error {
+func decode(method string, status int, data []byte, out decoder) error {
 	switch {
 	case status == http.StatusOK:
-		if err := json.Unmarshal(data, out); err != nil {
+		if err := out.decode(data); err != nil {
 			return unresolvedError(method, err)
 		}
 		return nil
