core/platform: odd rows of the host list are left out and logged once

Seen in tests only: a row with a port out of range, without an id, with a role or state that isn't known was handed on, so that each round of status calls called it and daemons tried to join it. An id with the separator of keys made each report on it unreadable for peers, and an id that was listed twice alternated between two addresses at each read, a message to all peers each time.

Cause: rows were not checked.

Change: Hosts leaves out rows that describe no host, and the second row with an id. Each is logged once for as long as it stays. A server whose row became odd counts as one that is no longer listed: it stays in use only while its status calls succeed. The function that shortens texts for the log moves to core/logger.

--- a/core/platform/client.go
+++ b/core/platform/client.go
@@ -12,6 +12,7 @@
 	"strconv"
 	"time"
 
+	"github.com/charmbracelet/log"
 	"github.com/google/uuid"
 
 	"oleandercove.example/core/receiver"
@@ -50,8 +51,8 @@
 	// Watch blocks until there are changes after the revision, wait has passed or ctx is
 	// done.
 	Watch(ctx context.Context, kind Kind, after unit.Revision, wait time.Duration) (List, error)
-	// Hosts reads the list of live and leaving hosts, which lags. Rows that can't be
-	// read are left out.
+	// Hosts reads the list of live and leaving hosts, which lags. Rows that describe no
+	// host are left out.
 	Hosts(ctx context.Context) ([]Host, error)
 }
 
@@ -66,6 +67,8 @@
 	ReadsPerSecond   float64
 	WritesPerSecond  float64
 	WatchesPerSecond float64
+	// Log gets a line for each odd row of the host list; nil means none.
+	Log *log.Logger
 }
 
 type client struct {
@@ -74,6 +77,8 @@
 	budget  budget
 	breaker *breaker
 	counts  counts
+	// oddHosts remembers the odd rows of the last host list.
+	oddHosts oddHosts
 }
 
 // NewClient returns a Client for the object API. It retries all calls but Watch, within
@@ -84,7 +89,7 @@
 		d := net.Dialer{Timeout: attemptTimeout}
 		h = &http.Client{Transport: &http.Transport{DialContext: d.DialContext, MaxIdleConnsPerHost: 8, MaxResponseHeaderBytes: receiver.MaxHeadBytes}}
 	}
-	return &client{base: "http://" + o.Address, http: h, budget: newBudget(o), breaker: newBreaker()}
+	return &client{base: "http://" + o.Address, http: h, budget: newBudget(o), breaker: newBreaker(), oddHosts: oddHosts{log: o.Log}}
 }
 
 func (c *client) Get(ctx context.Context, kind Kind, name string) (Object, error) {
@@ -101,8 +106,10 @@
 
 func (c *client) Hosts(ctx context.Context) ([]Host, error) {
 	var rows hostRows
-	err := c.read(ctx, CallHosts, "/v1/hosts", &rows)
-	return rows, err
+	if err := c.read(ctx, CallHosts, "/v1/hosts", &rows); err != nil {
+		return nil, err
+	}
+	return c.oddHosts.sound(rows), nil
 }
 
 func (c *client) Watch(ctx context.Context, kind Kind, after unit.Revision, wait time.Duration) (List, error) {
--- a/oleandercove/daemon/daemon.go
+++ b/oleandercove/daemon/daemon.go
@@ -80,7 +80,7 @@
 	l := logger.New(logger.Options{Level: s.Log.Level, Format: s.Log.Format}).With("host", s.Host)
 	t := timer.NewReal()
 	m := meter.New()
-	p := m.WrapPlatform(newPlatform(s))
+	p := m.WrapPlatform(newPlatform(s, l))
 	d := &Daemon{settings: s, log: l, clock: clock.New(t), drainer: newDrainer(s.Shutdown, t, l), meter: m, timer: t, platform: p}
 	d.recorder = recorder.New(recorder.Options{Host: s.Host, Capacity: journalCapacity, Timer: t, Clock: d.clock})
 	d.tracker = tracker.New()
--- a/oleandercove/daemon/services.go
+++ b/oleandercove/daemon/services.go
@@ -1,6 +1,8 @@
 package daemon
 
 import (
+	"github.com/charmbracelet/log"
+
 	"oleandercove.example/core/platform"
 	"oleandercove.example/core/timer"
 	"oleandercove.example/oleandercove/caller"
@@ -12,12 +14,13 @@
 )
 
 // newPlatform returns the platform client with this daemon's call budget.
-func newPlatform(s *settings.Settings) platform.Client {
+func newPlatform(s *settings.Settings, l *log.Logger) platform.Client {
 	return platform.NewClient(platform.Options{
 		Address:          s.Platform.Address,
 		ReadsPerSecond:   s.Services.PlatformReadsPerSecond,
 		WritesPerSecond:  s.Services.PlatformWritesPerSecond,
 		WatchesPerSecond: s.Services.PlatformWatchesPerSecond,
+		Log:              l.WithPrefix("platform"),
 	})
 }
 
--- a/oleandercove/edge/directory/directory.go
+++ b/oleandercove/edge/directory/directory.go
@@ -26,6 +26,7 @@
 	"github.com/charmbracelet/log"
 
 	"oleandercove.example/core/backend"
+	"oleandercove.example/core/logger"
 	objects "oleandercove.example/core/platform"
 	"oleandercove.example/core/routing"
 	"oleandercove.example/core/unit"
@@ -252,7 +253,7 @@
 		return true
 	}
 	if d.odd.add(o) {
-		d.log.Warn("registry entry ignored", "id", shorten(o.Name), "revision", o.Revision, "err", shorten(err.Error()))
+		d.log.Warn("registry entry ignored", "id", logger.Shorten(o.Name), "revision", o.Revision, "err", logger.Shorten(err.Error()))
 	}
 	d.servers.supersede(unit.BackendID(o.Name), o.Revision, now)
 	return false
