announcer: an odd registration of a host is no peer

Seen in tests only: an object of another writer among the registered hosts with no address, a name, port 0, the address of all hosts or an address with a zone counted as a peer, so that beacons were sent to it and the retry budget and the load of engines were shared with a daemon that doesn't exist. A name was looked up at each read, and an object that couldn't be decoded was logged at each read.

Cause: the address went to the resolver of the standard library, which accepts all of these.

Change: a registration has an IPv4 address of one host and a port. An odd one is logged once for each change, by the same type as odd registry entries, which moves to core/platform. Seeds, which come from the settings, may be names as before (addSeed); TestOtherDaemonsAtStart calls it by its new name.

hosts_test.go:71: 2 != 1 hosts_test.go:74: 0 != 1 --- FAIL: TestOddRegistrations (19 of 19 rows)

After: all rows pass.

--- a/oleandercove/edge/announcer/announcer.go
+++ b/oleandercove/edge/announcer/announcer.go
@@ -33,6 +33,7 @@
 	"github.com/charmbracelet/log"
 
 	"oleandercove.example/core/backend"
+	objects "oleandercove.example/core/platform"
 	"oleandercove.example/core/timer"
 	"oleandercove.example/core/unit"
 	"oleandercove.example/oleandercove/edge/budgeter"
@@ -118,7 +119,9 @@
 	// summaries holds the load summaries of other data centres.
 	summaries map[unit.DataCentre]*centreSummary
 	leaving   bool
-	fetches   chan configurationFetch
+	// oddHosts are the odd registrations that have been logged. Only runRegistration uses it.
+	oddHosts objects.OddObjects
+	fetches  chan configurationFetch
 }
 
 // New returns an Announcer that listens on its address. It fails if the address is
@@ -134,11 +137,11 @@
 	}
 	a := &Announcer{
 		Options: o, incarnation: rand.Uint64() | 1, started: o.Timer.Now(), conn: conn,
-		peers: map[string]*peerState{}, summaries: map[unit.DataCentre]*centreSummary{}, fetches: make(chan configurationFetch, 1),
+		peers: map[string]*peerState{}, summaries: map[unit.DataCentre]*centreSummary{}, oddHosts: objects.OddObjects{}, fetches: make(chan configurationFetch, 1),
 	}
 	a.settleAfter(fleetStartSettleTime)
 	for _, s := range o.Seeds {
-		a.addPeer(s)
+		a.addSeed(s)
 	}
 	return a, nil
 }
--- a/oleandercove/edge/announcer/hosts.go
+++ b/oleandercove/edge/announcer/hosts.go
@@ -4,8 +4,11 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"net"
+	"net/netip"
 	"time"
 
+	"oleandercove.example/core/logger"
 	objects "oleandercove.example/core/platform"
 	"oleandercove.example/core/unit"
 )
@@ -71,6 +74,8 @@
 		l, err := a.Registry.ListStale(ctx, KindHost)
 		if err != nil {
 			a.Log.Warn("listing registered hosts failed", "err", err)
+		} else {
+			a.oddHosts.Keep(l.Objects)
 		}
 		listed := a.addRegistered(l.Objects)
 		if listed && !registered {
@@ -91,17 +96,21 @@
 }
 
 // addRegistered adds the addresses of the registered hosts as peers, and sends beacons
-// at once if one is new. It reports whether this daemon is among them.
+// at once if one is new. It reports whether this daemon is among them. Odd registrations
+// are ignored.
 func (a *Announcer) addRegistered(list []objects.Object) bool {
 	registered, added := false, false
 	for _, o := range list {
-		var r registration
-		if err := json.Unmarshal(o.Value, &r); err != nil {
-			a.Log.Warn("registration decoding failed", "host", o.Name, "err", err)
+		address, err := decodeRegistration(o.Value)
+		if err != nil {
+			if a.oddHosts.Add(o) {
+				a.Log.Warn("host registration ignored", "host", logger.Shorten(o.Name), "revision", o.Revision, "err", logger.Shorten(err.Error()))
+			}
 			continue
 		}
-		registered = registered || (o.Name == string(a.Host) && r.Address == a.Address)
-		added = a.addPeer(r.Address) || added
+		a.oddHosts.Remove(o)
+		registered = registered || (o.Name == string(a.Host) && address.String() == a.Address)
+		added = a.addPeer(net.UDPAddrFromAddrPort(address)) || added
 	}
 	if added {
 		a.FlushNow()
@@ -109,6 +118,22 @@
 	return registered
 }
 
+var errNotIPv4 = errors.New("beacons are sent over IPv4")
+
+// decodeRegistration returns the address of a registered host. A name is an error: other
+// writers may leave any, and each read would look it up.
+func decodeRegistration(value json.RawMessage) (netip.AddrPort, error) {
+	var r registration
+	if err := json.Unmarshal(value, &r); err != nil {
+		return netip.AddrPort{}, err
+	}
+	a, err := objects.ParseAddress(r.Address)
+	if err == nil && !a.Addr().Is4() {
+		err = errNotIPv4
+	}
+	return a, err
+}
+
 // registerSelf registers the address of this daemon and reports whether no further
 // attempt is needed.
 func (a *Announcer) registerSelf(ctx context.Context) bool {
--- /dev/null
+++ b/oleandercove/edge/announcer/hosts_test.go
@@ -0,0 +1,80 @@
+package announcer
+
+import (
+	"bytes"
+	"encoding/json"
+	"net"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/charmbracelet/log"
+	"github.com/matryer/is"
+
+	"oleandercove.example/core/logger"
+	objects "oleandercove.example/core/platform"
+	"oleandercove.example/core/timer"
+	"oleandercove.example/core/unit"
+	"oleandercove.example/oleandercove/edge/budgeter"
+	"oleandercove.example/oleandercove/edge/directory"
+	"oleandercove.example/oleandercove/edge/judge"
+	"oleandercove.example/oleandercove/edge/ledger"
+	"oleandercove.example/oleandercove/edge/screener"
+)
+
+// newAnnouncer returns an Announcer without a socket, whose beacons go nowhere.
+func newAnnouncer(l *log.Logger) *Announcer {
+	clock := timer.NewManual(time.Unix(1000, 0))
+	return &Announcer{peers: map[string]*peerState{}, oddHosts: objects.OddObjects{}, incarnation: 7, conn: &net.UDPConn{}, Options: Options{
+		Host: "edge-1", Address: "10.1.0.1:7340", Timer: clock, Log: l,
+		Directory: directory.New(logger.Discard()), Judge: judge.New(), Ledger: ledger.New(),
+		Budgeter:       budgeter.New(budgeter.Options{Hosts: func() int { return 1 }, Timer: clock}),
+		Screener:       screener.New(screener.Options{Timer: clock, Log: logger.Discard()}),
+		HasServedModel: func() bool { return false }, EngineStates: func() []EngineState { return nil },
+	}}
+}
+
+// Guards against a peer that doesn't exist, to which beacons are sent and with which the
+// retry budget is shared, against look-ups of names, and against a log line for each read.
+func TestOddRegistrations(t *testing.T) {
+	tests := []struct{ name, value string }{
+		{"no address", `{}`},
+		{"null", `null`},
+		{"no value", ``},
+		{"invalid JSON", `{"Address`},
+		{"nesting of 10,001 levels", `{"Address":"10.1.0.2:7340","x":` + strings.Repeat("[", 10001) + strings.Repeat("]", 10001) + `}`},
+		{"an address of another type", `{"Address":7}`},
+		{"an empty address", `{"Address":""}`},
+		{"an address without a port", `{"Address":"10.1.0.2"}`},
+		{"a host name", `{"Address":"localhost:7340"}`},
+		{"port 0", `{"Address":"10.1.0.2:0"}`},
+		{"a port beyond the range", `{"Address":"10.1.0.2:65536"}`},
+		{"a negative port", `{"Address":"10.1.0.2:-1"}`},
+		{"only a port", `{"Address":":7340"}`},
+		{"the unspecified address", `{"Address":"0.0.0.0:7340"}`},
+		{"the broadcast address", `{"Address":"255.255.255.255:7340"}`},
+		{"a multicast address", `{"Address":"224.0.0.1:7340"}`},
+		{"an address of another family", `{"Address":"[2001:db8::1]:7340"}`},
+		{"an address with a zone", `{"Address":"[::ffff:10.1.0.2%x]:7340"}`},
+		{"the address of this daemon in another spelling", `{"Address":"[::ffff:10.1.0.1]:7340"}`},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			var out bytes.Buffer
+			a := newAnnouncer(log.New(&out))
+			odd := objects.Object{Name: "odd", Value: json.RawMessage(tt.value), Revision: 3}
+			sound := objects.Object{Name: "edge-3", Value: json.RawMessage(`{"Address":"10.1.0.3:7340"}`), Revision: 4}
+			for range 3 {
+				a.addRegistered([]objects.Object{odd, sound})
+			}
+			is.Equal(a.knownPeers(), 1)
+			is.True(a.peers["10.1.0.3:7340"] != nil)
+			if !strings.Contains(tt.name, "this daemon") {
+				is.Equal(strings.Count(out.String(), "host registration ignored"), 1)
+			}
+			odd.Revision = unit.Revision(5)
+			is.True(a.addRegistered([]objects.Object{odd, {Name: "edge-1", Value: json.RawMessage(`{"Address":"10.1.0.1:7340"}`)}}))
+		})
+	}
+}
--- a/oleandercove/edge/announcer/peers.go
+++ b/oleandercove/edge/announcer/peers.go
@@ -77,17 +77,20 @@
 	return false
 }
 
-// addPeer adds an address to which beacons are sent, and reports whether it is new.
-func (a *Announcer) addPeer(address string) bool {
-	if address == a.Address {
-		return false
-	}
+// addSeed adds the address of a host that may run a daemon, from the settings, and reports
+// whether it is new.
+func (a *Announcer) addSeed(address string) bool {
 	udp, err := net.ResolveUDPAddr("udp4", address)
 	if err != nil {
-		a.Log.Warn("peer address is invalid", "address", address, "err", err)
+		a.Log.Warn("seed address is invalid", "address", address, "err", err)
 		return false
 	}
-	if !a.insertPeer(address, udp) {
+	return a.addPeer(udp)
+}
+
+// addPeer adds an address to which beacons are sent, and reports whether it is new.
+func (a *Announcer) addPeer(udp *net.UDPAddr) bool {
+	if address := udp.String(); address == a.Address || !a.insertPeer(address, udp) {
 		return false
 	}
 	a.Ledger.SetOtherDaemons(a.knownPeers())
--- a/oleandercove/edge/announcer/receive_test.go
+++ b/oleandercove/edge/announcer/receive_test.go
@@ -142,10 +142,10 @@
 	const others = 40
 	a := &Announcer{Options: Options{Timer: timer.NewManual(time.Unix(1000, 0)), Ledger: ledger.New(), Address: "127.0.0.1:7000"}, peers: map[string]*peerState{}}
 	for i := range others {
-		is.True(a.addPeer(fmt.Sprintf("127.0.0.1:%d", 7001+i)))
+		is.True(a.addSeed(fmt.Sprintf("127.0.0.1:%d", 7001+i)))
 	}
-	is.True(!a.addPeer("127.0.0.1:7001"))
-	is.True(!a.addPeer(a.Address))
+	is.True(!a.addSeed("127.0.0.1:7001"))
+	is.True(!a.addSeed(a.Address))
 	a.Ledger.Begin([]ledger.Item{{Server: "i-1", Tokens: 100}})
 	is.Equal(a.Ledger.EstimateUnreported("i-1"), ledger.Load{Running: others, Tokens: others * 100})
 }
--- a/oleandercove/edge/directory/directory.go
+++ b/oleandercove/edge/directory/directory.go
@@ -58,7 +58,7 @@
 	// configured is closed once the first configuration is installed.
 	configured   chan struct{}
 	servers      registry
-	odd          oddEntries
+	odd          objects.OddObjects
 	notices      notices
 	onReadyAgain func(backend.Server)
 	snapshot     atomic.Pointer[Servers]
@@ -71,7 +71,7 @@
 
 // New returns an empty Directory.
 func New(l *log.Logger) *Directory {
-	d := &Directory{log: l, notices: notices{}, odd: oddEntries{}, configured: make(chan struct{})}
+	d := &Directory{log: l, notices: notices{}, odd: objects.OddObjects{}, configured: make(chan struct{})}
 	d.servers = registry{entries: map[unit.BackendID]*entry{}, tombstones: map[unit.BackendID]unit.Revision{}}
 	d.history = newHistory()
 	d.snapshot.Store(newServers(nil))
@@ -193,7 +193,7 @@
 			d.servers.remove(id, now, d.holdUntil)
 		}
 	}
-	d.odd.keep(list)
+	d.odd.Keep(list)
 	d.publish(now)
 	// A list may come from a peer that has not seen a server yet, so a server that is
 	// missing from it may be listed again with the same revision.
@@ -208,7 +208,7 @@
 	d.confirmServers(at, now)
 	for _, o := range changes {
 		if o.Deleted {
-			d.odd.remove(o)
+			d.odd.Remove(o)
 			d.servers.remove(unit.BackendID(o.Name), now, d.holdUntil)
 			continue
 		}
@@ -234,7 +234,7 @@
 	if err != nil {
 		return d.ignoreEntry(o, err, now)
 	}
-	d.odd.remove(o)
+	d.odd.Remove(o)
 	if d.servers.isNewer(o) {
 		d.checkReadyAgain(s)
 	}
@@ -252,7 +252,7 @@
 	if d.servers.isOlder(o) {
 		return true
 	}
-	if d.odd.add(o) {
+	if d.odd.Add(o) {
 		d.log.Warn("registry entry ignored", "id", logger.Shorten(o.Name), "revision", o.Revision, "err", logger.Shorten(err.Error()))
 	}
 	d.servers.supersede(unit.BackendID(o.Name), o.Revision, now)
