follower, announcer: times that a peer states no longer overflow

Seen in tests only: an answer or a beacon of a peer with an age of 2^58 ms or more had its server list count as current, or its configuration as confirmed, at any time up to 292 years ahead. A daemon then doesn't notice that its list is old, and revoked keys stay valid. The daemons themselves cut ages before they send them; an odd writer on the port doesn't.

Cause: the numbers were converted to durations without a bound.

Change: ages are cut; the time for which a query was held is at most the time that the query took, and an echo that is later than the time since the echoed beacon confirms nothing.

follower_test.go:211: not true: u.ServersAge >= 0 && u.ConfirmedAge >= 0 && u.Waited >= 0 --- FAIL: TestAgesOfPeers (5 of 5 rows) hosts_test.go:108: not true: !at.After(now.Add(-900 * time.Millisecond)) --- FAIL: TestTimesOfBeacons (4 of 5 rows)

After: both pass.

--- a/oleandercove/edge/announcer/confirmation.go
+++ b/oleandercove/edge/announcer/confirmation.go
@@ -8,6 +8,10 @@
 	"oleandercove.example/wire/peer"
 )
 
+// maxConfirmedAge bounds the age of a configuration that a peer states. No bound on the
+// age of keys is as long.
+const maxConfirmedAge = 24 * time.Hour
+
 // configurationFetch requests the configuration of a peer that has a newer revision
 // than this daemon.
 type configurationFetch struct {
@@ -36,8 +40,9 @@
 }
 
 // confirmedAt returns, on the clock of this daemon, a time at which the peer's
-// configuration was the newest one, or false if the beacon echoes no recent beacon. The
-// peer sent its beacon no earlier than echo_ms after this daemon sent the echoed one.
+// configuration was the newest one, or false if the beacon echoes no recent beacon or
+// states impossible times. The peer sent its beacon no earlier than echo_ms after this
+// daemon sent the echoed one.
 func (a *Announcer) confirmedAt(b *peer.Beacon) (time.Time, bool) {
 	if b.EchoIncarnation != a.incarnation || b.Echo == 0 {
 		return time.Time{}, false
@@ -48,7 +53,12 @@
 		return time.Time{}, false
 	}
 	sent := a.sentAt[b.Echo%uint64(len(a.sentAt))]
-	return sent.Add(time.Duration(b.EchoMs)*time.Millisecond - time.Duration(b.ConfirmedMs)*time.Millisecond), true
+	elapsed := a.Timer.Now().Sub(sent)
+	if b.EchoMs > uint64(max(0, elapsed.Milliseconds())) {
+		return time.Time{}, false
+	}
+	age := time.Duration(min(b.ConfirmedMs, uint64(maxConfirmedAge.Milliseconds()))) * time.Millisecond
+	return sent.Add(time.Duration(b.EchoMs)*time.Millisecond - age), true
 }
 
 // runFetches fetches and installs the requested configurations, one at a time, until
--- a/oleandercove/edge/announcer/hosts_test.go
+++ b/oleandercove/edge/announcer/hosts_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"encoding/json"
+	"math"
 	"net"
 	"strings"
 	"testing"
@@ -20,6 +21,7 @@
 	"oleandercove.example/oleandercove/edge/judge"
 	"oleandercove.example/oleandercove/edge/ledger"
 	"oleandercove.example/oleandercove/edge/screener"
+	"oleandercove.example/wire/peer"
 )
 
 // newAnnouncer returns an Announcer without a socket, whose beacons go nowhere.
@@ -78,3 +80,34 @@
 		})
 	}
 }
+
+// Guards against a configuration that counts as confirmed in the future, so that keys that
+// were revoked stay valid, which happens when the times of a beacon overflow or are longer
+// than the time since the echoed beacon.
+func TestTimesOfBeacons(t *testing.T) {
+	tests := []struct {
+		name              string
+		echoMs, confirmed uint64
+		ok                bool
+	}{
+		{"a sound beacon is ignored", 100, 50, true},
+		{"an old configuration overflows to the future", 100, math.MaxUint64, true},
+		{"an old configuration overflows to a time near", 100, 1 << 58, true},
+		{"a late echo overflows to the past", math.MaxInt64, 50, false},
+		{"an echo is later than the beacon", 60_000, 50, false},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			a := newAnnouncer(logger.Discard())
+			now := a.Timer.Now()
+			a.lastNumber, a.sentAt[1] = 1, now.Add(-time.Second)
+			at, ok := a.confirmedAt(&peer.Beacon{Echo: 1, EchoIncarnation: a.incarnation, EchoMs: tt.echoMs, ConfirmedMs: tt.confirmed})
+			is.Equal(ok, tt.ok)
+			if ok {
+				is.True(!at.After(now.Add(-900 * time.Millisecond)))
+				is.True(tt.confirmed < 1000 || at.Before(now.Add(-time.Minute)))
+			}
+		})
+	}
+}
--- a/oleandercove/edge/follower/follower.go
+++ b/oleandercove/edge/follower/follower.go
@@ -214,8 +214,10 @@
 	if err != nil {
 		return cursor, err
 	}
-	f.lastAnswer.Store(f.Timer.Now().UnixNano())
+	answered := f.Timer.Now()
+	f.lastAnswer.Store(answered.UnixNano())
 	u := decode(reply)
+	u.Waited = min(u.Waited, answered.Sub(sent))
 	serversAt, confirmedAt := sent.Add(u.Waited-u.ServersAge), sent.Add(u.Waited-u.ConfirmedAge)
 	if u.ServersAge > staleAge {
 		return cursor, errors.Join(errStale, f.Directory.ApplyConfiguration(u, confirmedAt))
--- a/oleandercove/edge/follower/follower_test.go
+++ b/oleandercove/edge/follower/follower_test.go
@@ -19,6 +19,7 @@
 	"oleandercove.example/core/timer"
 	"oleandercove.example/core/unit"
 	"oleandercove.example/oleandercove/edge/directory"
+	"oleandercove.example/wire/peer"
 )
 
 func peers(n int) []Peer {
@@ -188,3 +189,30 @@
 		})
 	}
 }
+
+// Guards against a server list or a configuration that counts as fresh for years, which
+// happens when an age that a peer states overflows or when the peer says that it held the
+// query longer than it took.
+func TestAgesOfPeers(t *testing.T) {
+	tests := []struct {
+		name  string
+		reply *peer.ChangesReply
+	}{
+		{"an age overflows to a negative one", &peer.ChangesReply{ServersAgeMs: math.MaxInt64, ConfigurationAgeMs: math.MaxInt64}},
+		{"the largest age is a negative one", &peer.ChangesReply{ServersAgeMs: math.MaxUint64, ConfigurationAgeMs: math.MaxUint64}},
+		{"an age overflows to a small one", &peer.ChangesReply{ServersAgeMs: 1 << 58, ConfigurationAgeMs: 1 << 58}},
+		{"a query was held for years", &peer.ChangesReply{HeldMs: 1 << 40}},
+		{"the time for which a query was held overflows", &peer.ChangesReply{HeldMs: math.MaxInt64}},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			u := decode(tt.reply)
+			is.True(u.ServersAge >= 0 && u.ConfirmedAge >= 0 && u.Waited >= 0)
+			is.True(u.Waited <= maxHold+callTimeoutSlack)
+			if tt.reply.ServersAgeMs > 0 {
+				is.True(u.ServersAge >= maxAge && u.ConfirmedAge >= maxAge)
+			}
+		})
+	}
+}
--- a/oleandercove/edge/follower/reply.go
+++ b/oleandercove/edge/follower/reply.go
@@ -15,9 +15,8 @@
 func decode(r *peer.ChangesReply) directory.Update {
 	u := directory.Update{
 		Cursor: directory.Cursor{Incarnation: r.Incarnation, Position: r.Position, Revision: unit.Revision(r.Revision)},
-		Full:   r.Full, ServersAge: time.Duration(r.ServersAgeMs) * time.Millisecond,
-		ConfirmedAge: time.Duration(r.ConfigurationAgeMs) * time.Millisecond, Packed: r.Configuration,
-		Waited: time.Duration(r.HeldMs) * time.Millisecond,
+		Full:   r.Full, ServersAge: milliseconds(r.ServersAgeMs, 2*maxAge), ConfirmedAge: milliseconds(r.ConfigurationAgeMs, 2*maxAge),
+		Packed: r.Configuration, Waited: milliseconds(r.HeldMs, maxHold+callTimeoutSlack),
 	}
 	for _, s := range r.Servers {
 		u.Servers = append(u.Servers, objects.Object{
@@ -27,6 +26,11 @@
 	return u
 }
 
+// milliseconds returns a time that a peer states, cut to a limit, so that it can't overflow.
+func milliseconds(ms uint64, limit time.Duration) time.Duration {
+	return time.Duration(min(ms, uint64(limit.Milliseconds()))) * time.Millisecond
+}
+
 func encode(u directory.Update) *peer.ChangesReply {
 	r := &peer.ChangesReply{
 		Incarnation: u.Cursor.Incarnation, Position: u.Cursor.Position, Full: u.Full, Revision: uint64(u.Cursor.Revision),
