--- a/core/routing/engine.go
+++ b/core/routing/engine.go
@@ -9,9 +9,14 @@
 // Milliseconds is a duration in milliseconds, with fractions.
 type Milliseconds float64
 
-// Duration converts m to a time.Duration.
+// maxDuration bounds the size of a converted time. A multiple for each of 10,000 layers
+// doesn't overflow.
+const maxDuration = 7 * 24 * time.Hour
+
+// Duration converts m to a time.Duration, cut to a week in both directions.
 func (m Milliseconds) Duration() time.Duration {
-	return time.Duration(float64(m) * float64(time.Millisecond))
+	const limit = float64(maxDuration)
+	return time.Duration(max(-limit, min(float64(m)*float64(time.Millisecond), limit)))
 }
 
 // Megabytes is a memory size.
