spreader: a catalogue entry with numbers out of range is skipped

Entries that operators edit are checked by the editor, but an entry that was written to the platform by other means was installed and handed to peers, so that each daemon planned with it.

Cause: entries were decoded, but their numbers were not checked when they were read.

Change: entries from the platform and from peers are decoded with DecodeStored, which also checks the ranges of all numbers. Such an entry is skipped and logged like one that can't be decoded, and the last good version of it stays installed. The operator's interface reads as before, so that an operator can correct the entry.

spreader_test.go:96: 2 != 1 --- FAIL: TestOddEntries (7 of 10 rows)

After: all rows pass.

--- a/core/catalogue/checker.go
+++ b/core/catalogue/checker.go
@@ -67,6 +67,22 @@
 	return c.faults
 }
 
+// CheckRanges returns the numbers of an entry that are negative or above the upper bound
+// of their field. Daemons allocate memory for each layer and multiply times, so an entry
+// with such a number, as another writer may leave it, must not be used.
+func CheckRanges(e *Entry) []Fault {
+	c := &checker{}
+	c.checkRange("DrainMs", float64(e.DrainMs), 0, maxMilliseconds)
+	c.checkLimits(e.Limits)
+	if e.Model != nil {
+		c.checkModelRanges(e.Model, 0)
+	}
+	if e.Service != nil {
+		c.checkRange("Service.TimeoutMs", float64(e.Service.TimeoutMs), 0, maxMilliseconds)
+	}
+	return c.faults
+}
+
 func (c *checker) addFault(field, format string, args ...any) {
 	c.faults = append(c.faults, Fault{Field: field, Problem: fmt.Sprintf(format, args...)})
 }
@@ -122,11 +138,17 @@
 	}
 }
 
-func (c *checker) checkModel(m *Model) {
-	c.checkRange("Model.Layers", float64(m.Layers), 1, maxLayers)
-	c.checkRange("Model.MaxTokens", float64(m.MaxTokens), 1, maxMaxTokens)
+// checkModelRanges checks the numbers of a model, of which the least number of layers and
+// tokens is given.
+func (c *checker) checkModelRanges(m *Model, least float64) {
+	c.checkRange("Model.Layers", float64(m.Layers), least, maxLayers)
+	c.checkRange("Model.MaxTokens", float64(m.MaxTokens), least, maxMaxTokens)
 	c.checkRange("Model.Replicas", float64(m.Replicas), 0, maxReplicas)
 	c.checkRange("Model.ActivationBytes", float64(m.ActivationBytes), 0, maxActivationBytes)
+}
+
+func (c *checker) checkModel(m *Model) {
+	c.checkModelRanges(m, 1)
 	c.checkSet("Model.Adapters", m.Adapters, func(s string) bool { return namePattern.MatchString(s) }, "is not a name")
 }
 
--- a/core/catalogue/decoder.go
+++ b/core/catalogue/decoder.go
@@ -26,6 +26,19 @@
 	return &e, nil
 }
 
+// DecodeStored parses an entry that any writer may have left. It returns the errors of
+// Decode, and one for a number that CheckRanges faults.
+func DecodeStored(value []byte, version unit.Version) (*Entry, error) {
+	e, err := Decode(value, version)
+	if err != nil {
+		return nil, err
+	}
+	if faults := CheckRanges(e); len(faults) > 0 {
+		return nil, fmt.Errorf("catalogue entry: %s", faults[0])
+	}
+	return e, nil
+}
+
 // Encode returns an entry as the value of a platform object.
 func Encode(e *Entry) ([]byte, error) {
 	return json.Marshal(e)
--- a/oleandercove/daemon/controllers.go
+++ b/oleandercove/daemon/controllers.go
@@ -45,7 +45,7 @@
 	}
 	var entries []*catalogue.Entry
 	for _, o := range l.Objects {
-		e, err := catalogue.Decode(o.Value, o.Version)
+		e, err := catalogue.DecodeStored(o.Value, o.Version)
 		if err != nil {
 			d.log.WithPrefix("commander").Error("skipped an invalid catalogue entry", "name", o.Name, "err", err)
 			continue
--- a/oleandercove/spreader/observer.go
+++ b/oleandercove/spreader/observer.go
@@ -83,7 +83,7 @@
 func (s *Spreader) decodeEntries(objects []platform.Object) []*catalogue.Entry {
 	var out []*catalogue.Entry
 	for _, o := range objects {
-		e, err := catalogue.Decode(o.Value, o.Version)
+		e, err := catalogue.DecodeStored(o.Value, o.Version)
 		if err != nil {
 			s.options.Log.Error("skipped an invalid catalogue object", "name", o.Name, "err", err)
 			continue
@@ -111,7 +111,7 @@
 func (s *Spreader) mergeItems(from unit.HostID, items []replicator.Item) {
 	var entries []*catalogue.Entry
 	for _, i := range items {
-		e, err := catalogue.Decode(i.Value, unit.Version(i.Version))
+		e, err := catalogue.DecodeStored(i.Value, unit.Version(i.Version))
 		if err != nil {
 			s.options.Log.Error("skipped an invalid catalogue entry received from a peer", "name", i.Key, "peer", from, "err", err)
 			continue
--- a/oleandercove/spreader/spreader_test.go
+++ b/oleandercove/spreader/spreader_test.go
@@ -1,12 +1,14 @@
 package spreader
 
 import (
+	"strings"
 	"testing"
 
 	"github.com/matryer/is"
 
 	"oleandercove.example/core/catalogue"
 	"oleandercove.example/core/logger"
+	"oleandercove.example/core/platform"
 	"oleandercove.example/core/timer"
 	"oleandercove.example/core/unit"
 	"oleandercove.example/oleandercove/gossiper"
@@ -69,3 +71,34 @@
 		})
 	}
 }
+
+// Guards against a daemon that ends because of one odd entry of another writer, with memory
+// for each of its layers, and against one that no longer gets the others.
+func TestOddEntries(t *testing.T) {
+	deep := strings.Repeat("[", 1000000) + strings.Repeat("]", 1000000)
+	for _, c := range []struct{ failure, value string }{
+		{"negative layers are used", `{"Kind":"Model","Name":"odd","Model":{"Layers":-5,"MaxTokens":10}}`},
+		{"too many layers are used", `{"Kind":"Model","Name":"odd","Model":{"Layers":1000000000000000,"MaxTokens":10}}`},
+		{"a number of layers that overflows is used", `{"Kind":"Model","Name":"odd","Model":{"Layers":9223372036854775807}}`},
+		{"a negative number of tokens is used", `{"Kind":"Model","Name":"odd","Model":{"Layers":5,"MaxTokens":-10}}`},
+		{"a rate beyond all is used", `{"Kind":"Model","Name":"odd","Limits":{"RequestsPerSecond":1e300}}`},
+		{"a negative share is used", `{"Kind":"Model","Name":"odd","Limits":{"QueueShare":-1}}`},
+		{"a time that overflows is used", `{"Kind":"Service","Name":"odd","Service":{"TimeoutMs":9223372036854775807}}`},
+		{"a number beyond floating point is used", `{"Kind":"Model","Name":"odd","Limits":{"QueueShare":1e400}}`},
+		{"an entry of 1,000,000 levels blocks the others", `{"Kind":"Model","Name":"odd","Model":` + deep + `}`},
+		{"an entry without a value blocks the others", ``},
+	} {
+		t.Run(c.failure, func(t *testing.T) {
+			is := is.New(t)
+			s := New(Options{Timer: timer.NewReal(), Log: logger.Discard()})
+			sound := `{"Kind":"Model","Name":"report","Model":{"Layers":5}}`
+			n := s.Merge(s.decodeEntries([]platform.Object{{Name: "odd", Version: 3, Value: []byte(c.value)}, {Name: "report", Version: 3, Value: []byte(sound)}}))
+			is.Equal(n, 1)
+			s.mergeItems("peer", []replicator.Item{{Key: "odd", Version: 4, Value: []byte(c.value)}, {Key: "report", Version: 4, Value: []byte(sound)}})
+			is.Equal(len(s.List(catalogue.KindModel)), 1)
+			is.Equal(len(s.List(catalogue.KindService)), 0)
+			e, ok := s.Get(catalogue.KindModel, "report")
+			is.True(ok && e.Version == 4)
+		})
+	}
+}
