announcer: numbers of beacons are checked

Seen in tests only: a beacon with a negative load made a server look less than empty, loads of two beacons overflowed, and an engine was said to keep layers that it doesn't hold.

Cause: the numbers of a beacon were used as they are.

Change: negative loads count as none, and large ones are cut so that sums don't overflow. An engine keeps layers only of those that it holds.

hosts_test.go:130: not true: load.Tokens >= 0 && load.Prefill >= 0 && load.Running >= 0 && load.ChainStarts >= 0 --- FAIL: TestNumbersOfBeacons

After: it passes.

--- a/oleandercove/edge/announcer/hosts_test.go
+++ b/oleandercove/edge/announcer/hosts_test.go
@@ -12,6 +12,7 @@
 	"github.com/charmbracelet/log"
 	"github.com/matryer/is"
 
+	"oleandercove.example/core/backend"
 	"oleandercove.example/core/logger"
 	objects "oleandercove.example/core/platform"
 	"oleandercove.example/core/timer"
@@ -111,3 +112,36 @@
 		})
 	}
 }
+
+// Guards against a load below zero, for which a server is preferred, and against chains over
+// layers that an engine is said to keep but never held.
+func TestNumbersOfBeacons(t *testing.T) {
+	is := is.New(t)
+	a := newAnnouncer(logger.Discard())
+	now := a.Timer.Now()
+	for _, host := range []string{"edge-2", "edge-3"} {
+		a.applyLoads(&peer.Beacon{Host: host, Loads: []*peer.ServerLoad{
+			{Server: "negative", Tokens: -5, Reading: math.MinInt64},
+			{Server: "huge", Tokens: math.MaxInt64, Reading: math.MaxInt64, Running: math.MaxUint32, Heads: math.MaxUint32},
+		}}, now)
+	}
+	for _, id := range []unit.BackendID{"negative", "huge"} {
+		load := a.Ledger.Load(id)
+		is.True(load.Tokens >= 0 && load.Prefill >= 0 && load.Running >= 0 && load.ChainStarts >= 0)
+	}
+	held := backend.Layers{From: 10, To: 20}
+	for _, e := range []*peer.EngineState{
+		{From: 10, To: 20, KeepFrom: 5, KeepTo: 25},
+		{From: 10, To: 20, KeepFrom: 19, KeepTo: 11},
+		{From: 10, To: 20, KeepFrom: math.MinInt32, KeepTo: math.MaxInt32},
+		{From: 10, To: 20, KeepFrom: -5, KeepTo: -2},
+	} {
+		e.Server = "i-1"
+		a.applyEngineState(e, now)
+		is.Equal(a.Judge.UsableLayers("i-1", held, now), held)
+	}
+	a.applyEngineState(&peer.EngineState{Server: "i-1", From: 10, To: 20, KeepFrom: 12, KeepTo: 20}, now)
+	is.Equal(a.Judge.UsableLayers("i-1", held, now), backend.Layers{From: 12, To: 20})
+	a.applyEngineState(&peer.EngineState{Server: "i-1", From: 10, To: 20}, now)
+	is.Equal(a.Judge.UsableLayers("i-1", held, now).Len(), 0)
+}
--- a/oleandercove/edge/announcer/loads.go
+++ b/oleandercove/edge/announcer/loads.go
@@ -148,8 +148,13 @@
 	out := make([]ledger.Entry, 0, len(list))
 	for _, l := range list {
 		out = append(out, ledger.Entry{Server: unit.BackendID(l.Server), Load: ledger.Load{
-			Running: int(l.Running), ChainStarts: int(l.Heads), Tokens: unit.TokenLayers(l.Tokens), Prefill: unit.TokenLayers(l.Reading),
+			Running: int(l.Running), ChainStarts: int(l.Heads), Tokens: decodeTokens(l.Tokens), Prefill: decodeTokens(l.Reading),
 		}})
 	}
 	return out
 }
+
+// maxTokens is far more memory than a fleet has. The sum over all peers doesn't overflow.
+const maxTokens = 1 << 44
+
+func decodeTokens(n int64) unit.TokenLayers { return unit.TokenLayers(max(0, min(n, maxTokens))) }
--- a/oleandercove/edge/announcer/receive.go
+++ b/oleandercove/edge/announcer/receive.go
@@ -46,14 +46,16 @@
 }
 
 // applyEngineState records the slowdown of an engine and the layers that it will release,
-// as the holder of the placement lease has read them.
+// as the holder of the placement lease has read them. Layers to keep that are not among
+// those that the engine holds are ignored.
 func (a *Announcer) applyEngineState(e *peer.EngineState, now time.Time) {
 	id := unit.BackendID(e.Server)
 	if e.Slowdown > 0 {
 		a.Judge.SetSlowdown(id, float64(e.Slowdown)/100, now)
 	}
-	if e.To > 0 {
-		a.Judge.SetReleasing(id, layers(e.From, e.To), layers(e.KeepFrom, e.KeepTo), now)
+	held, kept := layers(e.From, e.To), layers(e.KeepFrom, e.KeepTo)
+	if e.To > 0 && (kept == backend.Layers{} || (kept.Len() > 0 && held.Contains(kept))) {
+		a.Judge.SetReleasing(id, held, kept, now)
 	}
 }
 
