--- a/oleanderfake/imitator/store.go
+++ b/oleanderfake/imitator/store.go
@@ -1,9 +1,11 @@
 package imitator
 
 import (
+	"bytes"
 	"encoding/json"
 	"net/http"
 	"slices"
+	"strconv"
 	"strings"
 	"sync"
 	"time"
@@ -56,6 +58,8 @@
 	lastHeartbeat map[string]time.Time
 	rates         Rates
 	counter       callCounter
+	// raw holds the specs of PutRaw by the JSON texts that stand for them.
+	raw sync.Map
 }
 
 // Rates limit the calls of all daemons together, in calls per second; 0 means no limit.
@@ -221,7 +225,7 @@
 	for _, n := range names[:min(pageSize, len(names))] {
 		a.Items = append(a.Items, s.objects[kind][n])
 	}
-	reply(w, a)
+	s.reply(w, a)
 }
 
 func (s *Store) get(w http.ResponseWriter, kind, name string) {
@@ -232,7 +236,7 @@
 		w.WriteHeader(http.StatusNotFound)
 		return
 	}
-	reply(w, o)
+	s.reply(w, o)
 }
 
 func (s *Store) watch(w http.ResponseWriter, r *http.Request, kind string) {
@@ -248,7 +252,7 @@
 			return
 		}
 		if len(a.Events) > 0 || !waiting {
-			reply(w, a)
+			s.reply(w, a)
 			return
 		}
 		select {
@@ -320,6 +324,34 @@
 	s.putLocked(kind, name, data)
 }
 
+// rawLifetime is longer than any test. Objects of PutRaw have no heartbeat.
+const rawLifetime = time.Hour
+
+// PutRaw writes an object whose spec is any text, as another writer may leave it. The
+// object doesn't expire.
+func (s *Store) PutRaw(kind, name, spec string) {
+	text := strconv.Quote("raw spec of " + name)
+	s.raw.Store(text, spec)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.lastHeartbeat[name] = time.Now().Add(rawLifetime)
+	s.putLocked(kind, name, json.RawMessage(text))
+}
+
+// reply sends a message with the raw specs in their places.
+func (s *Store) reply(w http.ResponseWriter, message any) {
+	data, err := json.Marshal(message)
+	if err != nil {
+		w.WriteHeader(http.StatusInternalServerError)
+		return
+	}
+	s.raw.Range(func(text, spec any) bool {
+		data = bytes.ReplaceAll(data, []byte(text.(string)), []byte(spec.(string)))
+		return true
+	})
+	_, _ = w.Write(data)
+}
+
 // Remove deletes an object.
 func (s *Store) Remove(kind, name string) {
 	s.mu.Lock()
