--- a/core/platform/client.go
+++ b/core/platform/client.go
@@ -12,6 +12,7 @@
 	"strconv"
 	"time"
 
+	"github.com/charmbracelet/log"
 	"github.com/google/uuid"
 
 	"oleandercove.example/core/receiver"
@@ -40,7 +41,8 @@
 type Client interface {
 	// Get reads one object. It returns ErrNotFound if the object does not exist.
 	Get(ctx context.Context, kind Kind, name string) (Object, error)
-	// List reads all objects of a kind.
+	// List reads all objects of a kind. An object that can't be read has no value, and no
+	// name if that can't be read either.
 	List(ctx context.Context, kind Kind) (List, error)
 	// Put writes an object if it has the expected version; 0 creates the object. It
 	// returns ErrConflict if the write was refused and ErrOutcomeUnknown if it may have
@@ -49,7 +51,8 @@
 	// Watch blocks until there are changes after the revision, wait has passed or ctx is
 	// done.
 	Watch(ctx context.Context, kind Kind, after unit.Revision, wait time.Duration) (List, error)
-	// Hosts reads the list of live and leaving hosts, which lags.
+	// Hosts reads the list of live and leaving hosts, which lags. Rows that describe no
+	// host are left out.
 	Hosts(ctx context.Context) ([]Host, error)
 }
 
@@ -64,6 +67,8 @@
 	ReadsPerSecond   float64
 	WritesPerSecond  float64
 	WatchesPerSecond float64
+	// Log gets a line for each odd row of the host list; nil means none.
+	Log *log.Logger
 }
 
 type client struct {
@@ -72,6 +77,8 @@
 	budget  budget
 	breaker *breaker
 	counts  counts
+	// oddHosts remembers the odd rows of the last host list.
+	oddHosts oddHosts
 }
 
 // NewClient returns a Client for the object API. It retries all calls but Watch, within
@@ -82,7 +89,7 @@
 		d := net.Dialer{Timeout: attemptTimeout}
 		h = &http.Client{Transport: &http.Transport{DialContext: d.DialContext, MaxIdleConnsPerHost: 8, MaxResponseHeaderBytes: receiver.MaxHeadBytes}}
 	}
-	return &client{base: "http://" + o.Address, http: h, budget: newBudget(o), breaker: newBreaker()}
+	return &client{base: "http://" + o.Address, http: h, budget: newBudget(o), breaker: newBreaker(), oddHosts: oddHosts{log: o.Log}}
 }
 
 func (c *client) Get(ctx context.Context, kind Kind, name string) (Object, error) {
@@ -98,9 +105,11 @@
 }
 
 func (c *client) Hosts(ctx context.Context) ([]Host, error) {
-	var hosts []Host
-	err := c.read(ctx, CallHosts, "/v1/hosts", &hosts)
-	return hosts, err
+	var rows hostRows
+	if err := c.read(ctx, CallHosts, "/v1/hosts", &rows); err != nil {
+		return nil, err
+	}
+	return c.oddHosts.sound(rows), nil
 }
 
 func (c *client) Watch(ctx context.Context, kind Kind, after unit.Revision, wait time.Duration) (List, error) {
@@ -111,7 +120,7 @@
 }
 
 // read retries an unavailable read with backoff, unless the circuit breaker is open.
-func (c *client) read(ctx context.Context, call Call, path string, out any) error {
+func (c *client) read(ctx context.Context, call Call, path string, out decoder) error {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	delay := newRetryDelay()
--- a/oleandercove/edge/directory/directory.go
+++ b/oleandercove/edge/directory/directory.go
@@ -5,6 +5,8 @@
 //     read or a peer returns it.
 //   - Its snapshots are immutable.
 //   - A leaving notice of a server outweighs its registry entries.
+//   - An odd registry entry, as another writer may leave it, names no server. A server that
+//     had the id before is no longer used, because its entry has been replaced.
 //
 // Usage:
 //
@@ -24,6 +26,7 @@
 	"github.com/charmbracelet/log"
 
 	"oleandercove.example/core/backend"
+	"oleandercove.example/core/logger"
 	objects "oleandercove.example/core/platform"
 	"oleandercove.example/core/routing"
 	"oleandercove.example/core/unit"
@@ -55,6 +58,7 @@
 	// configured is closed once the first configuration is installed.
 	configured   chan struct{}
 	servers      registry
+	odd          objects.OddObjects
 	notices      notices
 	onReadyAgain func(backend.Server)
 	snapshot     atomic.Pointer[Servers]
@@ -67,7 +71,7 @@
 
 // New returns an empty Directory.
 func New(l *log.Logger) *Directory {
-	d := &Directory{log: l, notices: notices{}, configured: make(chan struct{})}
+	d := &Directory{log: l, notices: notices{}, odd: objects.OddObjects{}, configured: make(chan struct{})}
 	d.servers = registry{entries: map[unit.BackendID]*entry{}, tombstones: map[unit.BackendID]unit.Revision{}}
 	d.history = newHistory()
 	d.snapshot.Store(newServers(nil))
@@ -180,7 +184,7 @@
 	d.confirmServers(at, now)
 	seen := make(map[unit.BackendID]bool, len(list))
 	for _, o := range list {
-		if d.putEntry(o) {
+		if d.putEntry(o, now) {
 			seen[unit.BackendID(o.Name)] = true
 		}
 	}
@@ -189,6 +193,7 @@
 			d.servers.remove(id, now, d.holdUntil)
 		}
 	}
+	d.odd.Keep(list)
 	d.publish(now)
 	// A list may come from a peer that has not seen a server yet, so a server that is
 	// missing from it may be listed again with the same revision.
@@ -202,9 +207,12 @@
 	defer d.mu.Unlock()
 	d.confirmServers(at, now)
 	for _, o := range changes {
-		if o.Deleted || !d.putEntry(o) {
+		if o.Deleted {
+			d.odd.Remove(o)
 			d.servers.remove(unit.BackendID(o.Name), now, d.holdUntil)
+			continue
 		}
+		d.putEntry(o, now)
 	}
 	if len(changes) > 0 || d.servers.hasDueRemoval(now) {
 		d.publish(now)
@@ -219,13 +227,14 @@
 	return now.Sub(d.serversAt)
 }
 
-// putEntry applies one registry entry and reports whether it describes a server.
-func (d *Directory) putEntry(o objects.Object) bool {
+// putEntry applies one registry entry and reports whether the server is to be kept. The
+// entry of a server that is not known describes one if it is sound.
+func (d *Directory) putEntry(o objects.Object, now time.Time) bool {
 	s, err := platform.DecodeServer(o)
 	if err != nil {
-		d.log.Warn("registry entry ignored", "id", o.Name, "err", err)
-		return false
+		return d.ignoreEntry(o, err, now)
 	}
+	d.odd.Remove(o)
 	if d.servers.isNewer(o) {
 		d.checkReadyAgain(s)
 	}
@@ -237,10 +246,23 @@
 	return true
 }
 
+// ignoreEntry applies an odd registry entry and reports whether the known entry of the
+// server is newer. An older one has been replaced.
+func (d *Directory) ignoreEntry(o objects.Object, err error, now time.Time) bool {
+	if d.servers.isOlder(o) {
+		return true
+	}
+	if d.odd.Add(o) {
+		d.log.Warn("registry entry ignored", "id", logger.Shorten(o.Name), "revision", o.Revision, "err", logger.Shorten(err.Error()))
+	}
+	d.servers.supersede(unit.BackendID(o.Name), o.Revision, now)
+	return false
+}
+
 func (d *Directory) publish(now time.Time) {
 	for _, id := range d.servers.expire(now) {
 		d.history.add(objects.Object{Name: string(id), Deleted: true})
 		d.log.Info("backend server removed", "id", id)
 	}
-	d.snapshot.Store(newServers(d.servers.current(d.notices)))
+	d.snapshot.Store(newServers(d.servers.current(d.notices, now)))
 }
