--- a/oleandercove/edge/gateway/stale_test.go
+++ b/oleandercove/edge/gateway/stale_test.go
@@ -85,7 +85,7 @@
 func setServers(g *Gateway, addresses ...string) {
 	var list []objects.Object
 	for i, a := range addresses {
-		value := fmt.Sprintf(`{"service":"s","state":"ready","address":%q,"zone":%q,"slots":4}`, a, map[bool]string{true: "x", false: "y"}[i == 0])
+		value := fmt.Sprintf(`{"service":"s","state":"ready","address":%q,"zone":%q,"slots":4,"sequence":1}`, a, map[bool]string{true: "x", false: "y"}[i == 0])
 		list = append(list, objects.Object{Name: fmt.Sprintf("s%d", i), Revision: 6, Value: json.RawMessage(value)})
 	}
 	g.Directory.Replace(list, g.Timer.Now(), g.Timer.Now())
