budgeter: the parts of all daemons add up to one when traffic begins

Callers would have seen nothing; backend servers would have got several times the retries that they allow. Cause: own requests count at once, those of peers when they are reported. When traffic begins, or goes on after a pause of a window, each daemon considers all requests its own, so its part is the whole budget. A daemon that has just started adds an equal part to those of the others, which are already the whole. Evidence: TestTrafficBegins before: 'budgeter_test.go:213: 1280 retries', bound 215. Change: as many requests as yield the reserve count as spread equally; a daemon that has just started has an equal part at most. After: TestTrafficBegins passes; TestBusyDaemonsOfLargeFleet still does.

--- a/oleandercove/edge/budgeter/budgeter.go
+++ b/oleandercove/edge/budgeter/budgeter.go
@@ -8,8 +8,8 @@
 //     shares, as far as peers have reported them, leave part of the budget unused, and it
 //     has made few retries, by its part, that may not have been reported to peers yet.
 //
-// The part of a daemon is its share of the requests of the fleet. A daemon that has not
-// heard from its peers for a whole window has an equal part.
+// The part of a daemon is its share of the requests of the fleet, of which some count as
+// spread equally. A daemon that has just started has an equal part at most.
 //
 // Load pattern: when an engine at which many chains begin is lost, the daemons
 // that hold its streams resume some dozen at once, and the others none. When engines are
@@ -190,11 +190,21 @@
 }
 
 // part returns the part of the budget of the fleet that belongs to this daemon, from 0 to 1.
-func (v View) part() float64 {
-	if !v.Settled || v.Fleet.Requests <= 0 {
-		return 1 / float64(max(1, v.Hosts))
+//
+// The requests of peers are known some time later than its own ones. When traffic begins, each
+// daemon would consider all requests its own, and the parts would add up to many times the
+// budget. As many requests as yield the reserve therefore count as spread equally.
+func (o Options) part(v View) float64 {
+	equal := 1 / float64(max(1, v.Hosts))
+	if o.Share <= 0 {
+		return equal
+	}
+	spread := o.Reserve / o.Share
+	part := (float64(v.Own.Requests) + spread*equal) / max(1, float64(v.Fleet.Requests)+spread)
+	if !v.Settled {
+		return min(part, equal)
 	}
-	return float64(v.Own.Requests) / float64(v.Fleet.Requests)
+	return part
 }
 
 // view returns what this daemon knows about the usage of a service.
@@ -231,7 +241,7 @@
 	budget := o.budget(v.Fleet)
 	unused := max(0, guaranteedShare*budget-float64(v.Fleet.Guaranteed))
 	return float64(v.Fleet.Retries+1)+unused <= reportedShare*budget &&
-		float64(v.Own.recentSpare()+1) <= spareBurstShare*budget*v.part()
+		float64(v.Own.recentSpare()+1) <= spareBurstShare*budget*o.part(v)
 }
 
 // recentSpare returns the number of retries beyond the guaranteed share that may not have been
@@ -247,7 +257,7 @@
 
 // guaranteed returns the number of retries that a daemon may always use.
 func (o Options) guaranteed(v View) int {
-	return int(max(minRetries, guaranteedShare*(o.Reserve*v.part()+o.Share*float64(v.Own.Requests))))
+	return int(max(minRetries, guaranteedShare*(o.Reserve*o.part(v)+o.Share*float64(v.Own.Requests))))
 }
 
 // OwnUsage returns the usage of this daemon for all services.
--- a/oleandercove/edge/budgeter/budgeter_test.go
+++ b/oleandercove/edge/budgeter/budgeter_test.go
@@ -179,3 +179,37 @@
 	}
 	is.True(float64(granted) <= o.Reserve+o.Share*(busy*busyRequests+(hosts-busy)*idleCount))
 }
+
+// takeAll takes as many retries as the daemons get, up to some for each, and returns their
+// number.
+func (f fleet) takeAll(each int) int {
+	granted := 0
+	for _, b := range f {
+		for range each {
+			if b.TakeRetry("s") == nil {
+				granted++
+			}
+		}
+	}
+	return granted
+}
+
+// Guards against a fleet that exceeds its budget right after traffic has begun or has paused
+// for a window, when peers have not reported their requests yet.
+func TestTrafficBegins(t *testing.T) {
+	const hosts, requests = 64, 2
+	is := is.New(t)
+	m := timer.NewManual(time.Unix(1000, 0))
+	o := Options{Share: 0.2, Reserve: 190, Hosts: func() int { return hosts }, Timer: m}
+	daemons := newFleet(o, hosts, requests)
+	m.Advance(2 * Window)
+	daemons.exchangeUsage(m.Now())
+	for _, b := range daemons {
+		for range requests {
+			b.CountRequest("s")
+		}
+	}
+	granted := daemons.takeAll(20)
+	t.Logf("%d retries", granted)
+	is.True(float64(granted) <= o.Reserve+o.Share*hosts*requests)
+}
