budgeter: daemons whose usage is not known count as the others on average

Callers would have seen nothing; backend servers would have got several times the retries that they allow. Cause: usage that is not reported for 3 s is left out, so while beacons are lost a daemon considers the requests that it knows those of the fleet, and its part grows up to the whole budget; so do the budget that it believes to be unused and, once peers no longer count as live, an equal part of it. Change: the usage of the fleet is estimated from that of the daemons that have reported theirs; all daemons count that may be live, and not only those that were heard lately.

--- a/oleandercove/edge/announcer/loads.go
+++ b/oleandercove/edge/announcer/loads.go
@@ -95,6 +95,19 @@
 	return out
 }
 
+// liveHostsIn returns the number of live daemons of another data centre, at least 1.
+func (a *Announcer) liveHostsIn(d unit.DataCentre, now time.Time) int {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	n := 0
+	for _, p := range a.peers {
+		if p.dataCentre == d && p.isLive(now) {
+			n++
+		}
+	}
+	return max(1, n)
+}
+
 // applyLoads records the work in flight from a beacon: the load of a peer in this
 // data centre, and the load summaries of other data centres.
 func (a *Announcer) applyLoads(b *peer.Beacon, now time.Time) {
@@ -108,7 +121,7 @@
 			continue
 		}
 		a.Ledger.SetPeerLoad(unit.HostID(centrePrefix+c.DataCentre), decodeLoads(c.Loads), now)
-		a.Budgeter.SetPeerUsage(unit.HostID(centrePrefix+c.DataCentre), decodeUsage(c.Uses), now)
+		a.Budgeter.SetSummedUsage(unit.HostID(centrePrefix+c.DataCentre), a.liveHostsIn(unit.DataCentre(c.DataCentre), now), decodeUsage(c.Uses), now)
 		if !sameCentre {
 			a.mu.Lock()
 			a.summaries[unit.DataCentre(c.DataCentre)] = &centreSummary{receivedAt: now, loads: c}
--- a/oleandercove/edge/announcer/peers.go
+++ b/oleandercove/edge/announcer/peers.go
@@ -11,6 +11,10 @@
 // LiveHostCount returns the number of live daemons, this one included.
 func (a *Announcer) LiveHostCount() int { return len(a.LiveHosts()) }
 
+// KnownHostCount returns the number of daemons that may be live, this one included: all that
+// were heard or found in the store within peerExpiry and have not announced that they leave.
+func (a *Announcer) KnownHostCount() int { return 1 + a.knownPeers() }
+
 // LiveHosts returns the live daemons, this one included.
 func (a *Announcer) LiveHosts() []unit.HostID {
 	out := []unit.HostID{a.Host}
--- a/oleandercove/edge/budgeter/budgeter.go
+++ b/oleandercove/edge/budgeter/budgeter.go
@@ -9,7 +9,9 @@
 //     has made few retries, by its part, that may not have been reported to peers yet.
 //
 // The part of a daemon is its share of the requests of the fleet, of which some count as
-// spread equally. A daemon that has just started has an equal part at most.
+// spread equally. A daemon that has just started has an equal part at most. Daemons whose
+// usage is not known count as much as the others on average, so that the fleet keeps its
+// budget while beacons are lost.
 //
 // Load pattern: when an engine at which many chains begin is lost, the daemons
 // that hold its streams resume some dozen at once, and the others none. When engines are
@@ -102,14 +104,16 @@
 	// Share and Reserve define the budget of the fleet: retries for each request, and
 	// a fixed number of retries in a window.
 	Share, Reserve float64
-	// Hosts returns the number of live daemons.
+	// Hosts returns the number of daemons that may be live, those included from which nothing
+	// was heard lately: they may be cut off.
 	Hosts func() int
 	Timer timer.Service
 }
 
-// peerUsage is the last reported usage of a peer.
+// peerUsage is the last reported usage of a peer, or the sum of that of some hosts.
 type peerUsage struct {
 	receivedAt time.Time
+	hosts      int
 	usage      []Usage
 }
 
@@ -181,9 +185,10 @@
 
 // View is what a daemon knows when it decides on a retry.
 type View struct {
-	// Hosts is the number of live daemons.
+	// Hosts is the number of daemons that may be live.
 	Hosts int
-	// Own is the usage of this daemon, Fleet that of all daemons as far as it is known.
+	// Own is the usage of this daemon, Fleet that of all daemons, estimated for those that
+	// have not reported theirs.
 	Own, Fleet Usage
 	// Settled is set once peers have reported their usage for a whole window.
 	Settled bool
@@ -210,27 +215,43 @@
 // view returns what this daemon knows about the usage of a service.
 func (b *Budgeter) view(s routing.ServiceName, hosts int) View {
 	v := View{Hosts: hosts, Own: b.counterOf(s).usage(s), Settled: !b.options.Timer.Now().Before(b.settledAt)}
-	v.Fleet = v.Own
-	b.addPeers(&v.Fleet)
+	known := v.Own
+	reported := 1 + b.addPeers(&known)
+	v.Fleet = known.estimate(reported, hosts)
 	v.Own.Guaranteed = min(v.Own.Retries, b.options.guaranteed(v))
-	v.Fleet.Guaranteed += v.Own.Guaranteed
+	known.Guaranteed += v.Own.Guaranteed
+	v.Fleet = known.estimate(reported, hosts)
 	return v
 }
 
-// addPeers adds the usage of all peers with a recent report.
-func (b *Budgeter) addPeers(sum *Usage) {
+// estimate returns the usage of all hosts, given the sum of those that have reported theirs.
+func (u Usage) estimate(reported, hosts int) Usage {
+	if reported >= hosts {
+		return u
+	}
+	u.Requests = u.Requests * hosts / reported
+	u.Retries = u.Retries * hosts / reported
+	u.Guaranteed = u.Guaranteed * hosts / reported
+	return u
+}
+
+// addPeers adds the usage of all peers with a recent report, and returns their number.
+func (b *Budgeter) addPeers(sum *Usage) int {
 	now := b.options.Timer.Now()
+	hosts := 0
 	for host, p := range b.peers {
 		if now.Sub(p.receivedAt) > peerUsageExpiry {
 			delete(b.peers, host)
 			continue
 		}
+		hosts += p.hosts
 		for _, u := range p.usage {
 			if u.Service == sum.Service {
 				sum.add(u)
 			}
 		}
 	}
+	return hosts
 }
 
 // Allowed reports whether one more retry fits the budget.
@@ -305,10 +326,15 @@
 	return append(list, u)
 }
 
-// SetPeerUsage replaces the usage of a peer: that of another daemon, or the summed usage
-// of another data centre.
+// SetPeerUsage replaces the usage of a peer.
 func (b *Budgeter) SetPeerUsage(host unit.HostID, usage []Usage, now time.Time) {
+	b.SetSummedUsage(host, 1, usage, now)
+}
+
+// SetSummedUsage replaces the summed usage of some hosts, those of another data centre, under
+// a name that no host has.
+func (b *Budgeter) SetSummedUsage(name unit.HostID, hosts int, usage []Usage, now time.Time) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.peers[host] = peerUsage{receivedAt: now, usage: usage}
+	b.peers[name] = peerUsage{receivedAt: now, hosts: hosts, usage: usage}
 }
--- a/oleandercove/edge/budgeter/budgeter_test.go
+++ b/oleandercove/edge/budgeter/budgeter_test.go
@@ -213,3 +213,46 @@
 	t.Logf("%d retries", granted)
 	is.True(float64(granted) <= o.Reserve+o.Share*hosts*requests)
 }
+
+// Guards against a fleet that exceeds its budget while beacons are lost, because each daemon
+// that hears from few others considers their requests those of the fleet.
+func TestBeaconsLost(t *testing.T) {
+	const (
+		hosts = 64
+		// requests arrive at each daemon in a slot of the window.
+		requests = 2
+	)
+	tests := []struct {
+		name string
+		// groups is the number of groups of daemons that hear from each other.
+		groups int
+	}{
+		{"the daemons of each data centre hear from each other only", 4},
+		{"no daemon hears from another one", hosts},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			m := timer.NewManual(time.Unix(1000, 0))
+			o := Options{Share: 0.2, Reserve: 190, Hosts: func() int { return hosts }, Timer: m}
+			daemons := newFleet(o, hosts, 0)
+			granted, size := 0, hosts/tt.groups
+			for slot := range 3 * slots {
+				m.Advance(Window / slots)
+				for _, b := range daemons {
+					for range requests {
+						b.CountRequest("s")
+					}
+				}
+				for i := range tt.groups {
+					daemons[i*size : (i+1)*size].exchangeUsage(m.Now())
+				}
+				if slot >= 2*slots {
+					granted += daemons.takeAll(20)
+				}
+			}
+			t.Logf("%d retries", granted)
+			is.True(float64(granted) <= o.Reserve+o.Share*hosts*requests*slots)
+		})
+	}
+}
--- a/oleandercove/edge/runner/runner.go
+++ b/oleandercove/edge/runner/runner.go
@@ -132,7 +132,7 @@
 		OnDown: func(id unit.BackendID) { a.NotifyDown(id) },
 	})
 	b := budgeter.New(budgeter.Options{
-		Share: s.Bounds.RetryShare, Reserve: s.Bounds.RetryReserve, Hosts: func() int { return a.LiveHostCount() }, Timer: r.timer,
+		Share: s.Bounds.RetryShare, Reserve: s.Bounds.RetryReserve, Hosts: func() int { return a.KnownHostCount() }, Timer: r.timer,
 	})
 	r.screener = screener.New(screener.Options{Timer: r.timer, Log: r.log.WithPrefix("screener"), FlushNow: func() { a.FlushNow() }})
 	r.gateway = gateway.New(gateway.Options{
