gateway: a stream that waits is not sent again once its caller has disconnected

A backend server got a request whose caller had left or whose time was up, and the fleet lost a retry. Cause: the wait for a chain ends with the context, and another search followed. If it found a chain, the request was sent: an idle connection is taken whatever the context, and closed only after the request was written. The same holds after the waits of a rejection and of a lost engine. Evidence: TestCallerLeavesWaitingStream before: 'resume_test.go:55: 2 != 1' (sends). Change: no attempt begins once the context has ended.

--- /dev/null
+++ b/oleandercove/edge/gateway/resume_test.go
@@ -0,0 +1,55 @@
+package gateway
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+	"net/http/httptest"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	objects "oleandercove.example/core/platform"
+	"oleandercove.example/core/routing"
+	"oleandercove.example/oleandercove/edge/budgeter"
+	"oleandercove.example/oleandercove/edge/exchanger"
+	"oleandercove.example/oleandercove/edge/rationer"
+)
+
+// newWaitingStream returns a stream that has begun and has no attempt. There is no engine until
+// addEngine is called.
+func newWaitingStream(t *testing.T) *stream {
+	s, _ := newTestStream(t, longSilence)
+	hosts := func() int { return 1 }
+	s.Budgeter = budgeter.New(budgeter.Options{Reserve: 100, Hosts: hosts, Timer: s.Timer})
+	s.Rationer = rationer.New(rationer.Options{Hosts: hosts, Timer: s.Timer})
+	s.Exchanger = exchanger.New(exchanger.Options{})
+	s.service = &routing.Service{Name: "s", Engine: &routing.Engine{Slots: 8, TokenCapacity: 1000}}
+	s.r = httptest.NewRequest(http.MethodPost, "/", nil)
+	s.runs, s.sends = 1, 1
+	return s
+}
+
+// addEngine adds an engine that refuses connections.
+func (s *stream) addEngine() {
+	entry := objects.Object{Name: "e", Revision: 6, Value: json.RawMessage(`{"service":"s","address":"127.0.0.1:1","state":"ready","slots":8}`)}
+	s.Directory.Replace([]objects.Object{entry}, s.Timer.Now(), s.Timer.Now())
+}
+
+// Guards against a request that is sent after its caller has disconnected or its time is up,
+// which happens when a chain gets room at that moment.
+func TestCallerLeavesWaitingStream(t *testing.T) {
+	is := is.New(t)
+	s := newWaitingStream(t)
+	ctx, cancel := context.WithCancel(t.Context())
+	s.ctx = ctx
+	time.AfterFunc(resumeInterval(longSilence)/2, func() {
+		s.addEngine()
+		cancel()
+	})
+	err := s.beginAttemptWithWait()
+	defer s.stopAttempts()
+	is.Equal(s.sends, 1)
+	is.True(err != nil)
+}
--- a/oleandercove/edge/gateway/stream.go
+++ b/oleandercove/edge/gateway/stream.go
@@ -116,6 +116,9 @@
 
 // beginAttempt chooses a chain and sends the request along it.
 func (s *stream) beginAttempt() *verdict.Error {
+	if s.ctx.Err() != nil {
+		return verdict.New(verdict.NotRun, verdict.DeadlineExceeded, "no time left for an attempt")
+	}
 	if err := s.checkKeys(); err != nil {
 		return err
 	}
