gateway: a stream that has begun waits for the end of another copy of its request

Callers saw a stream that broke off 0.3 s after its engine had crashed, beside another request with the same content on the same daemon. Cause: a request with a crash record runs once at a time on a daemon, and a second copy waits 300 ms for the first one and is refused as if it were quarantined. A stream that has begun was closed then, although it isn't quarantined, its caller waits and the copy ends. Evidence: TestWaitsForOtherCopy before: 'resume_test.go:72: Quarantined request content 0 is under suspicion of ending backend servers, and another copy of it runs'. Change: only a request that is quarantined ends a stream that waits.

--- a/oleandercove/edge/gateway/resume.go
+++ b/oleandercove/edge/gateway/resume.go
@@ -25,8 +25,16 @@
 	return min(max(minResumeInterval, silent/resumeIntervalDivisor), maxResumeInterval)
 }
 
-// mayBeginLater reports whether a request that was refused for a reason may be sent a
-// moment later.
-func mayBeginLater(r verdict.Reason) bool {
-	return r == verdict.Overloaded || r == verdict.PlatformUnavailable
+// mayBeginLater reports whether a request that was refused may be sent a moment later. A
+// request that is not quarantined waits for the end of another copy, or for the records of a
+// crash.
+func (s *stream) mayBeginLater(err *verdict.Error) bool {
+	switch err.Reason {
+	case verdict.Overloaded, verdict.PlatformUnavailable:
+		return true
+	case verdict.Quarantined:
+		return s.Screener.QuarantineRefusal(s.fingerprint) == nil
+	default:
+		return false
+	}
 }
--- a/oleandercove/edge/gateway/resume_test.go
+++ b/oleandercove/edge/gateway/resume_test.go
@@ -15,6 +15,8 @@
 	"oleandercove.example/oleandercove/edge/budgeter"
 	"oleandercove.example/oleandercove/edge/exchanger"
 	"oleandercove.example/oleandercove/edge/rationer"
+	"oleandercove.example/oleandercove/edge/screener"
+	"oleandercove.example/oleandercove/quarantiner"
 )
 
 // newWaitingStream returns a stream that has begun and has no attempt. There is no engine until
@@ -53,3 +55,27 @@
 	is.Equal(s.sends, 1)
 	is.True(err != nil)
 }
+
+// Guards against a stream that is cut while another copy of its request runs, although its
+// caller waits and the copy will end.
+func TestWaitsForOtherCopy(t *testing.T) {
+	is := is.New(t)
+	s := newWaitingStream(t)
+	s.addEngine()
+	s.recordStrongCrash("a/1")
+	release, refusal := s.Screener.Enter(t.Context(), s.fingerprint)
+	is.True(refusal == nil)
+	time.AfterFunc(600*time.Millisecond, release)
+	err := s.beginAttemptWithWait()
+	defer s.stopAttempts()
+	if err != nil {
+		t.Log(err.Reason, err.Detail)
+	}
+	is.True(err == nil)
+	is.Equal(s.sends, 2)
+}
+
+// recordStrongCrash records that a server crashed under the request.
+func (s *stream) recordStrongCrash(id quarantiner.CrashID) {
+	s.Screener.RecordCrash(screener.CrashEvent{Fingerprint: s.fingerprint, Crash: id})
+}
--- a/oleandercove/edge/gateway/stream.go
+++ b/oleandercove/edge/gateway/stream.go
@@ -107,7 +107,7 @@
 func (s *stream) beginAttemptWithWait() *verdict.Error {
 	for {
 		err := s.beginAttempt()
-		if err == nil || !s.started || s.fallback != nil || !mayBeginLater(err.Reason) || s.ctx.Err() != nil {
+		if err == nil || !s.started || s.fallback != nil || !s.mayBeginLater(err) || s.ctx.Err() != nil {
 			return err
 		}
 		s.waitFor(nil, resumeInterval(time.Since(s.lastProgressAt)))
