gateway: a call is not given up before its time while there is no other server

Callers of a plain service got 502 'no usable answer' after 45 percent of their time, although their server worked on the request and would have answered. Cause: an idempotent call leaves a part of its time for a second server, also when there is none. Evidence: TestSlowServer before: 'call_test.go:42: 502', 'use of closed network connection'. Change: the whole time is used while no other server may be chosen. A call that finds the retry budget used up after that part still fails: its caller can retry at another daemon.

--- a/oleandercove/edge/gateway/call.go
+++ b/oleandercove/edge/gateway/call.go
@@ -68,7 +68,7 @@
 		}
 		last.close()
 		tried[s.ID] = true
-		last = j.tryServer(ctx, s, sent+1 < j.route.Attempts)
+		last = j.tryServer(ctx, s, sent+1 < j.route.Attempts && j.mayTryOther(tried))
 		release()
 		if mayHaveReached(last) {
 			if sent == 0 {
@@ -146,6 +146,12 @@
 	return best, found
 }
 
+// mayTryOther reports whether a server that has not been tried could take the request now.
+func (j *job) mayTryOther(tried map[unit.BackendID]bool) bool {
+	_, ok := j.pickServer(tried, nil, &exclusions{})
+	return ok
+}
+
 // serverCost returns the expected delay at a server: its response time, multiplied by
 // factors for its queue, failures and distance. A little noise keeps daemons from
 // choosing the same server together.
@@ -164,7 +170,7 @@
 }
 
 // tryServer sends the request to one server and reads its response. With moreAttempts
-// set, another server may still be tried, and an idempotent request leaves time for that.
+// set, another server may be tried after it, and an idempotent request leaves time for that.
 func (j *job) tryServer(ctx context.Context, s backend.Server, moreAttempts bool) outcome {
 	ticket := j.Ledger.Begin([]ledger.Item{{Server: s.ID}})
 	defer ticket.End()
