streamer: a full engine does not use up the attempts of a stream that has begun

Callers of 'oleandercove run' saw a stream end with 'gave up after 12 attempts' about a second after an engine of its chain had been lost, although there were many seconds left. Cause: a stream has 12 attempts, and each one that a full engine refuses counted. While the only engine with some layers is full, there is one attempt in 100 ms. The limit stood for the state of the fleet. Evidence: TestFullEngine before: 'opened 12 times: BackendFailed (MayHaveRun): gave up after 12 attempts', 1.1 s after the first token; its caller waits 10 s and the engine has room after 2 s. Not seen in a run of the daemon. Change: such attempts don't count once the caller has received tokens; the deadline and the caller end the stream. A request without tokens is refused after 12 attempts as before.

--- a/oleandercove/streamer/streamer.go
+++ b/oleandercove/streamer/streamer.go
@@ -93,7 +93,8 @@
 	id          unit.StreamID
 	fingerprint quarantiner.Fingerprint
 	epoch       unit.Epoch
-	// attempts counts failed attempts; an attempt that ended with a move is not counted.
+	// attempts counts failed attempts; an attempt that ended with a move is not counted, nor is
+	// one that a full engine refused after the caller had received tokens.
 	attempts int
 	// firstPosition is the position of the first token after the prompt.
 	firstPosition unit.Position
@@ -313,6 +314,10 @@
 	}
 	t.excluded[f.Backend] = true
 	switch f.Cause {
+	case engine.CauseOverloaded:
+		if len(t.emitted) > 0 {
+			t.attempts--
+		}
 	case engine.CauseUnreachable, engine.CauseBroken:
 		t.options.Backends.Suspect(f.Backend)
 	case engine.CauseDraining:
