gateway: streams that wait rely on the failed searches of others

Callers of a host with a fifth of a processor would see all its streams become slow while some of them wait. Cause: each stream that waits looks for a chain by itself, at first 16 times a second with up to four searches each. Change: a search that failed within the last 60 ms counts for streams that wait and need as much memory or more.

--- a/oleandercove/edge/gateway/gateway.go
+++ b/oleandercove/edge/gateway/gateway.go
@@ -65,6 +65,7 @@
 type Gateway struct {
 	Options
 	streams            streams
+	shortages          shortages
 	keepAlivesDisabled atomic.Bool
 	// refusing is set once new requests might not finish before the daemon stops.
 	refusing atomic.Bool
--- a/oleandercove/edge/gateway/path.go
+++ b/oleandercove/edge/gateway/path.go
@@ -74,8 +74,25 @@
 	}
 }
 
-// findPath finds a chain, or a single engine if engines hold the whole model.
+// findPath finds a chain, or a single engine if engines hold the whole model. A stream that waits
+// relies on the failed searches of others, unless it excludes engines of its own.
 func (s *stream) findPath(r pathfinder.Request) (pathfinder.Path, bool) {
+	if !s.started || r.FirstEngine != "" || len(s.rejectedAt) > 0 {
+		return s.searchPath(r)
+	}
+	now := s.Timer.Now()
+	if s.shortages.covers(s.service.Name, r, now) {
+		return pathfinder.Path{}, false
+	}
+	p, ok := s.searchPath(r)
+	if !ok {
+		s.shortages.add(s.service.Name, r, now)
+	}
+	return p, ok
+}
+
+// searchPath does the same without the failed searches of others.
+func (s *stream) searchPath(r pathfinder.Request) (pathfinder.Path, bool) {
 	model := s.service.Engine
 	engines := s.usableEngines(model.Chained())
 	if model.Chained() {
