rationer: the part of a daemon in the link is its part of the requests

Callers at a busy daemon of a large fleet saw refusals ('the link between data centres is used up'), and streams that wait, while the link was hardly used. Cause: the rate of the link was divided by the number of daemons, whatever their traffic; the same fault as in the retry budget. Change: the part of the budgeter, part of which is spread equally; what all daemons may use together is as before. TestCrossingBurst uses the same part as before, 1 of 70, in the new unit.

--- a/oleandercove/edge/budgeter/budgeter.go
+++ b/oleandercove/edge/budgeter/budgeter.go
@@ -183,6 +183,14 @@
 	return nil
 }
 
+// Part returns the part of this daemon in the requests of the fleet for a service, from 0 to 1.
+func (b *Budgeter) Part(s routing.ServiceName) float64 {
+	hosts := b.options.Hosts()
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.options.part(b.view(s, hosts))
+}
+
 // View is what a daemon knows when it decides on a retry.
 type View struct {
 	// Hosts is the number of daemons that may be live.
--- a/oleandercove/edge/gateway/path.go
+++ b/oleandercove/edge/gateway/path.go
@@ -21,7 +21,7 @@
 func (s *stream) choosePath(first unit.BackendID) (pathfinder.Path, *verdict.Error) {
 	r := s.pathRequest()
 	r.FirstEngine = first
-	r.SameDataCentre = !s.Rationer.Allows(s.service.Engine.CentreLink, s.purpose())
+	r.SameDataCentre = !s.Rationer.Allows(s.service.Name, s.service.Engine.CentreLink, s.purpose())
 	p, ok := s.findPath(r)
 	if !ok && r.SameDataCentre {
 		s.Meter.count("link_used_up_total")
--- a/oleandercove/edge/gateway/resume_test.go
+++ b/oleandercove/edge/gateway/resume_test.go
@@ -25,7 +25,7 @@
 	s, _ := newTestStream(t, longSilence)
 	hosts := func() int { return 1 }
 	s.Budgeter = budgeter.New(budgeter.Options{Reserve: 100, Hosts: hosts, Timer: s.Timer})
-	s.Rationer = rationer.New(rationer.Options{Hosts: hosts, Timer: s.Timer})
+	s.Rationer = rationer.New(rationer.Options{Timer: s.Timer})
 	s.Exchanger = exchanger.New(exchanger.Options{})
 	s.service = &routing.Service{Name: "s", Engine: &routing.Engine{Slots: 8, TokenCapacity: 1000}}
 	s.r = httptest.NewRequest(http.MethodPost, "/", nil)
--- a/oleandercove/edge/rationer/rationer.go
+++ b/oleandercove/edge/rationer/rationer.go
@@ -4,7 +4,7 @@
 // All requests that cross data centres share a link that carries one transfer after
 // another. Beyond its rate every token of every such request waits, and streams stall
 // all over the site while they keep their memory. Each daemon therefore has a token
-// bucket that fills at its part of the rate of the link:
+// bucket that fills at its part of the rate of the link, which is its part of the requests:
 //
 //   - a new request may cross while the bucket is filled beyond a reserve;
 //   - a resumed request may cross while the bucket isn't empty.
@@ -15,8 +15,8 @@
 //
 // Usage:
 //
-//	r := rationer.New(rationer.Options{Hosts: live, Timer: t})
-//	if r.Allows(link, rationer.NewRequest) {
+//	r := rationer.New(rationer.Options{Part: b.Part, Timer: t})
+//	if r.Allows("assistant", link, rationer.NewRequest) {
 //		r.Spend(megabits)
 //	}
 package rationer
@@ -31,8 +31,8 @@
 
 const (
 	// linkShare is the share of the link that daemons may use together. It is divided
-	// among activeShare of the daemons; a larger share of them seldom needs the link at
-	// the same time.
+	// among the daemons with activeShare of the requests; those with more seldom need the
+	// link at the same time.
 	linkShare   = 0.8
 	activeShare = 0.5
 	// burstTime is the time in which an empty bucket fills up.
@@ -58,8 +58,9 @@
 
 // Options configures a Rationer.
 type Options struct {
-	// Hosts returns the number of live daemons, this one included.
-	Hosts func() int
+	// Part returns the part of this daemon in the requests of the fleet for a service, from 0
+	// to 1.
+	Part  func(routing.ServiceName) float64
 	Timer timer.Service
 }
 
@@ -101,13 +102,13 @@
 // New returns a Rationer with a full bucket.
 func New(o Options) *Rationer { return &Rationer{Options: o} }
 
-// Allows reports whether a request may cross a link with the given rate now. A rate of
-// 0 means no bound.
-func (r *Rationer) Allows(link routing.MegabitsPerSecond, purpose Purpose) bool {
+// Allows reports whether a request for a service may cross a link with the given rate now. A
+// rate of 0 means no bound.
+func (r *Rationer) Allows(s routing.ServiceName, link routing.MegabitsPerSecond, purpose Purpose) bool {
 	if link <= 0 {
 		return true
 	}
-	rate := daemonRate(link, r.Hosts())
+	rate := daemonRate(link, r.Part(s))
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.bucket.refill(rate, r.Timer.Now())
@@ -121,9 +122,7 @@
 	r.bucket.available -= m
 }
 
-// daemonRate returns the rate that one daemon may use on a link, given the number of
-// live daemons.
-func daemonRate(link routing.MegabitsPerSecond, hosts int) routing.MegabitsPerSecond {
-	activeDaemons := max(1, float64(hosts)*activeShare)
-	return routing.MegabitsPerSecond(linkShare * float64(link) / activeDaemons)
+// daemonRate returns the rate that a daemon may use on a link, given its part of the requests.
+func daemonRate(link routing.MegabitsPerSecond, part float64) routing.MegabitsPerSecond {
+	return routing.MegabitsPerSecond(linkShare * float64(link) * min(1, part/activeShare))
 }
--- a/oleandercove/edge/rationer/rationer_test.go
+++ b/oleandercove/edge/rationer/rationer_test.go
@@ -7,6 +7,7 @@
 	"github.com/matryer/is"
 
 	"oleandercove.example/core/routing"
+	"oleandercove.example/core/timer"
 )
 
 // Guards against a link that is sent more data than it can carry, and against new requests
@@ -22,7 +23,7 @@
 		seconds  = 20
 	)
 	is := is.New(t)
-	rate := daemonRate(link, hosts)
+	rate := daemonRate(link, 1.0/hosts)
 	var b bucket
 	start := time.Unix(100, 0)
 	newRequests, resumed := 0, 0
@@ -57,3 +58,27 @@
 	b.refill(100, now.Add(time.Hour+3*time.Second))
 	is.True(b.allows(100, NewRequest))
 }
+
+// Guards against requests of a busy daemon of a large fleet that are refused or wait although the
+// link is hardly used: it has a twentieth of all requests, and two a second have to cross.
+func TestBusyDaemon(t *testing.T) {
+	const (
+		link     = routing.MegabitsPerSecond(18000)
+		transfer = Megabits(350)
+		requests = 2
+		seconds  = 10
+	)
+	is := is.New(t)
+	m := timer.NewManual(time.Unix(100, 0))
+	r := New(Options{Part: func(routing.ServiceName) float64 { return 0.05 }, Timer: m})
+	crossed := 0
+	for range requests * seconds {
+		m.Advance(time.Second / requests)
+		if r.Allows("s", link, NewRequest) {
+			r.Spend(transfer)
+			crossed++
+		}
+	}
+	t.Logf("%d requests crossed", crossed)
+	is.Equal(crossed, requests*seconds)
+}
--- a/oleandercove/edge/runner/runner.go
+++ b/oleandercove/edge/runner/runner.go
@@ -138,7 +138,7 @@
 	r.gateway = gateway.New(gateway.Options{
 		Directory: r.directory, Exchanger: x, Judge: j, Ledger: l, Rerouter: engines, Prober: p, Timer: r.timer,
 		Log: r.log.WithPrefix("gateway"), Meter: gateway.NewMeter(r.metrics.scope),
-		Budgeter: b, Rationer: rationer.New(rationer.Options{Hosts: func() int { return a.LiveHostCount() }, Timer: r.timer}),
+		Budgeter: b, Rationer: rationer.New(rationer.Options{Part: b.Part, Timer: r.timer}),
 		Screener: r.screener, Deferrer: deferrer.New(), OnLeaving: func() { a.FlushNow() }, DataCentre: s.DataCentre, KeyRevocation: s.Bounds.KeyRevocation.Std(),
 	})
 	a, err := announcer.New(announcer.Options{
