gateway: an earlier attempt that was rejected does not count as a run

Callers of a stream could see it end early with one attempt less than its route allows. Cause: since an earlier attempt is read beside the running one, its rejection or failed connection ended it, but it still counted among the runs. Evidence: TestFallbackNotRun before: 'resume_test.go:104: 2 != 1' in two of its rows. Change: such an attempt is subtracted, as for the running one.

--- a/oleandercove/edge/gateway/attempt.go
+++ b/oleandercove/edge/gateway/attempt.go
@@ -96,6 +96,9 @@
 // channel is closed if ok is false.
 func (s *stream) handleFallbackMessage(m message, ok bool) step {
 	if !ok || m.failed() {
+		if m.notRun() {
+			s.runs--
+		}
 		if m.exchange != nil {
 			m.exchange.Close()
 		}
--- a/oleandercove/edge/gateway/events.go
+++ b/oleandercove/edge/gateway/events.go
@@ -9,6 +9,7 @@
 	"oleandercove.example/core/backend"
 	"oleandercove.example/oleandercove/edge/exchanger"
 	"oleandercove.example/oleandercove/edge/sequencer"
+	"oleandercove.example/platform"
 )
 
 const (
@@ -39,6 +40,16 @@
 	return m.err != nil && !errors.Is(m.err, io.EOF)
 }
 
+// notRun reports whether the message shows that no engine ran the request.
+func (m message) notRun() bool {
+	if m.exchange != nil {
+		r := m.exchange.Response
+		return platform.DecodeResponseMetadata(r.StatusCode, r.Header).NotRun
+	}
+	var x *exchanger.Error
+	return errors.As(m.err, &x) && x.Unreachable
+}
+
 // events is a sequence of complete events.
 type events struct {
 	data []byte
--- a/oleandercove/edge/gateway/resume_test.go
+++ b/oleandercove/edge/gateway/resume_test.go
@@ -3,8 +3,10 @@
 import (
 	"context"
 	"encoding/json"
+	"io"
 	"net/http"
 	"net/http/httptest"
+	"syscall"
 	"testing"
 	"time"
 
@@ -79,3 +81,27 @@
 func (s *stream) recordStrongCrash(id quarantiner.CrashID) {
 	s.Screener.RecordCrash(screener.CrashEvent{Fingerprint: s.fingerprint, Crash: id})
 }
+
+// Guards against a stream that is given up early because an earlier attempt counts as a run
+// although engines rejected it or it was not sent.
+func TestFallbackNotRun(t *testing.T) {
+	rejection := newExchange(t, http.StatusMisdirectedRequest)
+	tests := []struct {
+		name string
+		give message
+		want int
+	}{
+		{"rejected attempt counts", message{exchange: rejection}, 1},
+		{"attempt that reached no engine counts", message{err: &exchanger.Error{Unreachable: true, Err: syscall.ECONNREFUSED}}, 1},
+		{"attempt that broke off does not count", message{err: io.ErrUnexpectedEOF}, 2},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			s, _ := newTestStream(t, 0)
+			s.keepFallback()
+			is.Equal(s.handleFallbackMessage(tt.give, true), stepWait)
+			is.Equal(s.runs, tt.want)
+		})
+	}
+}
