--- /dev/null
+++ b/oleandercove/edge/gateway/resume_test.go
@@ -0,0 +1,107 @@
+package gateway
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	objects "oleandercove.example/core/platform"
+	"oleandercove.example/core/routing"
+	"oleandercove.example/oleandercove/edge/budgeter"
+	"oleandercove.example/oleandercove/edge/exchanger"
+	"oleandercove.example/oleandercove/edge/rationer"
+	"oleandercove.example/oleandercove/edge/screener"
+	"oleandercove.example/oleandercove/quarantiner"
+)
+
+// newWaitingStream returns a stream that has begun and has no attempt. There is no engine until
+// addEngine is called.
+func newWaitingStream(t *testing.T) *stream {
+	s, _ := newTestStream(t, longSilence)
+	hosts := func() int { return 1 }
+	s.Budgeter = budgeter.New(budgeter.Options{Reserve: 100, Hosts: hosts, Timer: s.Timer})
+	s.Rationer = rationer.New(rationer.Options{Timer: s.Timer})
+	s.Exchanger = exchanger.New(exchanger.Options{})
+	s.service = &routing.Service{Name: "s", Engine: &routing.Engine{Slots: 8, TokenCapacity: 1000}}
+	s.r = httptest.NewRequest(http.MethodPost, "/", nil)
+	s.runs, s.sends = 1, 1
+	return s
+}
+
+// addEngine adds an engine that refuses connections.
+func (s *stream) addEngine() {
+	entry := objects.Object{Name: "e", Revision: 6, Value: json.RawMessage(`{"service":"s","address":"127.0.0.1:1","state":"ready","slots":8}`)}
+	s.Directory.Replace([]objects.Object{entry}, s.Timer.Now(), s.Timer.Now())
+}
+
+// Guards against a request that is sent after its caller has disconnected or its time is up,
+// which happens when a chain gets room at that moment.
+func TestCallerLeavesWaitingStream(t *testing.T) {
+	is := is.New(t)
+	s := newWaitingStream(t)
+	ctx, cancel := context.WithCancel(t.Context())
+	s.ctx = ctx
+	time.AfterFunc(resumeInterval(longSilence)/2, func() {
+		s.addEngine()
+		cancel()
+	})
+	err := s.beginAttemptWithWait()
+	defer s.stopAttempts()
+	is.Equal(s.sends, 1)
+	is.True(err != nil)
+}
+
+// Guards against a stream that is cut while another copy of its request runs, although its
+// caller waits and the copy will end.
+func TestWaitsForOtherCopy(t *testing.T) {
+	is := is.New(t)
+	s := newWaitingStream(t)
+	s.addEngine()
+	s.recordStrongCrash("a/1")
+	release, refusal := s.Screener.Enter(t.Context(), s.fingerprint)
+	is.True(refusal == nil)
+	time.AfterFunc(600*time.Millisecond, release)
+	err := s.beginAttemptWithWait()
+	defer s.stopAttempts()
+	if err != nil {
+		t.Log(err.Reason, err.Detail)
+	}
+	is.True(err == nil)
+	is.Equal(s.sends, 2)
+}
+
+// recordStrongCrash records that a server crashed under the request.
+func (s *stream) recordStrongCrash(id quarantiner.CrashID) {
+	s.Screener.RecordCrash(screener.CrashEvent{Fingerprint: s.fingerprint, Crash: id})
+}
+
+// Guards against a stream that is given up early because an earlier attempt counts as a run
+// although engines rejected it or it was not sent.
+func TestFallbackNotRun(t *testing.T) {
+	rejection := newExchange(t, http.StatusMisdirectedRequest)
+	tests := []struct {
+		name string
+		give message
+		want int
+	}{
+		{"rejected attempt counts", message{exchange: rejection}, 1},
+		{"attempt that reached no engine counts", message{err: &exchanger.Error{Unreachable: true, Err: syscall.ECONNREFUSED}}, 1},
+		{"attempt that broke off does not count", message{err: io.ErrUnexpectedEOF}, 2},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			s, _ := newTestStream(t, 0)
+			s.keepFallback()
+			is.Equal(s.handleFallbackMessage(tt.give, true), stepWait)
+			is.Equal(s.runs, tt.want)
+		})
+	}
+}
--- a/oleandercove/edge/gateway/stream.go
+++ b/oleandercove/edge/gateway/stream.go
@@ -107,7 +107,7 @@
 func (s *stream) beginAttemptWithWait() *verdict.Error {
 	for {
 		err := s.beginAttempt()
-		if err == nil || !s.started || s.fallback != nil || !mayBeginLater(err.Reason) || s.ctx.Err() != nil {
+		if err == nil || !s.started || s.fallback != nil || !s.mayBeginLater(err) || s.ctx.Err() != nil {
 			return err
 		}
 		s.waitFor(nil, resumeInterval(time.Since(s.lastProgressAt)))
@@ -116,6 +116,9 @@
 
 // beginAttempt chooses a chain and sends the request along it.
 func (s *stream) beginAttempt() *verdict.Error {
+	if s.ctx.Err() != nil {
+		return verdict.New(verdict.NotRun, verdict.DeadlineExceeded, "no time left for an attempt")
+	}
 	if err := s.checkKeys(); err != nil {
 		return err
 	}
--- a/oleandercove/edge/runner/runner.go
+++ b/oleandercove/edge/runner/runner.go
@@ -132,13 +132,13 @@
 		OnDown: func(id unit.BackendID) { a.NotifyDown(id) },
 	})
 	b := budgeter.New(budgeter.Options{
-		Share: s.Bounds.RetryShare, Reserve: s.Bounds.RetryReserve, Hosts: func() int { return a.LiveHostCount() }, Timer: r.timer,
+		Share: s.Bounds.RetryShare, Reserve: s.Bounds.RetryReserve, Hosts: func() int { return a.KnownHostCount() }, Timer: r.timer,
 	})
 	r.screener = screener.New(screener.Options{Timer: r.timer, Log: r.log.WithPrefix("screener"), FlushNow: func() { a.FlushNow() }})
 	r.gateway = gateway.New(gateway.Options{
 		Directory: r.directory, Exchanger: x, Judge: j, Ledger: l, Rerouter: engines, Prober: p, Timer: r.timer,
 		Log: r.log.WithPrefix("gateway"), Meter: gateway.NewMeter(r.metrics.scope),
-		Budgeter: b, Rationer: rationer.New(rationer.Options{Hosts: func() int { return a.LiveHostCount() }, Timer: r.timer}),
+		Budgeter: b, Rationer: rationer.New(rationer.Options{Part: b.Part, Timer: r.timer}),
 		Screener: r.screener, Deferrer: deferrer.New(), OnLeaving: func() { a.FlushNow() }, DataCentre: s.DataCentre, KeyRevocation: s.Bounds.KeyRevocation.Std(),
 	})
 	a, err := announcer.New(announcer.Options{
