--- a/oleandercove/edge/gateway/resume_test.go
+++ b/oleandercove/edge/gateway/resume_test.go
@@ -32,12 +32,15 @@
 	s.service = &routing.Service{Name: "s", Engine: &routing.Engine{Slots: 8, TokenCapacity: 1000}}
 	s.r = httptest.NewRequest(http.MethodPost, "/", nil)
 	s.runs, s.sends = 1, 1
+	ctx, cancel := context.WithTimeout(t.Context(), 10*time.Second)
+	t.Cleanup(cancel)
+	s.ctx = ctx
 	return s
 }
 
 // addEngine adds an engine that refuses connections.
 func (s *stream) addEngine() {
-	entry := objects.Object{Name: "e", Revision: 6, Value: json.RawMessage(`{"service":"s","address":"127.0.0.1:1","state":"ready","slots":8}`)}
+	entry := objects.Object{Name: "e", Revision: 6, Value: json.RawMessage(`{"service":"s","address":"127.0.0.1:1","zone":"x","state":"ready","slots":8,"sequence":1}`)}
 	s.Directory.Replace([]objects.Object{entry}, s.Timer.Now(), s.Timer.Now())
 }
 
