--- a/core/platform/hosts.go
+++ b/core/platform/hosts.go
@@ -5,7 +5,6 @@
 	"errors"
 	"net/url"
 	"strconv"
-	"strings"
 	"sync"
 
 	"github.com/charmbracelet/log"
@@ -14,11 +13,7 @@
 	"oleandercove.example/core/splitter"
 )
 
-// maxHostID bounds the id of a host, in bytes. Ids are sent to peers with each report.
-const maxHostID = 256
-
 var (
-	errHostID      = errors.New("id is empty, too long or not printable ASCII")
 	errHostRole    = errors.New("unknown role or state")
 	errHostAddress = errors.New("address has no host or no valid port")
 	errHostTwice   = errors.New("id is listed twice")
@@ -54,10 +49,10 @@
 // check returns an error for a row that describes no host, as another writer may leave it.
 // An entry host that serves no peers has no address.
 func (h Host) check() error {
-	unprintable := func(r rune) bool { return r <= ' ' || r > '~' }
+	if err := CheckID(h.ID); err != nil {
+		return err
+	}
 	switch {
-	case h.ID == "" || len(h.ID) > maxHostID || strings.ContainsFunc(h.ID, unprintable):
-		return errHostID
 	case h.Role != RoleEntry && h.Role != RoleEngine && h.Role != RoleService:
 		return errHostRole
 	case h.State != HostLive && h.State != HostLeaving:
