gateway: the obstacle tells the used-up link from a lack of capacity

Cause: a stream that may not cross between data centres counted as one without capacity. The obstacle is cleared once a chain is found. No decision changes.

--- a/oleandercove/edge/gateway/obstacle.go
+++ b/oleandercove/edge/gateway/obstacle.go
@@ -6,6 +6,9 @@
 const (
 	// obstacleCapacity means that no chain has room.
 	obstacleCapacity obstacle = "NoCapacity"
+	// obstacleLink means that no chain within a data centre has room, and that this daemon
+	// has used up its part of the link between data centres.
+	obstacleLink obstacle = "LinkUsedUp"
 	// obstacleBudget means that the retry budget of the fleet allows no retry.
 	obstacleBudget obstacle = "RetryBudget"
 	// obstacleAttempts means that the request has run as often as its route allows.
--- a/oleandercove/edge/gateway/path.go
+++ b/oleandercove/edge/gateway/path.go
@@ -25,9 +25,11 @@
 	p, ok := s.findPath(r)
 	if !ok && r.SameDataCentre {
 		s.Meter.count("link_used_up_total")
+		s.obstacle = obstacleLink
 		return p, s.noChainError("no chain of engines within a data centre has room for %d tokens, and the link between data centres is used up", r)
 	}
 	if !ok {
+		s.obstacle = obstacleCapacity
 		return p, s.noChainError("no chain of engines has room for %d tokens", r)
 	}
 	return p, nil
@@ -66,6 +68,7 @@
 // between data centres.
 func (s *stream) usePath(p pathfinder.Path) {
 	s.setChain(p)
+	s.obstacle = ""
 	s.crashRecorded = nil
 	s.ticket = s.Ledger.Begin(p.Items)
 	if p.Crossings > 0 {
--- a/oleandercove/edge/gateway/recover.go
+++ b/oleandercove/edge/gateway/recover.go
@@ -219,7 +219,6 @@
 func (s *stream) reserveAnyPath() bool {
 	p, err := s.choosePath("")
 	if err != nil {
-		s.obstacle = obstacleCapacity
 		return false
 	}
 	if s.takeRetry() != nil {
--- a/oleandercove/edge/gateway/stream.go
+++ b/oleandercove/edge/gateway/stream.go
@@ -162,7 +162,6 @@
 		s.Deferrer.Record(s.service.Name, err == nil, s.Timer.Now())
 	}
 	if err != nil {
-		s.obstacle = obstacleCapacity
 		return p, err
 	}
 	if s.sends == 0 {
