budgeter: the part of a daemon follows its requests also where there are few

Callers of a busy daemon would see streams wait for a retry while most of the budget is unused, where the fleet has fewer requests in a window than yield the reserve. Cause: as many requests as yield the reserve counted as spread equally, so that all parts were nearly equal there. Evidence: row 'a busy daemon of a fleet with little traffic gets the part of an idle one' of TestAllowed failed before. Change: own requests count in the part once they are as old as the oldest report of a peer, so that the parts add up to one at most whatever the delay of reports; a daemon that has just started has an equal part of the reserve. After: the row passes, so do TestTrafficBegins, TestBeaconsLost and TestBusyDaemonsOfLargeFleet.

--- a/oleandercove/edge/budgeter/budgeter.go
+++ b/oleandercove/edge/budgeter/budgeter.go
@@ -8,10 +8,9 @@
 //     shares, as far as peers have reported them, leave part of the budget unused, and it
 //     has made few retries, by its part, that may not have been reported to peers yet.
 //
-// The part of a daemon is its share of the requests of the fleet, of which some count as
-// spread equally. A daemon that has just started has an equal part at most. Daemons whose
-// usage is not known count as much as the others on average, so that the fleet keeps its
-// budget while beacons are lost.
+// The part of a daemon is its share of the requests of the fleet. A daemon that has not heard
+// from its peers for a whole window has an equal part of the reserve. Daemons whose usage is not known count as
+// much as the others on average, so that the fleet keeps its budget while beacons are lost.
 //
 // Load pattern: when an engine at which many chains begin is lost, the daemons
 // that hold its streams resume some dozen at once, and the others none. When engines are
@@ -86,6 +85,16 @@
 	c.slot = max(c.slot, slot)
 }
 
+// requestsWithin returns the number of requests within the last time d, which is rounded up to
+// slots.
+func (c *counter) requestsWithin(d time.Duration) int {
+	n, count := 0, int64((d+Window/slots-1)/(Window/slots))
+	for i := int64(0); i < min(count, slots+1) && i <= c.slot; i++ {
+		n += c.requests[(c.slot-i)%(slots+1)]
+	}
+	return n
+}
+
 func (c *counter) usage(s routing.ServiceName) Usage {
 	u := Usage{Service: s}
 	for i := range c.requests {
@@ -198,6 +207,8 @@
 	// Own is the usage of this daemon, Fleet that of all daemons, estimated for those that
 	// have not reported theirs.
 	Own, Fleet Usage
+	// Unreported is the number of own requests that are newer than the oldest report of a peer.
+	Unreported int
 	// Settled is set once peers have reported their usage for a whole window.
 	Settled bool
 }
@@ -206,25 +217,22 @@
 //
 // The requests of peers are known some time later than its own ones. When traffic begins, each
 // daemon would consider all requests its own, and the parts would add up to many times the
-// budget. As many requests as yield the reserve therefore count as spread equally.
+// budget. Own requests therefore count once they are as old as the oldest report of a peer, and
+// one request of each daemon counts before that.
 func (o Options) part(v View) float64 {
-	equal := 1 / float64(max(1, v.Hosts))
-	if o.Share <= 0 {
-		return equal
-	}
-	spread := o.Reserve / o.Share
-	part := (float64(v.Own.Requests) + spread*equal) / max(1, float64(v.Fleet.Requests)+spread)
+	hosts := max(1, v.Hosts)
 	if !v.Settled {
-		return min(part, equal)
+		return o.Reserve / max(1, o.budget(v.Fleet)) / float64(hosts)
 	}
-	return part
+	return float64(v.Own.Requests-v.Unreported+1) / float64(v.Fleet.Requests+hosts)
 }
 
 // view returns what this daemon knows about the usage of a service.
 func (b *Budgeter) view(s routing.ServiceName, hosts int) View {
 	v := View{Hosts: hosts, Own: b.counterOf(s).usage(s), Settled: !b.options.Timer.Now().Before(b.settledAt)}
 	known := v.Own
-	reported := 1 + b.addPeers(&known)
+	reported, lag := b.addPeers(&known)
+	v.Unreported = b.counterOf(s).requestsWithin(lag)
 	v.Fleet = known.estimate(reported, hosts)
 	v.Own.Guaranteed = min(v.Own.Retries, b.options.guaranteed(v))
 	known.Guaranteed += v.Own.Guaranteed
@@ -243,23 +251,25 @@
 	return u
 }
 
-// addPeers adds the usage of all peers with a recent report, and returns their number.
-func (b *Budgeter) addPeers(sum *Usage) int {
+// addPeers adds the usage of all peers with a recent report. It returns the number of daemons in
+// the sum, and the age of the oldest report.
+func (b *Budgeter) addPeers(sum *Usage) (hosts int, lag time.Duration) {
 	now := b.options.Timer.Now()
-	hosts := 0
+	hosts = 1
 	for host, p := range b.peers {
 		if now.Sub(p.receivedAt) > peerUsageExpiry {
 			delete(b.peers, host)
 			continue
 		}
 		hosts += p.hosts
+		lag = max(lag, now.Sub(p.receivedAt))
 		for _, u := range p.usage {
 			if u.Service == sum.Service {
 				sum.add(u)
 			}
 		}
 	}
-	return hosts
+	return hosts, lag
 }
 
 // Allowed reports whether one more retry fits the budget.
--- a/oleandercove/edge/budgeter/budgeter_test.go
+++ b/oleandercove/edge/budgeter/budgeter_test.go
@@ -27,6 +27,7 @@
 		{"guaranteed shares are kept free for daemons that have used theirs", View{Hosts: 8, Own: Usage{Requests: 70, Retries: 20}, Fleet: Usage{Requests: 570, Retries: 200, Guaranteed: 120}}, true},
 		{"the guaranteed shares of other daemons are used", View{Hosts: 8, Own: Usage{Requests: 70, Retries: 120}, Fleet: Usage{Requests: 570, Retries: 220, Guaranteed: 15}}, false},
 		{"a busy daemon gets the part of an idle one", View{Hosts: 100, Own: Usage{Requests: 200, Retries: 20, RecentRetries: 5}, Fleet: Usage{Requests: 1000, Retries: 50}, Settled: true}, true},
+		{"a busy daemon of a fleet with little traffic gets the part of an idle one", View{Hosts: 100, Own: Usage{Requests: 40, Retries: 15, RecentRetries: 3}, Fleet: Usage{Requests: 100, Retries: 50}, Settled: true}, true},
 		{"a daemon that has not heard from its peers yet considers all requests its own", View{Hosts: 100, Own: Usage{Requests: 200, Retries: 20, RecentRetries: 5}, Fleet: Usage{Requests: 200, Retries: 50}}, false},
 		{"a large fleet leaves a daemon no retry at all", View{Hosts: 1000, Own: Usage{Retries: 1}, Fleet: Usage{Retries: 300}}, true},
 	}
