gateway: the end of a stream has a write deadline of its own

Callers would see a complete stream end without its last chunk, 'unexpected EOF', if its end comes more than ten seconds after its last event; since streams wait for silent engines that can happen. Cause: the write deadline was that of the last event. Change: it is set again at the end. A failed write is the failure that 'stream ended early' names, instead of <nil>. TestEndAfterSilence failed before: one deadline instead of two.

--- a/oleandercove/edge/budgeter/budgeter.go
+++ b/oleandercove/edge/budgeter/budgeter.go
@@ -9,8 +9,9 @@
 //     has made few retries, by its part, that may not have been reported to peers yet.
 //
 // The part of a daemon is its share of the requests of the fleet. A daemon that has not heard
-// from its peers for a whole window has an equal part of the reserve. Daemons whose usage is not known count as
-// much as the others on average, so that the fleet keeps its budget while beacons are lost.
+// from its peers for a whole window has an equal part of the reserve. Daemons whose usage is
+// not known count as much as the others on average, so that the fleet keeps its budget while
+// beacons are lost.
 //
 // Load pattern: when an engine at which many chains begin is lost, the daemons
 // that hold its streams resume some dozen at once, and the others none. When engines are
--- a/oleandercove/edge/gateway/relay.go
+++ b/oleandercove/edge/gateway/relay.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"fmt"
 	"io"
 	"net/http"
 	"time"
@@ -184,15 +185,12 @@
 	if s.ticket != nil {
 		s.ticket.PrefillDone()
 	}
-	rc := http.NewResponseController(s.w)
-	// If the connection has no write deadlines, the deadline of the request still bounds
-	// the write.
-	_ = rc.SetWriteDeadline(now.Add(writeTimeout))
+	rc := s.extendWriteDeadline(now)
 	if _, err := s.w.Write(ev.data); err != nil {
-		return stepFail
+		return s.endUnwritten(err)
 	}
 	if err := rc.Flush(); err != nil {
-		return stepFail
+		return s.endUnwritten(err)
 	}
 	s.recordGap(now, ev.first)
 	s.sequence = ev.sequence
@@ -203,6 +201,20 @@
 	return stepWait
 }
 
+// extendWriteDeadline gives the caller writeTimeout from now to read what is written next. If
+// the connection has no write deadlines, the deadline of the request still bounds the write.
+func (s *stream) extendWriteDeadline(now time.Time) *http.ResponseController {
+	rc := http.NewResponseController(s.w)
+	_ = rc.SetWriteDeadline(now.Add(writeTimeout))
+	return rc
+}
+
+// endUnwritten ends a stream whose events can't be written to the caller.
+func (s *stream) endUnwritten(err error) step {
+	s.failure = fmt.Errorf("forward events: %w", err)
+	return stepFail
+}
+
 // recordGap records the time since the previous event. For the first event it records
 // the time since the arrival of the request.
 func (s *stream) recordGap(now time.Time, id eventID) {
@@ -248,6 +260,8 @@
 // finish records a complete stream.
 func (s *stream) finish() {
 	now := time.Now()
+	// The last event may be long ago.
+	s.extendWriteDeadline(now)
 	for _, h := range s.chain {
 		s.Judge.RecordSuccess(h.ID, now.Sub(s.lastProgressAt))
 	}
--- a/oleandercove/edge/gateway/stream_test.go
+++ b/oleandercove/edge/gateway/stream_test.go
@@ -259,6 +259,30 @@
 	}
 }
 
+// deadlineWriter records the write deadlines of a response.
+type deadlineWriter struct {
+	*httptest.ResponseRecorder
+	deadlines []time.Time
+}
+
+func (w *deadlineWriter) SetWriteDeadline(t time.Time) error {
+	w.deadlines = append(w.deadlines, t)
+	return nil
+}
+
+// Guards against a complete stream whose end does not reach its caller, because its last event
+// was longer ago than a caller may take to read.
+func TestEndAfterSilence(t *testing.T) {
+	is := is.New(t)
+	s, _ := newTestStream(t, 0)
+	w := &deadlineWriter{ResponseRecorder: httptest.NewRecorder()}
+	s.w, s.usualGap, s.Meter = w, time.Second, NewMeter(tally.NoopScope)
+	is.Equal(s.forwardEvents(events{data: []byte("id:8\n\n"), first: "8", last: "8"}), stepWait)
+	s.finish()
+	is.Equal(len(w.deadlines), 2)
+	is.True(time.Until(w.deadlines[1]) > writeTimeout/2)
+}
+
 // Guards against a quarantined stream that is rerouted to other engines, which would
 // crash too, and against a caller that is held, which happen when a stream crashes the
 // later engines of its chain while the first one keeps running.
