gateway: a stream whose first engine has started again is resumed

Callers saw a stream stay silent until its time was up, although its engines were back. Cause: an engine that starts again under its id knows nothing of the request, but its connection may stay open. While it counts as down the stream looks for another chain; four seconds later it no longer does, and the stream waited for it. Change: a stream that is silent compares the start that the engine reports with the one that was known when the request was sent. A later one means that the attempt has ended with the engine. TestEngineRestarted failed before, stepWait instead of stepRetry.

--- a/oleandercove/edge/gateway/attempt.go
+++ b/oleandercove/edge/gateway/attempt.go
@@ -5,6 +5,7 @@
 	"sync/atomic"
 	"time"
 
+	"oleandercove.example/core/backend"
 	"oleandercove.example/oleandercove/edge/ledger"
 	"oleandercove.example/oleandercove/edge/pathfinder"
 )
@@ -21,6 +22,8 @@
 	// release is what Screener.Enter returned; it allows other copies of the request to
 	// run.
 	release func()
+	// born is the start of the first engine when the request was sent; 0 if not known.
+	born backend.Incarnation
 	// progressed is set once the attempt has sent an event.
 	progressed bool
 	// declaresEnd is set if the response is complete even if it has no event.
--- a/oleandercove/edge/gateway/recover.go
+++ b/oleandercove/edge/gateway/recover.go
@@ -35,6 +35,9 @@
 	if err != nil {
 		return s.scheduleReplace()
 	}
+	if s.born > 0 && report.Born > s.born {
+		return s.handleRestart()
+	}
 	for _, x := range report.Stalled {
 		// The registry may already list a restarted engine at the address, so the id comes
 		// from the chain.
@@ -54,6 +57,24 @@
 	return stepWait
 }
 
+// errEngineRestarted is the failure of an attempt whose first engine has started again since.
+var errEngineRestarted = errors.New("first engine has restarted")
+
+// handleRestart handles an attempt whose first engine has started again since it began. The
+// engine knows nothing of the request, and its connection may stay open and silent.
+func (s *stream) handleRestart() step {
+	s.failure = errEngineRestarted
+	if !s.firstEngineCrashed {
+		s.firstEngineCrashed = true
+		s.crashedRuns++
+	}
+	s.Log.Info("engine of a stream has restarted", "id", s.call.Request, "engine", s.chain[0].ID, "last", s.lastEvent, "silent", time.Since(s.lastProgressAt))
+	if s.useFallback() {
+		return stepWait
+	}
+	return s.nextTry()
+}
+
 // hasSlowEngine reports whether an engine of the chain runs much slower than usual.
 func (s *stream) hasSlowEngine(now time.Time) bool {
 	for _, h := range s.chain {
--- a/oleandercove/edge/gateway/resume_test.go
+++ b/oleandercove/edge/gateway/resume_test.go
@@ -12,10 +12,12 @@
 
 	"github.com/matryer/is"
 
+	"oleandercove.example/core/backend"
 	objects "oleandercove.example/core/platform"
 	"oleandercove.example/core/routing"
 	"oleandercove.example/oleandercove/edge/budgeter"
 	"oleandercove.example/oleandercove/edge/exchanger"
+	"oleandercove.example/oleandercove/edge/prober"
 	"oleandercove.example/oleandercove/edge/rationer"
 	"oleandercove.example/oleandercove/edge/screener"
 	"oleandercove.example/oleandercove/quarantiner"
@@ -108,3 +110,34 @@
 		})
 	}
 }
+
+// startedEngines are engines that have all started at the same time.
+type startedEngines backend.Incarnation
+
+func (e startedEngines) Report(context.Context, backend.Address) (backend.Report, error) {
+	return backend.Report{Born: backend.Incarnation(e)}, nil
+}
+
+// Guards against a stream that stays silent until its time is up because its first engine has
+// started again and its connection has stayed open.
+func TestEngineRestarted(t *testing.T) {
+	const start = backend.Incarnation(1000)
+	tests := []struct {
+		name string
+		born backend.Incarnation
+		want step
+	}{
+		{"engine has started again", start, stepRetry},
+		{"engine is silent and has not started again", start + 1, stepWait},
+		{"start of the engine is not known", 0, stepWait},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			s, j := newTestStream(t, longSilence)
+			s.Prober = prober.New(prober.Options{Engines: startedEngines(start + 1), Directory: s.Directory, Judge: j, Timer: s.Timer, Log: s.Log})
+			s.born = tt.born
+			is.Equal(s.checkStall(), tt.want) // both attempts are used, one on the engine that has ended
+		})
+	}
+}
--- a/oleandercove/edge/gateway/stream.go
+++ b/oleandercove/edge/gateway/stream.go
@@ -134,6 +134,9 @@
 	ctx, cancel := context.WithCancel(s.ctx)
 	s.attempt = attempt{release: release, cancel: cancel}
 	s.usePath(p)
+	if x, ok := s.Directory.Servers().Get(p.Chain[0].ID); ok {
+		s.born = x.Born
+	}
 	s.sends++
 	s.runs++
 	send := backend.RequestMetadata{Server: p.Chain[0].ID, Chain: p.Chain}
