gateway: log the shared parts of a prompt, and whether an answer had begun

Cause: the logs of the incident could not tell whether the requests that crash engines have a part of their prompts in common, nor which of the streams on a crashed engine it had begun to answer. No decision changes.

--- a/core/backend/backend.go
+++ b/core/backend/backend.go
@@ -151,6 +151,9 @@
 	OutputEstimate int
 	// LastEvent is the id of the last stream event that the caller has received.
 	LastEvent string
+	// SharedParts are the parts of the prompt that other requests may have too: all but the
+	// last one, which belongs to the request itself or to its session.
+	SharedParts []unit.PartID
 }
 
 // RequestMetadata is the metadata that the router adds to a request to a backend server.
--- a/core/unit/unit.go
+++ b/core/unit/unit.go
@@ -7,6 +7,8 @@
 //	var p unit.Position = 12
 package unit
 
+import "strconv"
+
 // AccountID identifies a client account.
 type AccountID string
 
@@ -34,6 +36,12 @@
 // Epoch is the number of an attempt of a stream; engines refuse older epochs.
 type Epoch uint64
 
+// PartID identifies a part of a prompt that several requests may share.
+type PartID uint64
+
+// String returns the id in hexadecimal, as callers write it.
+func (p PartID) String() string { return strconv.FormatUint(uint64(p), 16) }
+
 // Layer is the index of a model layer.
 type Layer int
 
--- a/oleandercove/edge/gateway/attempt.go
+++ b/oleandercove/edge/gateway/attempt.go
@@ -24,6 +24,8 @@
 	release func()
 	// born is the start of the first engine when the request was sent; 0 if not known.
 	born backend.Incarnation
+	// answering is set once the first engine has begun to answer.
+	answering bool
 	// progressed is set once the attempt has sent an event.
 	progressed bool
 	// declaresEnd is set if the response is complete even if it has no event.
--- a/oleandercove/edge/gateway/call.go
+++ b/oleandercove/edge/gateway/call.go
@@ -80,7 +80,7 @@
 		if ctx.Err() != nil || !last.failed() || !j.mayRepeat(last) || j.timeLeft() < minAttemptTime {
 			break
 		}
-		j.Log.Info("attempt failed", "id", j.call.Request, "content", j.fingerprint, "server", s.ID, "verdict", last.verdict, "err", last.err, "left", j.timeLeft())
+		j.Log.Info("attempt failed", "id", j.call.Request, "content", j.fingerprint, "parts", j.loggedParts(), "server", s.ID, "verdict", last.verdict, "err", last.err, "left", j.timeLeft())
 	}
 	j.finishCall(ctx, last, ran, excluded)
 }
--- a/oleandercove/edge/gateway/gateway.go
+++ b/oleandercove/edge/gateway/gateway.go
@@ -117,6 +117,14 @@
 	deadline time.Time
 }
 
+// maxLoggedParts bounds the parts of a prompt in a log line.
+const maxLoggedParts = 8
+
+// loggedParts returns the first shared parts of the prompt.
+func (j *job) loggedParts() []unit.PartID {
+	return j.call.SharedParts[:min(len(j.call.SharedParts), maxLoggedParts)]
+}
+
 // ServeHTTP answers one request.
 func (g *Gateway) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	g.active.Add(1)
--- a/oleandercove/edge/gateway/relay.go
+++ b/oleandercove/edge/gateway/relay.go
@@ -99,7 +99,7 @@
 	if !isStream(resp) {
 		return s.deliverComplete(e)
 	}
-	s.declaresEnd = declaresEnd(resp)
+	s.declaresEnd, s.answering = declaresEnd(resp), true
 	if s.started {
 		return stepWait
 	}
@@ -246,7 +246,8 @@
 		s.waitFor(s.checkEngineCrash(first, !s.progressed && isConnectionLoss(err)), crashConfirmTime)
 		s.countCrashedRun(now)
 	}
-	s.Log.Info("stream broke off", "id", s.call.Request, "content", s.fingerprint, "engine", first, "last", s.lastEvent, "runs", s.runs, "err", err)
+	s.Log.Info("stream broke off", "id", s.call.Request, "content", s.fingerprint, "parts", s.loggedParts(), "engine", first,
+		"last", s.lastEvent, "answering", s.answering, "progressed", s.progressed, "runs", s.runs, "err", err)
 	if s.useFallback() {
 		return stepWait
 	}
