--- a/oleanderfake/imitator/call.go
+++ b/oleanderfake/imitator/call.go
@@ -12,6 +12,7 @@
 const (
 	headerDeadline = "X-Oleandercove-Deadline-Ms"
 	headerTenant   = "X-Oleandercove-Tenant"
+	headerParts    = "X-Oleandercove-Prefix-Hash"
 	// promptTokens is the number of prompt tokens that each call states.
 	promptTokens = 100
 )
@@ -22,6 +23,8 @@
 	// Tokens is the number of events that the client requests; 0 stands for a request to
 	// the plain service.
 	Tokens int
+	// Parts lists the parts of the prompt; empty for a request without them.
+	Parts string
 	// Timeout is the time limit that the request states.
 	Timeout time.Duration
 }
@@ -40,6 +43,9 @@
 	if c.Key != "" {
 		r.Header.Set("Authorization", "Bearer "+c.Key)
 	}
+	if c.Parts != "" {
+		r.Header.Set(headerParts, c.Parts)
+	}
 	if c.Tokens > 0 {
 		r.Header.Set(headerTokens, fmt.Sprintf("%d,%d", promptTokens, c.Tokens))
 	}
--- a/oleanderfake/imitator/crash.go
+++ b/oleanderfake/imitator/crash.go
@@ -29,6 +29,37 @@
 	restartDelay = 2 * time.Second
 )
 
+// PoisonPart is a part of prompts that crashes each engine that begins to answer a request
+// with it.
+type PoisonPart struct {
+	// ID is the id of the part in hexadecimal.
+	ID string
+	// AfterHead makes the engine crash a moment after it has sent the head of the answer,
+	// and otherwise before that.
+	AfterHead bool
+}
+
+// answerStart is the time from the head of an answer to its first event.
+const answerStart = 50 * time.Millisecond
+
+// SetPoisonPart makes a part crash engines from now on; nil means that none does.
+func (s *Site) SetPoisonPart(p *PoisonPart) { s.poison.Store(p) }
+
+// crashOnPart crashes the engine if the prompt has the poison part anywhere.
+func (e *Engine) crashOnPart(w http.ResponseWriter, r *http.Request) {
+	p := e.site.poison.Load()
+	if p == nil || !strings.Contains(r.Header.Get(headerParts), p.ID+":") {
+		return
+	}
+	if p.AfterHead {
+		w.WriteHeader(http.StatusOK)
+		w.(http.Flusher).Flush()
+		time.Sleep(answerStart)
+	}
+	e.crash(r.Header.Get(headerAttempt))
+	panic(http.ErrAbortHandler)
+}
+
 // Crash is a crash, a silence or a replacement of a backend server's process. Attempt is
 // the request that caused it; it is empty for a replacement.
 type Crash struct {
--- a/oleanderfake/imitator/engine.go
+++ b/oleanderfake/imitator/engine.go
@@ -368,6 +368,7 @@
 	}
 	w.Header().Set(headerStamp, stampPrefix+e.ID)
 	w.Header().Set("Content-Type", "text/event-stream")
+	e.crashOnPart(w, r)
 	if e.site.writeResumeFault(w, r) {
 		return
 	}
--- a/oleanderfake/imitator/site.go
+++ b/oleanderfake/imitator/site.go
@@ -76,6 +76,7 @@
 	closeOnce  sync.Once
 
 	resumeFault atomic.Pointer[ResumeFault]
+	poison      atomic.Pointer[PoisonPart]
 }
 
 // New starts the store and the backend servers of a site, which register in the store. It
--- a/prover/edge/site_test.go
+++ b/prover/edge/site_test.go
@@ -136,6 +136,8 @@
 	path   string
 	key    string
 	body   string
+	// parts lists the parts of the prompt; empty for a request without them.
+	parts  string
 	output int
 	// timeout is how long the client waits; 0 means defaultTimeout.
 	timeout time.Duration
@@ -177,7 +179,7 @@
 
 func (a request) do() response {
 	began := time.Now()
-	call := imitator.Call{ID: a.id, Method: a.method, Path: a.path, Key: a.key, Body: a.body, Tokens: a.output, Timeout: a.waits()}
+	call := imitator.Call{ID: a.id, Method: a.method, Path: a.path, Key: a.key, Body: a.body, Parts: a.parts, Tokens: a.output, Timeout: a.waits()}
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	r, err := call.Request(ctx, a.router.CallerAddress)
