screener: refuse requests with a part of the prompt that crashes engines

The requests that crash them are all different and have one part of their prompts in common.

Cause: a crash was counted for the content of a request, and each of these requests is a content of its own with crashes of its own to spend. Evidence: in the logs of the incident one or two streams on each crashed engine had the head of an answer and no event, each of them another content; none of them came again after its quarantine.

Change: the crash record of a request that had not passed has the shared parts of its prompt. quarantiner.PartHistory finds the poison ones: three crashes at different moments under different requests without a pass of the part between, eight if it passed in the half minute before. A part passes when an engine has kept running for 0.5 s since it began to answer a request with it. Parts that the same requests contain are refused only together, so that a harmless one among them can pass. What a poison part explains does not count against others. Daemons exchange the records as before, and passes and poison sets of parts in their beacons: at once when they are new, then once a second, so that a restarted or cut-off daemon learns them from any peer without the store.

Why it works: a poison part never passes, and all others do, on some daemon.

retainer replaces the two generations of completed contents and holds the passes.

--- a/oleandercove/edge/announcer/crashes.go
+++ b/oleandercove/edge/announcer/crashes.go
@@ -1,8 +1,10 @@
 package announcer
 
 import (
+	"slices"
 	"time"
 
+	"oleandercove.example/oleandercove/edge/screener"
 	"oleandercove.example/oleandercove/quarantiner"
 	"oleandercove.example/wire/peer"
 )
@@ -14,7 +16,8 @@
 	for _, rec := range records {
 		out = append(out, &peer.CrashMark{
 			Fingerprint: uint64(rec.Fingerprint), Crash: string(rec.Crash), Position: uint32(max(0, rec.Position)),
-			Progressed: rec.Progressed, Cleared: rec.Cleared, Weak: rec.Weak, AgeMs: uint32(max(0, now.Sub(rec.At).Milliseconds())),
+			Progressed: rec.Progressed, Cleared: rec.Cleared, Weak: rec.Weak, AgeMs: ageMs(rec.At, now),
+			Parts: encodeParts(rec.Parts),
 		})
 	}
 	return out
@@ -26,8 +29,57 @@
 	for _, c := range list {
 		out = append(out, quarantiner.CrashRecord{
 			Fingerprint: quarantiner.Fingerprint(c.Fingerprint), Crash: quarantiner.CrashID(c.Crash), Position: int(c.Position),
-			Progressed: c.Progressed, Cleared: c.Cleared, Weak: c.Weak, At: now.Add(-time.Duration(c.AgeMs) * time.Millisecond),
+			Progressed: c.Progressed, Cleared: c.Cleared, Weak: c.Weak, At: timeOf(c.AgeMs, now),
+			Parts: decodeParts(c.Parts),
 		})
 	}
 	return out
 }
+
+// encodePassesAndSets adds the passes and poison sets of parts to a beacon.
+func encodePassesAndSets(b *peer.Beacon, u screener.PartUpdate, now time.Time) {
+	for _, p := range u.Passes {
+		b.Passes = append(b.Passes, &peer.PartPass{Part: uint64(p.Part), AgeMs: ageMs(p.At, now)})
+	}
+	for _, s := range u.Sets {
+		b.PoisonSets = append(b.PoisonSets, &peer.PoisonSet{Parts: encodeParts(s.Parts), Weight: uint32(s.Weight), AgeMs: ageMs(s.At, now)})
+	}
+}
+
+// decodePassesAndSets returns the passes and poison sets in a beacon.
+func decodePassesAndSets(b *peer.Beacon, now time.Time) screener.PartUpdate {
+	var u screener.PartUpdate
+	for _, p := range b.Passes {
+		u.Passes = append(u.Passes, quarantiner.PartPass{Part: quarantiner.PartKey(p.Part), At: timeOf(p.AgeMs, now)})
+	}
+	for _, s := range b.PoisonSets {
+		u.Sets = append(u.Sets, quarantiner.PoisonSet{Parts: decodeParts(s.Parts), Weight: int(s.Weight), At: timeOf(s.AgeMs, now)})
+	}
+	return u
+}
+
+func encodeParts(parts []quarantiner.PartKey) []uint64 {
+	out := make([]uint64, len(parts))
+	for i, p := range parts {
+		out[i] = uint64(p)
+	}
+	return out
+}
+
+// decodeParts returns the parts sorted and each once, whatever the order in the message.
+func decodeParts(parts []uint64) []quarantiner.PartKey {
+	var out []quarantiner.PartKey
+	for _, p := range parts {
+		out = append(out, quarantiner.PartKey(p))
+	}
+	slices.Sort(out)
+	return slices.Compact(out)
+}
+
+// ageMs returns the age of an event in milliseconds, and timeOf the time of an event of this
+// age.
+func ageMs(at, now time.Time) uint32 { return uint32(max(0, now.Sub(at).Milliseconds())) }
+
+func timeOf(ageMs uint32, now time.Time) time.Time {
+	return now.Add(-time.Duration(ageMs) * time.Millisecond)
+}
--- a/oleandercove/edge/announcer/crashes_test.go
+++ b/oleandercove/edge/announcer/crashes_test.go
@@ -6,7 +6,9 @@
 
 	"github.com/matryer/is"
 
+	"oleandercove.example/oleandercove/edge/screener"
 	"oleandercove.example/oleandercove/quarantiner"
+	"oleandercove.example/wire/peer"
 )
 
 // Guards against crash records that change in transit, and against ages that are lost
@@ -15,7 +17,7 @@
 	is := is.New(t)
 	sent, received := time.Unix(1000, 0), time.Unix(5000, 0)
 	give := []quarantiner.CrashRecord{
-		{Fingerprint: 1 << 63, Crash: "i-1/17", Position: 12, Progressed: true, At: sent.Add(-90 * time.Second)},
+		{Fingerprint: 1 << 63, Crash: "i-1/17", Position: 12, Progressed: true, At: sent.Add(-90 * time.Second), Parts: []quarantiner.PartKey{3, 1 << 63}},
 		{Fingerprint: 2, Crash: "i-2/18", Cleared: true, Weak: true, At: sent},
 	}
 	got := decodeCrashes(encodeCrashes(give, sent), received)
@@ -27,3 +29,21 @@
 	}
 	is.Equal(got, give)
 }
+
+// Guards against passes and poison sets of parts that change in transit, and against parts
+// that are not sorted, which a faulty peer may send.
+func TestPartEncoding(t *testing.T) {
+	is := is.New(t)
+	sent, received := time.Unix(1000, 0), time.Unix(5000, 0)
+	give := screener.PartUpdate{
+		Passes: []quarantiner.PartPass{{Part: 1 << 63, At: sent.Add(-3 * time.Second)}},
+		Sets:   []quarantiner.PoisonSet{{Parts: []quarantiner.PartKey{7, 5, 5}, Weight: 15, At: sent.Add(-2 * time.Second)}},
+	}
+	var b peer.Beacon
+	encodePassesAndSets(&b, give, sent)
+	got := decodePassesAndSets(&b, received)
+	is.Equal(got, screener.PartUpdate{
+		Passes: []quarantiner.PartPass{{Part: 1 << 63, At: received.Add(-3 * time.Second)}},
+		Sets:   []quarantiner.PoisonSet{{Parts: []quarantiner.PartKey{5, 7}, Weight: 15, At: received.Add(-2 * time.Second)}},
+	})
+}
--- a/oleandercove/edge/announcer/send.go
+++ b/oleandercove/edge/announcer/send.go
@@ -108,6 +108,7 @@
 		})
 	}
 	b.Crashes = encodeCrashes(a.Screener.Records(now), now)
+	encodePassesAndSets(b, a.Screener.PartUpdate(now), now)
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	a.lastNumber++
--- a/oleandercove/edge/gateway/attempt.go
+++ b/oleandercove/edge/gateway/attempt.go
@@ -26,8 +26,12 @@
 	born backend.Incarnation
 	// answering is set once the first engine has begun to answer.
 	answering bool
-	// progressed is set once the attempt has sent an event.
-	progressed bool
+	// progressed is set once the attempt has sent an event, the first one at progressedAt.
+	progressed   bool
+	progressedAt time.Time
+	// passed is set once the engines have kept running for long enough after that, see
+	// screener.PassTime.
+	passed bool
 	// declaresEnd is set if the response is complete even if it has no event.
 	declaresEnd bool
 	// crashRecorded is set once a crash record has been made for the chain.
@@ -73,7 +77,7 @@
 // there was one that may continue. The next search for another chain follows after
 // resumeInterval.
 func (s *stream) useFallback() bool {
-	if s.fallback == nil || s.Screener.QuarantineRefusal(s.fingerprint) != nil {
+	if s.fallback == nil || s.Screener.QuarantineRefusal(s.identity) != nil {
 		return false
 	}
 	s.resumeFallback()
--- a/oleandercove/edge/gateway/call.go
+++ b/oleandercove/edge/gateway/call.go
@@ -45,7 +45,7 @@
 	ran := false
 	var excluded exclusions
 	for sent := 0; sent < j.route.Attempts; {
-		release, err := j.Screener.Enter(ctx, j.fingerprint)
+		release, err := j.Screener.Enter(ctx, j.identity)
 		if err != nil {
 			if !ran {
 				j.refuse(err)
@@ -55,7 +55,7 @@
 		}
 		defer release()
 		excluded = exclusions{}
-		s, ok := j.pickServer(tried, j.Screener.CrashedServers(j.fingerprint), &excluded)
+		s, ok := j.pickServer(tried, j.Screener.CrashedServers(j.identity.Content), &excluded)
 		if !ok || (sent > 0 && j.Budgeter.TakeRetry(j.service.Name) != nil) {
 			break
 		}
@@ -80,7 +80,7 @@
 		if ctx.Err() != nil || !last.failed() || !j.mayRepeat(last) || j.timeLeft() < minAttemptTime {
 			break
 		}
-		j.Log.Info("attempt failed", "id", j.call.Request, "content", j.fingerprint, "parts", j.loggedParts(), "server", s.ID, "verdict", last.verdict, "err", last.err, "left", j.timeLeft())
+		j.Log.Info("attempt failed", "id", j.call.Request, "content", j.identity.Content, "parts", j.loggedParts(), "server", s.ID, "verdict", last.verdict, "err", last.err, "left", j.timeLeft())
 	}
 	j.finishCall(ctx, last, ran, excluded)
 }
--- a/oleandercove/edge/gateway/crash.go
+++ b/oleandercove/edge/gateway/crash.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"io"
+	"net/http"
 	"strconv"
 	"sync/atomic"
 	"syscall"
@@ -31,13 +32,13 @@
 	ctx, cancel := context.WithTimeout(ctx, crashCheckTimeout)
 	defer cancel()
 	if !j.Exchanger.RefusesConnections(ctx, s.Address) {
-		j.recordCrash(s.ID, screener.CrashEvent{Broken: true})
+		j.recordCrash(s.ID, screener.CrashEvent{Identity: j.identity, Broken: true})
 		return
 	}
 	now := j.Timer.Now()
 	j.Judge.RecordExit(s.ID, now)
 	j.Judge.SetDown(s.ID, now, now.Add(judge.DownTime))
-	j.recordCrash(s.ID, screener.CrashEvent{})
+	j.recordCrash(s.ID, screener.CrashEvent{Identity: j.identity})
 }
 
 // isConnectionLoss reports whether the server closed a connection on which a request
@@ -62,7 +63,10 @@
 	case errors.Is(o.err, errTruncated):
 		j.checkServerCrash(ctx, s, o.err)
 	case o.usable():
-		j.Screener.ReachedPosition(j.fingerprint, screener.CompletePosition)
+		j.Screener.ReachedPosition(j.identity.Content, screener.CompletePosition)
+		if o.exchange.Response.StatusCode < http.StatusMultipleChoices {
+			j.Screener.Pass(j.identity)
+		}
 	}
 }
 
@@ -76,7 +80,7 @@
 	if !e.Broken {
 		j.Meter.count("servers_ended_under_requests_total")
 	}
-	e.Request, e.Fingerprint, e.Crash = j.call.Request, j.fingerprint, screener.CrashOf(x)
+	e.Request, e.Content, e.Crash = j.call.Request, j.identity.Content, screener.CrashOf(x)
 	j.Screener.RecordCrash(e)
 }
 
@@ -103,7 +107,7 @@
 		s.crashRecorded = &atomic.Bool{}
 	}
 	recorded := s.crashRecorded
-	e := screener.CrashEvent{Position: s.lastPosition(), Progressed: s.progressed}
+	e := screener.CrashEvent{Identity: s.suspectIdentity(), Position: s.lastPosition(), Progressed: s.progressed}
 	go func() {
 		defer close(done)
 		ctx, cancel := context.WithTimeout(context.Background(), crashCheckTimeout)
@@ -151,12 +155,37 @@
 	return n
 }
 
+// suspectIdentity returns what the stream is recognised by, without the parts of its prompt if
+// these have passed.
+func (s *stream) suspectIdentity() screener.Identity {
+	id := s.identity
+	if s.passed {
+		id.Parts = nil
+	}
+	return id
+}
+
+// recordPass reports to the screener, once, that the engines of the attempt have kept running
+// since they began to answer.
+func (s *stream) recordPass() {
+	if !s.passed {
+		s.passed = true
+		s.Screener.Pass(s.identity)
+	}
+}
+
 // recordProgress records that the attempt has sent an event. If engines of the stream were
 // checked for crashes, it reports the position to the screener, which clears a request
 // that is beyond the positions of its crashes.
 func (s *stream) recordProgress() {
-	s.progressed = true
+	now := s.Timer.Now()
+	if !s.progressed {
+		s.progressed, s.progressedAt = true, now
+	}
+	if now.Sub(s.progressedAt) >= screener.PassTime {
+		s.recordPass()
+	}
 	if len(s.crashChecked) > 0 {
-		s.Screener.ReachedPosition(s.fingerprint, s.lastPosition())
+		s.Screener.ReachedPosition(s.identity.Content, s.lastPosition())
 	}
 }
--- a/oleandercove/edge/gateway/gateway.go
+++ b/oleandercove/edge/gateway/gateway.go
@@ -28,7 +28,6 @@
 	"oleandercove.example/oleandercove/edge/prober"
 	"oleandercove.example/oleandercove/edge/rationer"
 	"oleandercove.example/oleandercove/edge/screener"
-	"oleandercove.example/oleandercove/quarantiner"
 	"oleandercove.example/platform"
 )
 
@@ -105,9 +104,8 @@
 	route   *routing.Route
 	service *routing.Service
 	account unit.AccountID
-	// fingerprint is the same for all attempts of one request, including retries by the
-	// caller.
-	fingerprint quarantiner.Fingerprint
+	// identity is the same for all attempts of one request, including retries by the caller.
+	identity screener.Identity
 	// authenticated is set for requests that carry a key. They are refused unless the
 	// keys were confirmed recently.
 	authenticated bool
--- a/oleandercove/edge/gateway/prepare.go
+++ b/oleandercove/edge/gateway/prepare.go
@@ -11,6 +11,7 @@
 	"oleandercove.example/core/routing"
 	"oleandercove.example/core/verdict"
 	"oleandercove.example/oleandercove/edge/screener"
+	"oleandercove.example/oleandercove/quarantiner"
 )
 
 const (
@@ -47,9 +48,10 @@
 	if err := j.readBody(limits); err != nil {
 		return err
 	}
-	j.fingerprint = screener.Content{
+	j.identity.Content = screener.Content{
 		Method: j.r.Method, Host: j.r.Host, Target: j.r.RequestURI, Account: j.account, Body: j.body,
 	}.Fingerprint()
+	j.identity.Parts = quarantiner.PartKeys(string(j.service.Name), j.call.SharedParts)
 	return nil
 }
 
--- a/oleandercove/edge/gateway/recover.go
+++ b/oleandercove/edge/gateway/recover.go
@@ -175,7 +175,7 @@
 	s.failure = errEngineDown
 	s.checkDownEngines(now)
 	s.countCrashedRun(now)
-	reroutable := !s.Judge.IsDown(s.chain[0].ID, now) && s.service.Engine.Chained() && s.Screener.MayReroute(s.fingerprint)
+	reroutable := !s.Judge.IsDown(s.chain[0].ID, now) && s.service.Engine.Chained() && s.Screener.MayReroute(s.identity)
 	if reroutable && s.reroute(sameCrossings) {
 		return stepWait
 	}
@@ -187,7 +187,7 @@
 		return stepWait
 	}
 	next := s.nextTry()
-	if !canContinue || s.Screener.QuarantineRefusal(s.fingerprint) != nil {
+	if !canContinue || s.Screener.QuarantineRefusal(s.identity) != nil {
 		return next
 	}
 	if next == stepRetry {
--- a/oleandercove/edge/gateway/refusal.go
+++ b/oleandercove/edge/gateway/refusal.go
@@ -54,7 +54,7 @@
 func (j *job) refuse(err *verdict.Error) {
 	j.Meter.countRefusal(err.Reason)
 	delay := retryAfter(err.RetryAfter, j.timeLeft(), rand.Float64())
-	j.Log.Info("request refused", "id", j.call.Request, "content", j.fingerprint, "parts", j.loggedParts(), "route", j.routeName(), "verdict", err.Verdict,
+	j.Log.Info("request refused", "id", j.call.Request, "content", j.identity.Content, "parts", j.loggedParts(), "route", j.routeName(), "verdict", err.Verdict,
 		"reason", err.Reason, "detail", err.Detail, "after", time.Since(j.arrivedAt), "left", j.timeLeft(), "retry_after", delay)
 	h := j.w.Header()
 	platform.SetRequestID(h, j.call.Request)
--- a/oleandercove/edge/gateway/relay.go
+++ b/oleandercove/edge/gateway/relay.go
@@ -246,7 +246,7 @@
 		s.waitFor(s.checkEngineCrash(first, !s.progressed && isConnectionLoss(err)), crashConfirmTime)
 		s.countCrashedRun(now)
 	}
-	s.Log.Info("stream broke off", "id", s.call.Request, "content", s.fingerprint, "parts", s.loggedParts(), "engine", first,
+	s.Log.Info("stream broke off", "id", s.call.Request, "content", s.identity.Content, "parts", s.loggedParts(), "engine", first,
 		"last", s.lastEvent, "answering", s.answering, "progressed", s.progressed, "runs", s.runs, "err", err)
 	if s.useFallback() {
 		return stepWait
@@ -266,7 +266,10 @@
 	for _, h := range s.chain {
 		s.Judge.RecordSuccess(h.ID, now.Sub(s.lastProgressAt))
 	}
-	s.Screener.ReachedPosition(s.fingerprint, screener.CompletePosition)
+	s.Screener.ReachedPosition(s.identity.Content, screener.CompletePosition)
+	if s.progressed {
+		s.recordPass()
+	}
 	s.Meter.count("streams_whole_total")
 	if t := s.timing; t.isLate(s.route) {
 		s.Meter.count("streams_late_total")
--- a/oleandercove/edge/gateway/resume.go
+++ b/oleandercove/edge/gateway/resume.go
@@ -33,7 +33,7 @@
 	case verdict.Overloaded, verdict.PlatformUnavailable:
 		return true
 	case verdict.Quarantined:
-		return s.Screener.QuarantineRefusal(s.fingerprint) == nil
+		return s.Screener.QuarantineRefusal(s.identity) == nil
 	default:
 		return false
 	}
--- a/oleandercove/edge/gateway/resume_test.go
+++ b/oleandercove/edge/gateway/resume_test.go
@@ -70,7 +70,7 @@
 	s := newWaitingStream(t)
 	s.addEngine()
 	s.recordStrongCrash("a/1")
-	release, refusal := s.Screener.Enter(t.Context(), s.fingerprint)
+	release, refusal := s.Screener.Enter(t.Context(), s.identity)
 	is.True(refusal == nil)
 	time.AfterFunc(600*time.Millisecond, release)
 	err := s.beginAttemptWithWait()
@@ -84,7 +84,7 @@
 
 // recordStrongCrash records that a server crashed under the request.
 func (s *stream) recordStrongCrash(id quarantiner.CrashID) {
-	s.Screener.RecordCrash(screener.CrashEvent{Fingerprint: s.fingerprint, Crash: id})
+	s.Screener.RecordCrash(screener.CrashEvent{Identity: s.identity, Crash: id})
 }
 
 // Guards against a stream that is given up early because an earlier attempt counts as a run
--- a/oleandercove/edge/gateway/stream.go
+++ b/oleandercove/edge/gateway/stream.go
@@ -122,7 +122,7 @@
 	if err := s.checkKeys(); err != nil {
 		return err
 	}
-	release, err := s.Screener.Enter(s.ctx, s.fingerprint)
+	release, err := s.Screener.Enter(s.ctx, s.identity)
 	if err != nil {
 		return err
 	}
--- a/oleandercove/edge/gateway/stream_test.go
+++ b/oleandercove/edge/gateway/stream_test.go
@@ -290,7 +290,7 @@
 	is := is.New(t)
 	s, j := newTestStream(t, longSilence)
 	for _, crash := range []quarantiner.CrashID{"a/1", "b/1", "c/1"} {
-		s.Screener.RecordCrash(screener.CrashEvent{Fingerprint: s.fingerprint, Crash: crash})
+		s.Screener.RecordCrash(screener.CrashEvent{Identity: s.identity, Crash: crash})
 	}
 	now := s.Timer.Now()
 	j.SetDown("tail", now, now.Add(time.Minute))
--- a/oleandercove/edge/screener/decision.go
+++ b/oleandercove/edge/screener/decision.go
@@ -17,13 +17,26 @@
 	unrestricted decision = iota
 	// oneCopy lets one copy of the request run at a time.
 	oneCopy
-	// undecided requests wait for the records of other requests of the same crash.
+	// undecided requests wait for the records of other requests of the same crashes.
 	undecided
 	// refuse keeps a quarantined request from all backend servers.
 	refuse
 )
 
-// decide returns the decision for a request from the crash records alone, whether or not
+// decide returns the decision for a request: one that has a poison part is refused, one with a
+// part of several crashes waits for the records of other daemons. The caller holds the lock.
+func (s *Screener) decide(id Identity, now time.Time) decision {
+	s.evaluateParts(now)
+	if _, poison := s.parts.Match(id.Parts, now); poison {
+		return refuse
+	}
+	if s.parts.Undecided(id.Parts, now) {
+		return undecided
+	}
+	return decide(s.history, id.Content, now)
+}
+
+// decide returns the decision for a content from its crash records alone, whether or not
 // a copy of it is running.
 func decide(h *quarantiner.History, f quarantiner.Fingerprint, now time.Time) decision {
 	if h.IsQuarantined(f, now) {
--- a/oleandercove/edge/screener/outbox.go
+++ b/oleandercove/edge/screener/outbox.go
@@ -21,8 +21,8 @@
 	maxQuarantined = 32
 	// completedTime is how long content that has run to its end gets no crash record.
 	// Many requests can have the same content, and servers also crash for other reasons.
-	completedTime = 30 * time.Second
-	// maxCompleted bounds the requests in each generation of a completedSet.
+	completedTime = 15 * time.Second
+	// maxCompleted bounds the requests in each generation of completed ones.
 	maxCompleted = 8192
 )
 
@@ -85,38 +85,3 @@
 	o.items = kept
 	return out
 }
-
-// completedSet holds the requests that ran to their end within completedTime, in two
-// generations. The older one is dropped as a whole.
-type completedSet struct {
-	young, old map[quarantiner.Fingerprint]bool
-	// rotatedAt is when the younger generation last became the older one.
-	rotatedAt time.Time
-}
-
-func (r *completedSet) add(f quarantiner.Fingerprint, now time.Time) {
-	r.rotate(now)
-	if len(r.young) >= maxCompleted {
-		r.old, r.young, r.rotatedAt = r.young, nil, now
-	}
-	if r.young == nil {
-		r.young = map[quarantiner.Fingerprint]bool{}
-	}
-	r.young[f] = true
-}
-
-func (r *completedSet) has(f quarantiner.Fingerprint, now time.Time) bool {
-	r.rotate(now)
-	return r.young[f] || r.old[f]
-}
-
-// rotate drops the generations that are too old.
-func (r *completedSet) rotate(now time.Time) {
-	age := now.Sub(r.rotatedAt)
-	switch {
-	case age >= completedTime:
-		r.young, r.old, r.rotatedAt = nil, nil, now
-	case age >= completedTime/2:
-		r.old, r.young, r.rotatedAt = r.young, nil, now
-	}
-}
--- a/oleandercove/edge/screener/screener.go
+++ b/oleandercove/edge/screener/screener.go
@@ -26,16 +26,22 @@
 // crashes, because a poison request can't get there: its records are removed, on peers
 // too. Content that has run to its end gets no record for a time after that.
 //
+// Requests that are all different may have a part of their prompts in common that crashes
+// backend servers. The crash record of a request that had not passed on its server has the
+// shared parts of its prompt; quarantiner.PartHistory finds the poison ones among them. A
+// request that contains all parts of a poison set is refused, whatever its own state.
+//
 // Load pattern: a poison request is repeated several times a second at any daemon.
 // Without crash records it crashes one server after the other until none is left.
 //
 // Usage:
 //
 //	s := screener.New(screener.Options{Timer: t, Log: l, FlushNow: a.FlushNow})
-//	release, err := s.Enter(ctx, f)
+//	release, err := s.Enter(ctx, id)
 //	defer release()
-//	s.RecordCrash(screener.CrashEvent{Fingerprint: f, Crash: screener.CrashOf(server)})
-//	s.ReachedPosition(f, position)
+//	s.RecordCrash(screener.CrashEvent{Identity: id, Crash: screener.CrashOf(server)})
+//	s.ReachedPosition(id.Content, position)
+//	s.Pass(id)
 package screener
 
 import (
@@ -53,6 +59,7 @@
 	"oleandercove.example/core/unit"
 	"oleandercove.example/core/verdict"
 	"oleandercove.example/oleandercove/quarantiner"
+	"oleandercove.example/oleandercove/retainer"
 )
 
 const (
@@ -77,6 +84,8 @@
 	Log   *log.Logger
 	// FlushNow sends the new crash records to all peers at once.
 	FlushNow func()
+	// OnPoison is called in the background after parts of prompts have been quarantined.
+	OnPoison func()
 }
 
 // Screener decides whether a request may be sent. It is safe for concurrent use.
@@ -86,23 +95,38 @@
 	mu      sync.Mutex
 	history *quarantiner.History
 	// running holds the requests of which a copy runs alone on this daemon.
-	running      map[quarantiner.Fingerprint]bool
-	completed    completedSet
+	running map[quarantiner.Fingerprint]bool
+	// completed holds the contents that ran to their end.
+	completed    *retainer.Retainer[quarantiner.Fingerprint, struct{}]
+	parts        *quarantiner.PartHistory
 	outbox       outbox
+	partOutbox   partOutbox
 	flushPending bool
 }
 
+// Identity is what a request is recognised by.
+type Identity struct {
+	// Content is the same for all copies of the request.
+	Content quarantiner.Fingerprint
+	// Parts are the shared parts of its prompt, sorted.
+	Parts []quarantiner.PartKey
+}
+
 // New returns a Screener without crash records.
 func New(o Options) *Screener {
-	return &Screener{options: o, history: quarantiner.NewHistory(), running: map[quarantiner.Fingerprint]bool{}, outbox: newOutbox()}
+	return &Screener{
+		options: o, history: quarantiner.NewHistory(), parts: quarantiner.NewPartHistory(), running: map[quarantiner.Fingerprint]bool{},
+		completed: retainer.New[quarantiner.Fingerprint, struct{}](completedTime, maxCompleted), outbox: newOutbox(),
+	}
 }
 
 // CrashEvent is the crash of a backend server, or a broken connection to it, while it
 // ran a request.
 type CrashEvent struct {
-	Request     unit.RequestID
-	Fingerprint quarantiner.Fingerprint
-	Crash       quarantiner.CrashID
+	Request unit.RequestID
+	// Identity has no parts if the request had passed on the server.
+	Identity
+	Crash quarantiner.CrashID
 	// Position is the number of the last event that the caller received.
 	Position int
 	// Progressed is set if the server had sent an event.
@@ -123,32 +147,32 @@
 // unrestricted request may run at once. The caller calls release when the attempt has
 // ended or has passed the positions of its crashes. The error is a refusal: the request
 // was not sent.
-func (s *Screener) Enter(ctx context.Context, f quarantiner.Fingerprint) (release func(), err *verdict.Error) {
+func (s *Screener) Enter(ctx context.Context, id Identity) (release func(), err *verdict.Error) {
 	limit := s.options.Timer.Now().Add(maxWait)
 	for {
 		now := s.options.Timer.Now()
-		d, release := s.tryAdmit(f, now)
+		d, release := s.tryAdmit(id, now)
 		switch {
 		case release != nil:
 			return release, nil
 		case d == refuse:
-			return nil, s.refusal(f)
+			return nil, s.refusal(id)
 		case !now.Before(limit):
 			return nil, verdict.New(verdict.NotRun, verdict.Quarantined,
-				"request content %s is under suspicion of ending backend servers, and another copy of it runs", f).WithRetryAfter(copyRetryAfter)
+				"request content %s is under suspicion of ending backend servers, and another copy of it runs", id.Content).WithRetryAfter(copyRetryAfter)
 		}
 		if s.options.Timer.Sleep(ctx, pollInterval) != nil {
-			return nil, verdict.New(verdict.NotRun, verdict.DeadlineExceeded, "no time left to check request content %s", f)
+			return nil, verdict.New(verdict.NotRun, verdict.DeadlineExceeded, "no time left to check request content %s", id.Content)
 		}
 	}
 }
 
 // tryAdmit returns the decision for a request now, and the function that ends its run
 // if it may run, else nil.
-func (s *Screener) tryAdmit(f quarantiner.Fingerprint, now time.Time) (decision, func()) {
+func (s *Screener) tryAdmit(id Identity, now time.Time) (decision, func()) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	d := decide(s.history, f, now)
+	f, d := id.Content, s.decide(id, now)
 	if d == unrestricted {
 		return d, func() {}
 	}
@@ -164,11 +188,13 @@
 }
 
 // MayReroute reports whether a running request may continue on other engines without
-// another call of Enter. A request with two strong crash records may not.
-func (s *Screener) MayReroute(f quarantiner.Fingerprint) bool {
+// another call of Enter. A request with two strong crash records may not, nor one with a
+// poison part.
+func (s *Screener) MayReroute(id Identity) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return len(s.history.StrongRecords(f)) < 2
+	_, poison := s.parts.Match(id.Parts, s.options.Timer.Now())
+	return !poison && len(s.history.StrongRecords(id.Content)) < 2
 }
 
 // CrashedServers returns the servers for which the request has crash records; nil for a
@@ -189,68 +215,83 @@
 
 // QuarantineRefusal returns the refusal of a quarantined request, or nil if the request
 // is not quarantined.
-func (s *Screener) QuarantineRefusal(f quarantiner.Fingerprint) *verdict.Error {
+func (s *Screener) QuarantineRefusal(id Identity) *verdict.Error {
 	s.mu.Lock()
-	quarantined := decide(s.history, f, s.options.Timer.Now()) == refuse
+	quarantined := s.decide(id, s.options.Timer.Now()) == refuse
 	s.mu.Unlock()
 	if !quarantined {
 		return nil
 	}
-	return s.refusal(f)
+	return s.refusal(id)
 }
 
-func (s *Screener) refusal(f quarantiner.Fingerprint) *verdict.Error {
+func (s *Screener) refusal(id Identity) *verdict.Error {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	records := s.history.Records(f)
+	if set, ok := s.parts.Match(id.Parts, s.options.Timer.Now()); ok {
+		return verdict.New(verdict.NotRun, verdict.Quarantined, "backend servers crashed under different requests that all have the prompt parts %v, the last one %s ago",
+			set.Parts, s.options.Timer.Now().Sub(set.At).Round(time.Millisecond)).WithRetryAfter(quarantineRetryAfter)
+	}
+	records := s.history.Records(id.Content)
 	servers := make([]string, len(records))
 	for i, rec := range records {
 		servers[i] = string(rec.Crash)
 	}
 	return verdict.New(verdict.NotRun, verdict.Quarantined, "request content %s was running on %d backend servers when they ended or broke the connection: %s",
-		f, len(records), strings.Join(servers, " ")).WithRetryAfter(quarantineRetryAfter)
+		id.Content, len(records), strings.Join(servers, " ")).WithRetryAfter(quarantineRetryAfter)
 }
 
 // RecordCrash adds a crash record for a request.
 func (s *Screener) RecordCrash(e CrashEvent) {
 	now := s.options.Timer.Now()
-	rec := quarantiner.CrashRecord{Fingerprint: e.Fingerprint, Crash: e.Crash, Position: e.Position, Progressed: e.Progressed, Weak: e.Broken || e.Progressed, At: now}
+	rec := quarantiner.CrashRecord{
+		Fingerprint: e.Content, Crash: e.Crash, Position: e.Position, Progressed: e.Progressed, Weak: e.Broken || e.Progressed, At: now, Parts: e.Parts,
+	}
 	s.mu.Lock()
-	if s.completed.has(e.Fingerprint, now) || s.outbox.isWithdrawn(rec, now) || !s.history.Add(rec, now) {
+	if s.hasCompleted(e.Content, now) || s.outbox.isWithdrawn(rec, now) || !s.history.Add(withoutParts(rec), now) {
 		s.mu.Unlock()
 		return
 	}
-	all := s.history.Records(e.Fingerprint)
+	s.partOutbox.add(s.parts.Add(rec, now), now)
+	all := s.history.Records(e.Content)
 	records, share := len(all), isShared(rec, len(all))
 	if share {
 		// Earlier weak records may not have been sent to peers.
-		for _, x := range all {
+		for _, x := range all[:records-1] {
 			s.outbox.add(x, now)
 		}
+		s.outbox.add(rec, now)
 	}
 	s.mu.Unlock()
 	what := "backend server ended under a request"
 	if e.Broken {
 		what = "connection broke under a request"
 	}
-	s.options.Log.Warn(what, "id", e.Request, "content", e.Fingerprint, "crash", e.Crash,
+	s.options.Log.Warn(what, "id", e.Request, "content", e.Content, "parts", e.Parts, "crash", e.Crash,
 		"position", e.Position, "progressed", e.Progressed, "marks", records)
 	if share {
 		s.flush()
 	}
 }
 
+// hasCompleted reports whether a copy of the content ran to its end lately.
+func (s *Screener) hasCompleted(f quarantiner.Fingerprint, now time.Time) bool {
+	_, ok := s.completed.Get(f, now)
+	return ok
+}
+
 // ReachedPosition records the position that a request has reached, CompletePosition at
 // its end. A request beyond the positions of all its crashes is cleared, on peers too.
 func (s *Screener) ReachedPosition(f quarantiner.Fingerprint, position int) {
 	now := s.options.Timer.Now()
 	s.mu.Lock()
 	if position == CompletePosition {
-		s.completed.add(f, now)
+		s.completed.Set(f, struct{}{}, now)
 	}
 	cleared := s.history.ReachedPosition(f, position)
 	share := false
 	for _, rec := range cleared {
+		s.parts.Remove(rec.Fingerprint, rec.Crash)
 		if isShared(rec, len(cleared)) {
 			s.withdraw(rec, now)
 			share = true
--- a/oleandercove/edge/screener/screener_test.go
+++ b/oleandercove/edge/screener/screener_test.go
@@ -50,7 +50,7 @@
 
 // mayRun reports whether a daemon sends a request at once.
 func (f *fleet) mayRun(daemon int, print quarantiner.Fingerprint) bool {
-	_, release := f.daemons[daemon].tryAdmit(print, f.clock.Now())
+	_, release := f.daemons[daemon].tryAdmit(Identity{Content: print}, f.clock.Now())
 	if release == nil {
 		return false
 	}
@@ -59,7 +59,7 @@
 }
 
 func crashUnder(print quarantiner.Fingerprint, server string) CrashEvent {
-	return CrashEvent{Fingerprint: print, Crash: CrashOf(backend.Server{ID: unit.BackendID(server)})}
+	return CrashEvent{Identity: Identity{Content: print}, Crash: CrashOf(backend.Server{ID: unit.BackendID(server)})}
 }
 
 // brokenConnections returns broken connections to servers that are not known to have
@@ -86,14 +86,14 @@
 		{"a request without records waits", nil, 0, unrestricted},
 		{"copies of a suspect run together", []CrashEvent{crashUnder(poison, "a")}, 0, oneCopy},
 		{"a stream that was under way waits after two crashes", []CrashEvent{
-			{Fingerprint: poison, Crash: "a", Progressed: true}, {Fingerprint: poison, Crash: "b", Progressed: true},
+			{Identity: Identity{Content: poison}, Crash: "a", Progressed: true}, {Identity: Identity{Content: poison}, Crash: "b", Progressed: true},
 		}, quarantiner.SettleDelay, unrestricted},
 		{"a stream that crashes engines when it is under way is never refused", []CrashEvent{
-			{Fingerprint: poison, Crash: "a", Progressed: true},
-			{Fingerprint: poison, Crash: "b", Progressed: true},
-			{Fingerprint: poison, Crash: "c", Progressed: true},
-			{Fingerprint: poison, Crash: "d", Progressed: true},
-			{Fingerprint: poison, Crash: "e", Progressed: true},
+			{Identity: Identity{Content: poison}, Crash: "a", Progressed: true},
+			{Identity: Identity{Content: poison}, Crash: "b", Progressed: true},
+			{Identity: Identity{Content: poison}, Crash: "c", Progressed: true},
+			{Identity: Identity{Content: poison}, Crash: "d", Progressed: true},
+			{Identity: Identity{Content: poison}, Crash: "e", Progressed: true},
 		}, 0, refuse},
 		{"a request with two crashes runs before the records of others arrive", []CrashEvent{crashUnder(poison, "a"), crashUnder(poison, "b")}, 0, undecided},
 		{"the only request in two crashes runs again", []CrashEvent{crashUnder(poison, "a"), crashUnder(poison, "b")}, quarantiner.SettleDelay, refuse},
@@ -241,7 +241,7 @@
 	is := is.New(t)
 	f := newFleet(1)
 	d := f.daemons[0]
-	d.RecordCrash(CrashEvent{Fingerprint: poison, Crash: "a", Position: 12})
+	d.RecordCrash(CrashEvent{Identity: Identity{Content: poison}, Crash: "a", Position: 12})
 	d.ReachedPosition(poison, 13)
 	is.Equal(decide(d.history, poison, f.clock.Now()), oneCopy)
 	d.ReachedPosition(poison, 14)
@@ -254,20 +254,20 @@
 	is := is.New(t)
 	d := New(Options{Timer: timer.NewReal(), Log: logger.Discard()})
 	d.RecordCrash(crashUnder(poison, "a"))
-	release, err := d.Enter(context.Background(), poison)
+	release, err := d.Enter(context.Background(), Identity{Content: poison})
 	is.True(err == nil)
 	began := time.Now()
-	_, err = d.Enter(context.Background(), poison)
+	_, err = d.Enter(context.Background(), Identity{Content: poison})
 	is.True(err != nil)
 	is.Equal(err.Verdict, verdict.NotRun)
 	is.True(err.RetryAfter > 0)
 	is.True(time.Since(began) >= maxWait)
-	other, err := d.Enter(context.Background(), harmless)
+	other, err := d.Enter(context.Background(), Identity{Content: harmless})
 	is.True(err == nil)
 	other()
 	release()
 	release()
-	release, err = d.Enter(context.Background(), poison)
+	release, err = d.Enter(context.Background(), Identity{Content: poison})
 	is.True(err == nil)
 	release()
 	is.Equal(len(d.running), 0)
@@ -285,7 +285,7 @@
 		d.ReachedPosition(print+1000000, CompletePosition)
 	}
 	is.True(len(d.Records(f.clock.Now())) <= maxOutbox)
-	is.True(len(d.completed.young)+len(d.completed.old) <= 2*maxCompleted)
+	is.True(d.completed.Len() <= 2*maxCompleted)
 }
 
 // Guards against requests of different callers that share crash records, and against
--- a/oleandercove/edge/screener/sharer.go
+++ b/oleandercove/edge/screener/sharer.go
@@ -12,8 +12,11 @@
 
 // isShared reports whether a crash record is sent to peers, for a request that has this
 // number of records. Most streams on an engine that crashes are under way and continue
-// elsewhere; their weak records are kept local until a second engine crashes.
-func isShared(rec quarantiner.CrashRecord, records int) bool { return records > 1 || !rec.Weak }
+// elsewhere; their weak records are kept local until a second engine crashes. A record with
+// parts counts against these, so all daemons need it.
+func isShared(rec quarantiner.CrashRecord, records int) bool {
+	return records > 1 || !rec.Weak || len(rec.Parts) > 0
+}
 
 // withdraw queues the withdrawal of a record for peers. The caller holds the lock.
 func (s *Screener) withdraw(rec quarantiner.CrashRecord, now time.Time) {
@@ -44,7 +47,7 @@
 func (s *Screener) Records(now time.Time) []quarantiner.CrashRecord {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	out := s.outbox.pending(now)
+	out := boundParts(s.outbox.pending(now))
 	quarantined := s.history.Quarantined(now)
 	for _, f := range quarantined[:min(len(quarantined), maxQuarantined)] {
 		out = append(out, s.history.Records(f)...)
@@ -63,11 +66,13 @@
 		case rec.Cleared:
 			s.outbox.remember(rec, now)
 			s.history.RemoveRecord(rec.Fingerprint, rec.Crash)
+			s.parts.Remove(rec.Fingerprint, rec.Crash)
 		case s.outbox.isWithdrawn(rec, now):
-		case s.completed.has(rec.Fingerprint, now):
+		case s.hasCompleted(rec.Fingerprint, now):
 			s.withdraw(rec, now)
 			share = true
-		case s.history.Add(rec, now):
+		case s.history.Add(withoutParts(rec), now):
+			s.partOutbox.add(s.parts.Add(rec, now), now)
 			s.options.Log.Info("peer reported a backend server crash under a request", "weak", rec.Weak, "content", rec.Fingerprint, "crash", rec.Crash,
 				"age", now.Sub(rec.At), "marks", len(s.history.Records(rec.Fingerprint)))
 		}
--- a/oleandercove/quarantiner/history.go
+++ b/oleandercove/quarantiner/history.go
@@ -21,6 +21,9 @@
 	// Cleared withdraws the record, because the request passed its position on
 	// another backend server.
 	Cleared bool
+	// Parts are the shared parts of the prompt, sorted, if the request had not passed on that
+	// backend server; see PartHistory.
+	Parts []PartKey
 }
 
 const (
