gateway: end streams whose prompt has a part that was quarantined after they were sent

Cause: requests with a poison part that wait at engines when the part is quarantined crash these engines when their turn comes. Change: when a poison set is added, each stream with prompt parts checks whether it is quarantined; one that its engines have not answered for long enough is ended, so that they drop it. It may have run, and the caller is answered so. Test: TestPoisonFound.

--- a/oleandercove/edge/gateway/crash.go
+++ b/oleandercove/edge/gateway/crash.go
@@ -155,6 +155,20 @@
 	return n
 }
 
+// errQuarantined is the failure of an attempt that is ended because its request was quarantined.
+var errQuarantined = errors.New("request was quarantined")
+
+// leaveEngines ends a stream that has been quarantined before its engines began to answer it, so
+// that they don't crash too.
+func (s *stream) leaveEngines() step {
+	if s.passed || !s.Screener.HasPoisonPart(s.identity) {
+		return stepWait
+	}
+	s.Log.Info("stream was quarantined", "id", s.call.Request, "content", s.identity.Content, "parts", s.loggedParts(), "engine", s.chain[0].ID)
+	s.failure = errQuarantined
+	return stepFail
+}
+
 // suspectIdentity returns what the stream is recognised by, without the parts of its prompt if
 // these have passed.
 func (s *stream) suspectIdentity() screener.Identity {
--- a/oleandercove/edge/gateway/gateway.go
+++ b/oleandercove/edge/gateway/gateway.go
@@ -81,6 +81,9 @@
 	return g
 }
 
+// RecheckPoison ends the streams that have been quarantined before their engines began to answer.
+func (g *Gateway) RecheckPoison() { g.streams.poisonFound() }
+
 // Active returns the number of requests in progress.
 func (g *Gateway) Active() int64 { return g.active.Load() }
 
--- a/oleandercove/edge/gateway/relay.go
+++ b/oleandercove/edge/gateway/relay.go
@@ -58,6 +58,8 @@
 			timer.Reset(s.stallTime())
 		case <-s.engineDown:
 			next = s.scheduleReplace()
+		case <-s.poisonFound:
+			next = s.leaveEngines()
 		case <-s.replaceTimer:
 			next = s.replaceDownEngines()
 		case <-s.ctx.Done():
--- a/oleandercove/edge/gateway/resume_test.go
+++ b/oleandercove/edge/gateway/resume_test.go
@@ -87,6 +87,31 @@
 	s.Screener.RecordCrash(screener.CrashEvent{Identity: s.identity, Crash: id})
 }
 
+// Guards against engines that crash under streams which were sent before a part of their prompts
+// was quarantined, and against other streams that are ended then.
+func TestPoisonFound(t *testing.T) {
+	tests := []struct {
+		name   string
+		parts  []quarantiner.PartKey
+		passed bool
+		want   step
+	}{
+		{"stream with the part goes on", []quarantiner.PartKey{1, 7}, false, stepFail},
+		{"stream without the part is ended", []quarantiner.PartKey{1}, false, stepWait},
+		{"stream that has passed is ended", []quarantiner.PartKey{1, 7}, true, stepWait},
+		{"stream without parts is ended", nil, false, stepWait},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			s, _ := newTestStream(t, 0)
+			s.identity.Parts, s.passed = tt.parts, tt.passed
+			s.Screener.MergeParts(screener.PartUpdate{Sets: []quarantiner.PoisonSet{{Parts: []quarantiner.PartKey{7}, Weight: 15, At: s.Timer.Now()}}})
+			is.Equal(s.leaveEngines(), tt.want)
+		})
+	}
+}
+
 // Guards against a stream that is given up early because an earlier attempt counts as a run
 // although engines rejected it or it was not sent.
 func TestFallbackNotRun(t *testing.T) {
--- a/oleandercove/edge/gateway/stream.go
+++ b/oleandercove/edge/gateway/stream.go
@@ -22,6 +22,8 @@
 	ctx context.Context
 	// engineDown wakes the stream when an engine of its chain is down.
 	engineDown chan struct{}
+	// poisonFound wakes the stream when parts of prompts have been quarantined.
+	poisonFound chan struct{}
 
 	mu    sync.Mutex
 	chain backend.Chain
@@ -78,7 +80,10 @@
 // runModel answers a request for a model. It relays one attempt after the other until
 // the stream is complete or fails.
 func (j *job) runModel(ctx context.Context) {
-	s := &stream{job: j, ctx: ctx, rejectedAt: map[unit.BackendID]time.Time{}, engineDown: make(chan struct{}, 1), lastEvent: eventID(j.call.LastEvent)}
+	s := &stream{
+		job: j, ctx: ctx, rejectedAt: map[unit.BackendID]time.Time{}, engineDown: make(chan struct{}, 1), poisonFound: make(chan struct{}, 1),
+		lastEvent: eventID(j.call.LastEvent),
+	}
 	s.sequence = sequencer.After(s.lastEvent)
 	j.servedModel.Store(true)
 	j.streams.add(s)
--- a/oleandercove/edge/gateway/streams.go
+++ b/oleandercove/edge/gateway/streams.go
@@ -34,14 +34,30 @@
 	defer s.mu.Unlock()
 	for x := range s.all {
 		if x.usesEngine(id) {
-			select {
-			case x.engineDown <- struct{}{}:
-			default:
-			}
+			wake(x.engineDown)
 		}
 	}
 }
 
+// poisonFound wakes the streams whose prompts have shared parts.
+func (s *streams) poisonFound() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for x := range s.all {
+		if len(x.identity.Parts) > 0 {
+			wake(x.poisonFound)
+		}
+	}
+}
+
+// wake puts an element into a channel unless one is waiting there.
+func wake(c chan<- struct{}) {
+	select {
+	case c <- struct{}{}:
+	default:
+	}
+}
+
 // usesEngine reports whether the chain contains the engine.
 func (s *stream) usesEngine(id unit.BackendID) bool {
 	s.mu.Lock()
--- a/oleandercove/edge/runner/runner.go
+++ b/oleandercove/edge/runner/runner.go
@@ -134,7 +134,7 @@
 	b := budgeter.New(budgeter.Options{
 		Share: s.Bounds.RetryShare, Reserve: s.Bounds.RetryReserve, Hosts: func() int { return a.KnownHostCount() }, Timer: r.timer,
 	})
-	r.screener = screener.New(screener.Options{Timer: r.timer, Log: r.log.WithPrefix("screener"), FlushNow: func() { a.FlushNow() }})
+	r.screener = screener.New(screener.Options{Timer: r.timer, Log: r.log.WithPrefix("screener"), FlushNow: func() { a.FlushNow() }, OnPoison: func() { r.gateway.RecheckPoison() }})
 	r.gateway = gateway.New(gateway.Options{
 		Directory: r.directory, Exchanger: x, Judge: j, Ledger: l, Rerouter: engines, Prober: p, Timer: r.timer,
 		Log: r.log.WithPrefix("gateway"), Meter: gateway.NewMeter(r.metrics.scope),
--- a/oleandercove/edge/screener/parts.go
+++ b/oleandercove/edge/screener/parts.go
@@ -68,6 +68,14 @@
 	s.partOutbox.add(s.parts.Pass(id.Parts, now), now)
 }
 
+// HasPoisonPart reports whether the parts of the request's prompt contain a poison set.
+func (s *Screener) HasPoisonPart(id Identity) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	_, ok := s.parts.Match(id.Parts, s.options.Timer.Now())
+	return ok
+}
+
 // evaluateParts looks for poison parts if crashes are due for that. The caller holds the lock.
 func (s *Screener) evaluateParts(now time.Time) {
 	if !s.parts.Due(now) {
--- a/oleandercove/edge/screener/screener.go
+++ b/oleandercove/edge/screener/screener.go
@@ -191,10 +191,12 @@
 // another call of Enter. A request with two strong crash records may not, nor one with a
 // poison part.
 func (s *Screener) MayReroute(id Identity) bool {
+	if s.HasPoisonPart(id) {
+		return false
+	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	_, poison := s.parts.Match(id.Parts, s.options.Timer.Now())
-	return !poison && len(s.history.StrongRecords(id.Content)) < 2
+	return len(s.history.StrongRecords(id.Content)) < 2
 }
 
 // CrashedServers returns the servers for which the request has crash records; nil for a
