--- a/oleandercove/edge/gateway/gateway.go
+++ b/oleandercove/edge/gateway/gateway.go
@@ -9,6 +9,7 @@
 
 import (
 	"context"
+	"fmt"
 	"net/http"
 	"sync/atomic"
 	"time"
@@ -121,9 +122,9 @@
 // maxLoggedParts bounds the parts of a prompt in a log line.
 const maxLoggedParts = 8
 
-// loggedParts returns the first shared parts of the prompt.
-func (j *job) loggedParts() []unit.PartID {
-	return j.call.SharedParts[:min(len(j.call.SharedParts), maxLoggedParts)]
+// loggedParts returns the first shared parts of the prompt in hexadecimal.
+func (j *job) loggedParts() string {
+	return fmt.Sprint(j.call.SharedParts[:min(len(j.call.SharedParts), maxLoggedParts)])
 }
 
 // ServeHTTP answers one request.
--- a/oleandercove/edge/screener/parts.go
+++ b/oleandercove/edge/screener/parts.go
@@ -1,6 +1,7 @@
 package screener
 
 import (
+	"fmt"
 	"time"
 
 	"oleandercove.example/oleandercove/quarantiner"
@@ -84,7 +85,7 @@
 	added, share := s.parts.Evaluate(now)
 	s.partOutbox.add(share, now)
 	for _, set := range added {
-		s.options.Log.Warn("prompt parts quarantined", "parts", set.Parts, "weight", set.Weight)
+		s.options.Log.Warn("prompt parts quarantined", "parts", fmt.Sprint(set.Parts), "weight", set.Weight)
 	}
 	if len(added) > 0 {
 		s.setsChanged(now)
@@ -129,7 +130,7 @@
 		added, share := s.parts.MergeSet(set, now)
 		s.partOutbox.add(share, now)
 		if added {
-			s.options.Log.Info("peer quarantined prompt parts", "parts", set.Parts, "weight", set.Weight)
+			s.options.Log.Info("peer quarantined prompt parts", "parts", fmt.Sprint(set.Parts), "weight", set.Weight)
 			s.setsChanged(now)
 		}
 	}
@@ -153,3 +154,11 @@
 	}
 	return records
 }
+
+// maxLoggedParts bounds the parts in a log line.
+const maxLoggedParts = 8
+
+// loggedParts returns the first parts in hexadecimal.
+func loggedParts(parts []quarantiner.PartKey) string {
+	return fmt.Sprint(parts[:min(len(parts), maxLoggedParts)])
+}
--- a/oleandercove/edge/screener/screener.go
+++ b/oleandercove/edge/screener/screener.go
@@ -269,7 +269,7 @@
 	if e.Broken {
 		what = "connection broke under a request"
 	}
-	s.options.Log.Warn(what, "id", e.Request, "content", e.Content, "parts", e.Parts, "crash", e.Crash,
+	s.options.Log.Warn(what, "id", e.Request, "content", e.Content, "parts", loggedParts(e.Parts), "crash", e.Crash,
 		"position", e.Position, "progressed", e.Progressed, "marks", records)
 	if share {
 		s.flush()
