--- a/oleanderfake/imitator/signals.go
+++ b/oleanderfake/imitator/signals.go
@@ -10,6 +10,7 @@
 	headerLeaving    = "Server-Leaving"
 	headerRetryAfter = "Retry-After"
 	headerInstance   = "X-Oleandercove-Instance-Id"
+	headerLimit      = "Server-Limit"
 	healthPath       = "/healthz"
 )
 
@@ -19,6 +20,9 @@
 	LeavingNotice atomic.Bool
 	// Rejection rejects all requests, if it is set.
 	Rejection atomic.Pointer[Rejection]
+	// Limit is named in all responses as the number of requests a second that the server
+	// takes, if it is set. The server does not enforce it.
+	Limit atomic.Pointer[string]
 }
 
 // Rejection is a rejection of requests: status 503 with the time after which to retry.
@@ -35,6 +39,8 @@
 	// Leaving and RetryAfter are the signals in the response.
 	Leaving    bool
 	RetryAfter string
+	// Limit is the limit that the response names, or empty.
+	Limit string
 }
 
 // setLeavingHeader adds the leaving notice to a response if LeavingNotice is set.
@@ -47,6 +53,10 @@
 // recordArrival records a request and rejects it if Rejection is set.
 func (s *Signals) recordArrival(runs *Runs, server string, w http.ResponseWriter, attempt string) (rejected bool) {
 	a := Arrival{Server: server, Attempt: attempt, At: time.Now(), Leaving: s.LeavingNotice.Load()}
+	if limit := s.Limit.Load(); limit != nil {
+		a.Limit = *limit
+		w.Header().Set(headerLimit, *limit)
+	}
 	x := s.Rejection.Load()
 	if x != nil {
 		a.RetryAfter = x.RetryAfter
