throttler: keep the limits that servers name, for the whole fleet

Backend servers in need name in their answers the requests a second that they take from all hosts together, and got twice as many.

Cause: no daemon read Server-Limit. A limit that each daemon keeps for itself would not help: each of the six sent 2.6 a second.

Change: edge/throttler. Each daemon divides the limit, less a tenth, among the live daemons, of which rendezvous hashing selects as many as each can have one request a second, and keeps a token bucket for its share. No exchange is needed while the limit lasts; changes are broadcast in beacons for three seconds, at most 64 in each. A daemon without a share sends one request after ten seconds or more, by the size of the fleet, to learn of an end that it did not hear of. Only the first engine of a chain counts: one that is at its limit may still be a later one. What finds no server below its limit is refused at once, with the time of the next share as Retry-After.

Why it works: live daemons agree on their number within some beacons, and the shares of all add up to the limit; half of it more is allowed meanwhile.

--- a/core/backend/backend.go
+++ b/core/backend/backend.go
@@ -184,4 +184,8 @@
 	// Backoff is the time for which this host must send no requests to the server; 0 means
 	// none.
 	Backoff time.Duration
+	// Limited is set if the server names the Limit of requests that it takes from all hosts
+	// together, until a response without one.
+	Limited bool
+	Limit   unit.RequestsPerSecond
 }
--- a/core/unit/unit.go
+++ b/core/unit/unit.go
@@ -67,5 +67,8 @@
 // TokensPerSecond is a rate of generated tokens.
 type TokensPerSecond float64
 
+// RequestsPerSecond is a rate of requests.
+type RequestsPerSecond float64
+
 // BytesPerSecond is a link rate.
 type BytesPerSecond float64
--- a/oleandercove/edge/announcer/announcer.go
+++ b/oleandercove/edge/announcer/announcer.go
@@ -41,6 +41,7 @@
 	"oleandercove.example/oleandercove/edge/judge"
 	"oleandercove.example/oleandercove/edge/ledger"
 	"oleandercove.example/oleandercove/edge/screener"
+	"oleandercove.example/oleandercove/edge/throttler"
 )
 
 const (
@@ -88,6 +89,7 @@
 	Ledger    *ledger.Ledger
 	Budgeter  *budgeter.Budgeter
 	Screener  *screener.Screener
+	Throttler *throttler.Throttler
 	Timer     timer.Service
 	Log       *log.Logger
 	// HasServedModel reports whether this daemon has forwarded a model request.
--- a/oleandercove/edge/announcer/receive.go
+++ b/oleandercove/edge/announcer/receive.go
@@ -35,6 +35,9 @@
 	if len(b.Passes)+len(b.PoisonSets) > 0 {
 		a.Screener.MergeParts(decodePassesAndSets(&b, now))
 	}
+	if len(b.Limits) > 0 {
+		a.Throttler.Merge(decodeLimits(b.Limits, now))
+	}
 	for _, l := range b.LeavingServers {
 		at := now.Add(-time.Duration(l.AgeMs) * time.Millisecond)
 		a.Directory.RecordLeaving(directory.LeavingNotice{Server: unit.BackendID(l.Server), Born: backend.Incarnation(l.Born), At: at}, false, now)
--- a/oleandercove/edge/announcer/send.go
+++ b/oleandercove/edge/announcer/send.go
@@ -109,6 +109,7 @@
 	}
 	b.Crashes = encodeCrashes(a.Screener.Records(now), now)
 	encodePassesAndSets(b, a.Screener.PartUpdate(now), now)
+	b.Limits = encodeLimits(a.Throttler.Marks(now), now)
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	a.lastNumber++
--- a/oleandercove/edge/gateway/call.go
+++ b/oleandercove/edge/gateway/call.go
@@ -55,7 +55,7 @@
 		}
 		defer release()
 		excluded = exclusions{}
-		s, ok := j.pickServer(tried, j.Screener.CrashedServers(j.identity.Content), &excluded)
+		s, ok := j.takeServer(tried, j.Screener.CrashedServers(j.identity.Content), &excluded)
 		if !ok || (sent > 0 && j.Budgeter.TakeRetry(j.service.Name) != nil) {
 			break
 		}
@@ -120,6 +120,18 @@
 // idempotent reports whether the route allows a second run.
 func (j *job) idempotent() bool { return j.route.Repeat != 0 }
 
+// takeServer does the same as pickServer, and takes the right to send a request to a server that
+// names a limit.
+func (j *job) takeServer(tried, withRecords map[unit.BackendID]bool, excluded *exclusions) (backend.Server, bool) {
+	for {
+		s, ok := j.pickServer(tried, withRecords, excluded)
+		// Another request may have taken the last one since the choice.
+		if !ok || j.Throttler.Take(s) {
+			return s, ok
+		}
+	}
+}
+
 // pickServer returns the server with the lowest expected delay that has not been tried.
 // The servers in withRecords, which have a crash record of the same content, come last.
 // Servers that must not be chosen now are added to excluded.
@@ -135,6 +147,10 @@
 		if tried[s.ID] {
 			continue
 		}
+		if ok, until := j.Throttler.Allows(s); !ok {
+			excluded.addLimited(s, until)
+			continue
+		}
 		c := j.serverCost(s, now)
 		if withRecords[s.ID] {
 			c *= crashRecordFactor
--- a/oleandercove/edge/gateway/call_test.go
+++ b/oleandercove/edge/gateway/call_test.go
@@ -23,6 +23,7 @@
 	"oleandercove.example/oleandercove/edge/judge"
 	"oleandercove.example/oleandercove/edge/ledger"
 	"oleandercove.example/oleandercove/edge/screener"
+	"oleandercove.example/oleandercove/edge/throttler"
 )
 
 // Guards against a call that is given up while its server works on it and its caller waits,
@@ -49,7 +50,7 @@
 	g := &Gateway{Options: Options{
 		Log: logger.Discard(), Meter: NewMeter(tally.NoopScope), Judge: judge.New(), Timer: clock,
 		Directory: directory.New(logger.Discard()), Ledger: ledger.New(), Exchanger: exchanger.New(exchanger.Options{Identify: func(int, http.Header) unit.RequestID { return "" }}),
-		Screener: screener.New(screener.Options{Timer: clock, Log: logger.Discard()}),
+		Screener: screener.New(screener.Options{Timer: clock, Log: logger.Discard()}), Throttler: throttler.New(throttler.Options{Timer: clock, Log: logger.Discard()}),
 		Budgeter: budgeter.New(budgeter.Options{Reserve: 10, Hosts: func() int { return 1 }, Timer: clock}),
 	}}
 	w := httptest.NewRecorder()
--- a/oleandercove/edge/gateway/gateway.go
+++ b/oleandercove/edge/gateway/gateway.go
@@ -29,6 +29,7 @@
 	"oleandercove.example/oleandercove/edge/prober"
 	"oleandercove.example/oleandercove/edge/rationer"
 	"oleandercove.example/oleandercove/edge/screener"
+	"oleandercove.example/oleandercove/edge/throttler"
 	"oleandercove.example/platform"
 )
 
@@ -53,6 +54,7 @@
 	Rationer  *rationer.Rationer
 	Screener  *screener.Screener
 	Deferrer  *deferrer.Deferrer
+	Throttler *throttler.Throttler
 	// OnLeaving is called when a backend server first announces that it is leaving.
 	OnLeaving func()
 	// DataCentre is where this daemon runs.
@@ -152,12 +154,13 @@
 // send sends the request to a backend server and handles the signals in its response.
 func (j *job) send(ctx context.Context, a backend.Address, m backend.RequestMetadata) (*exchanger.Exchange, error) {
 	m.Account, m.TimeLeft = j.account, j.timeLeft()
+	sentAt := j.Timer.Now()
 	e, err := j.Exchanger.Send(ctx, a, &exchanger.Request{
 		ID: j.call.Request, Method: j.r.Method, Target: j.r.RequestURI, Host: j.r.Host,
 		Header: platform.EncodeRequestMetadata(j.r.Header, m), Body: j.body,
 	})
 	if err == nil {
-		j.handleSignals(m.Server, platform.DecodeResponseMetadata(e.Response.StatusCode, e.Response.Header))
+		j.handleSignals(m.Server, platform.DecodeResponseMetadata(e.Response.StatusCode, e.Response.Header), sentAt)
 	}
 	return e, err
 }
--- a/oleandercove/edge/gateway/path.go
+++ b/oleandercove/edge/gateway/path.go
@@ -120,9 +120,13 @@
 			s.excluded.add(x, reason, s.Judge.BackoffSince(x.ID), until)
 			continue
 		}
+		mayStart, until := s.Throttler.Allows(x)
+		if !mayStart && x.Layers.From == 0 {
+			s.excluded.addLimited(x, until)
+		}
 		limit, limited := s.Judge.LoadLimit(x.ID, now)
 		out = append(out, pathfinder.Engine{
-			ID: x.ID, Address: x.Address, DataCentre: x.DataCentre, Layers: x.Layers, Card: s.service.Engine.Card(x.Card),
+			ID: x.ID, Address: x.Address, DataCentre: x.DataCentre, Layers: x.Layers, NotFirst: !mayStart, Card: s.service.Engine.Card(x.Card),
 			Load: s.Ledger.Load(x.ID), Limited: limited, LoadLimit: limit, EstimatedLoad: s.Ledger.EstimateUnreported(x.ID), Slowdown: s.Judge.Rate(x.ID, now).Factor,
 		})
 	}
--- a/oleandercove/edge/gateway/stale_test.go
+++ b/oleandercove/edge/gateway/stale_test.go
@@ -20,6 +20,7 @@
 	"oleandercove.example/oleandercove/edge/judge"
 	"oleandercove.example/oleandercove/edge/ledger"
 	"oleandercove.example/oleandercove/edge/screener"
+	"oleandercove.example/oleandercove/edge/throttler"
 	"oleandercove.example/platform"
 )
 
@@ -73,6 +74,7 @@
 	g := newTestGateway()
 	g.DataCentre, g.Judge, g.Ledger = "x", judge.New(), ledger.New()
 	g.Exchanger = newTestExchanger()
+	g.Throttler = throttler.New(throttler.Options{Timer: g.Timer, Log: g.Log})
 	g.Screener = screener.New(screener.Options{Timer: g.Timer, Log: g.Log})
 	g.Budgeter = budgeter.New(budgeter.Options{Share: 1, Reserve: 100, Hosts: func() int { return 1 }, Timer: g.Timer})
 	config := `{"version":1,"services":[{"name":"s"}],"routes":[{"name":"r","hostname":"x","path_prefix":"/","service":"s","max_attempts":2,"route_type":"` + routeType + `"}]}`
--- a/oleandercove/edge/gateway/stream.go
+++ b/oleandercove/edge/gateway/stream.go
@@ -163,9 +163,11 @@
 func (s *stream) nextPath() (pathfinder.Path, *verdict.Error) {
 	if p := s.reservedPath; p != nil {
 		s.reservedPath = nil
-		return *p, nil
+		if s.takeStart(*p) {
+			return *p, nil
+		}
 	}
-	p, err := s.choosePath("")
+	p, err := s.chooseStart()
 	if s.sends == 0 {
 		s.Deferrer.Record(s.service.Name, err == nil, s.Timer.Now())
 	}
@@ -182,6 +184,24 @@
 	return p, nil
 }
 
+// chooseStart finds a chain and takes the right to send a request to its first engine, if that
+// names a limit.
+func (s *stream) chooseStart() (pathfinder.Path, *verdict.Error) {
+	for {
+		p, err := s.choosePath("")
+		// Another request may have taken the last one since the choice.
+		if err != nil || s.takeStart(p) {
+			return p, err
+		}
+	}
+}
+
+// takeStart takes the right to send a request to the first engine of a path.
+func (s *stream) takeStart(p pathfinder.Path) bool {
+	x, ok := s.Directory.Servers().Get(p.Chain[0].ID)
+	return !ok || s.Throttler.Take(x)
+}
+
 // stopAttempts stops the running attempt and the fallback.
 func (s *stream) stopAttempts() {
 	s.attempt.stop()
--- a/oleandercove/edge/gateway/stream_test.go
+++ b/oleandercove/edge/gateway/stream_test.go
@@ -29,6 +29,7 @@
 	"oleandercove.example/oleandercove/edge/pathfinder"
 	"oleandercove.example/oleandercove/edge/prober"
 	"oleandercove.example/oleandercove/edge/screener"
+	"oleandercove.example/oleandercove/edge/throttler"
 	"oleandercove.example/oleandercove/quarantiner"
 )
 
@@ -59,7 +60,7 @@
 	clock, j := timer.NewReal(), judge.New()
 	g := &Gateway{Options: Options{
 		Log: logger.Discard(), Judge: j, Timer: clock, Directory: directory.New(logger.Discard()), Ledger: ledger.New(),
-		Screener: screener.New(screener.Options{Timer: clock, Log: logger.Discard()}), Deferrer: deferrer.New(),
+		Screener: screener.New(screener.Options{Timer: clock, Log: logger.Discard()}), Throttler: throttler.New(throttler.Options{Timer: clock, Log: logger.Discard()}), Deferrer: deferrer.New(),
 	}}
 	s := &stream{
 		job: &job{
--- a/oleandercove/edge/pathfinder/pathfinder.go
+++ b/oleandercove/edge/pathfinder/pathfinder.go
@@ -63,6 +63,8 @@
 	LoadLimit unit.TokenLayers
 	// Slowdown is the factor by which the engine runs slower than usual, at least 1.
 	Slowdown float64
+	// NotFirst is set for an engine at which no new chain may begin.
+	NotFirst bool
 }
 
 // Request holds the size of a request and the constraints on its chain.
@@ -150,7 +152,7 @@
 	best, cost := -1, math.Inf(1)
 	for i, e := range engines {
 		used := float64(e.Load.Tokens)
-		if e.Load.Running >= m.Slots || r.tokens() > e.freeMemory(unit.TokenLayers(m.TokenCapacity)) {
+		if e.NotFirst || e.Load.Running >= m.Slots || r.tokens() > e.freeMemory(unit.TokenLayers(m.TokenCapacity)) {
 			continue
 		}
 		c := e.Slowdown * (1 + float64(e.Load.Running) + used/float64(max(1, m.TokenCapacity)))
--- a/oleandercove/edge/pathfinder/search.go
+++ b/oleandercove/edge/pathfinder/search.go
@@ -111,6 +111,9 @@
 	if s.firstEngine != "" {
 		return c.ID == s.firstEngine
 	}
+	if c.NotFirst {
+		return false
+	}
 	return s.model.Slots == 0 || float64(c.Load.ChainStarts) < slotShare*float64(s.model.Slots)
 }
 
--- a/oleandercove/edge/runner/runner.go
+++ b/oleandercove/edge/runner/runner.go
@@ -44,6 +44,7 @@
 	"oleandercove.example/oleandercove/edge/rationer"
 	"oleandercove.example/oleandercove/edge/screener"
 	"oleandercove.example/oleandercove/edge/settings"
+	"oleandercove.example/oleandercove/edge/throttler"
 	"oleandercove.example/oleandercove/leaser"
 	"oleandercove.example/platform"
 )
@@ -135,15 +136,18 @@
 		Share: s.Bounds.RetryShare, Reserve: s.Bounds.RetryReserve, Hosts: func() int { return a.KnownHostCount() }, Timer: r.timer,
 	})
 	r.screener = screener.New(screener.Options{Timer: r.timer, Log: r.log.WithPrefix("screener"), FlushNow: func() { a.FlushNow() }, OnPoison: func() { r.gateway.RecheckPoison() }})
+	th := throttler.New(throttler.Options{
+		Self: s.Host, Live: func() []unit.HostID { return a.LiveHosts() }, Settled: func() bool { return a.Settled() }, Timer: r.timer, Log: r.log.WithPrefix("throttler"),
+	})
 	r.gateway = gateway.New(gateway.Options{
 		Directory: r.directory, Exchanger: x, Judge: j, Ledger: l, Rerouter: engines, Prober: p, Timer: r.timer,
 		Log: r.log.WithPrefix("gateway"), Meter: gateway.NewMeter(r.metrics.scope),
 		Budgeter: b, Rationer: rationer.New(rationer.Options{Part: b.Part, Timer: r.timer}),
-		Screener: r.screener, Deferrer: deferrer.New(), OnLeaving: func() { a.FlushNow() }, DataCentre: s.DataCentre, KeyRevocation: s.Bounds.KeyRevocation.Std(),
+		Screener: r.screener, Deferrer: deferrer.New(), Throttler: th, OnLeaving: func() { a.FlushNow() }, DataCentre: s.DataCentre, KeyRevocation: s.Bounds.KeyRevocation.Std(),
 	})
 	a, err := announcer.New(announcer.Options{
 		Host: s.Host, DataCentre: s.DataCentre, Address: s.BeaconAddress(), PeerAddress: s.PeerAddress(), Seeds: r.seeds(), Registry: store,
-		Directory: r.directory, Judge: j, Ledger: l, Budgeter: b, Screener: r.screener, Timer: r.timer, Log: r.log.WithPrefix("announcer"),
+		Directory: r.directory, Judge: j, Ledger: l, Budgeter: b, Screener: r.screener, Throttler: th, Timer: r.timer, Log: r.log.WithPrefix("announcer"),
 		HasServedModel: r.gateway.HasServedModel, EngineStates: r.engineStates, ProbeSuspect: p.ProbeSuspect, FetchConfiguration: fetchConfiguration,
 	})
 	if err != nil {
