exchanger: TestEndlessHeap does not depend on when garbage is collected

The test added up the heap in use, in which there is what the collector has not freed yet. The exchanger is as before. Unbounded heads would fail both.

--- a/oleandercove/edge/exchanger/endless_test.go
+++ b/oleandercove/edge/exchanger/endless_test.go
@@ -109,10 +109,13 @@
 	for range endlessServers {
 		err := <-errs
 		is.True(errors.Is(err, receiver.ErrHeadTooLarge))
+		// What has not been collected yet depends on the load of the machine.
+		runtime.GC()
 		runtime.ReadMemStats(&after)
 		peak = max(peak, after.HeapInuse)
 	}
-	is.True(peak-before.HeapInuse < heapLimit) // growth of the heap
+	is.True(peak-before.HeapInuse < heapLimit)                // growth of the heap
+	is.True(after.TotalAlloc-before.TotalAlloc < 2*heapLimit) // memory that is allocated at all
 }
 
 // sendConnected sends a request, and retries while no connection can be made. On a busy
