gateway: requests that are late in the grace time are refused, and what can't finish is answered

Another operator saw, in a planned stop of one host in calm, requests that came late in the grace time taken, passed on and cut without an answer at its end, among them ones that may not be repeated. It could happen here in two ways.

Cause: whether the daemon refuses new requests was checked before the body of a request was read, and a body may take until late in the grace time. And what had not finished at the end of the grace time was cut, also where nothing of an answer had been sent. Change: the check is repeated after the body. At the end of the grace time requests are ended by their context, so that each without an answer gets one: 504, which promises nothing, if it may have run. Streams that have begun are cut as before.

--- a/oleandercove/edge/gateway/call_test.go
+++ b/oleandercove/edge/gateway/call_test.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"context"
 	"encoding/json"
 	"fmt"
 	"net/http"
@@ -47,7 +48,7 @@
 // newTestCall returns a call of a plain service that may be repeated.
 func newTestCall(deadline time.Duration) (*job, *httptest.ResponseRecorder) {
 	clock := timer.NewReal()
-	g := &Gateway{Options: Options{
+	g := &Gateway{ending: context.Background(), Options: Options{
 		Log: logger.Discard(), Meter: NewMeter(tally.NoopScope), Judge: judge.New(), Timer: clock,
 		Directory: directory.New(logger.Discard()), Ledger: ledger.New(), Exchanger: exchanger.New(exchanger.Options{Identify: func(int, http.Header) unit.RequestID { return "" }}),
 		Screener: screener.New(screener.Options{Timer: clock, Log: logger.Discard()}), Throttler: throttler.New(throttler.Options{Timer: clock, Log: logger.Discard()}),
--- a/oleandercove/edge/gateway/gateway.go
+++ b/oleandercove/edge/gateway/gateway.go
@@ -71,7 +71,10 @@
 	keepAlivesDisabled atomic.Bool
 	// refusing is set once new requests might not finish before the daemon stops.
 	refusing atomic.Bool
-	active   atomic.Int64
+	// ending is done once running requests must be answered at once; end ends it.
+	ending context.Context
+	end    context.CancelFunc
+	active atomic.Int64
 	// servedModel is set once a model request has been accepted.
 	servedModel atomic.Bool
 }
@@ -80,6 +83,7 @@
 // engines that are down.
 func New(o Options) *Gateway {
 	g := &Gateway{Options: o}
+	g.ending, g.end = context.WithCancel(context.Background())
 	o.Judge.OnDown(g.streams.interrupt)
 	return g
 }
@@ -100,6 +104,10 @@
 // daemon at once; running requests continue.
 func (g *Gateway) RefuseNewRequests() { g.refusing.Store(true) }
 
+// EndRequests ends the running requests at the end of the grace time. Those without an answer are
+// answered that they may have run; streams that have begun are cut.
+func (g *Gateway) EndRequests() { g.end() }
+
 // job is the state of one request of a caller.
 type job struct {
 	*Gateway
@@ -144,6 +152,7 @@
 	}
 	ctx, cancel := context.WithDeadline(r.Context(), j.deadline)
 	defer cancel()
+	defer context.AfterFunc(g.ending, cancel)()
 	if j.service != nil && j.service.Engine != nil {
 		j.runModel(ctx)
 		return
--- a/oleandercove/edge/gateway/prepare.go
+++ b/oleandercove/edge/gateway/prepare.go
@@ -30,8 +30,8 @@
 
 // prepare identifies the request and reads its body.
 func (j *job) prepare() *verdict.Error {
-	if j.refusing.Load() {
-		return verdict.New(verdict.NotRun, verdict.Draining, "daemon is shutting down").WithRetryAfter(drainingRetryAfter)
+	if err := j.checkShutdown(); err != nil {
+		return err
 	}
 	table := j.awaitTable()
 	if table == nil {
@@ -48,6 +48,10 @@
 	if err := j.readBody(limits); err != nil {
 		return err
 	}
+	// The body may have taken until late in the grace time.
+	if err := j.checkShutdown(); err != nil {
+		return err
+	}
 	j.identity.Content = screener.Content{
 		Method: j.r.Method, Host: j.r.Host, Target: j.r.RequestURI, Account: j.account, Body: j.body,
 	}.Fingerprint()
@@ -55,6 +59,14 @@
 	return nil
 }
 
+// checkShutdown refuses the request if it might not finish before the daemon stops.
+func (j *job) checkShutdown() *verdict.Error {
+	if !j.refusing.Load() {
+		return nil
+	}
+	return verdict.New(verdict.NotRun, verdict.Draining, "daemon is shutting down").WithRetryAfter(drainingRetryAfter)
+}
+
 // awaitTable returns the look-up tables of the configuration, or nil if none is known within
 // startWait.
 //
--- a/oleandercove/edge/gateway/refusal_test.go
+++ b/oleandercove/edge/gateway/refusal_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"context"
 	"encoding/json"
 	"fmt"
 	"io"
@@ -39,7 +40,7 @@
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
 			is := is.New(t)
-			g := &Gateway{Options: Options{Log: log.New(io.Discard), Meter: NewMeter(tally.NoopScope)}}
+			g := &Gateway{ending: context.Background(), Options: Options{Log: log.New(io.Discard), Meter: NewMeter(tally.NoopScope)}}
 			server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 				j := &job{Gateway: g, w: w, r: r, arrivedAt: time.Now(), deadline: time.Now().Add(time.Second)}
 				j.refuse(verdict.New(verdict.NotRun, tt.reason, "refused"))
@@ -151,7 +152,7 @@
 }
 
 func newTestGateway() *Gateway {
-	return &Gateway{Options: Options{
+	return &Gateway{ending: context.Background(), Options: Options{
 		Log: logger.Discard(), Meter: NewMeter(tally.NoopScope), Directory: directory.New(logger.Discard()), Timer: timer.NewReal(), KeyRevocation: 5 * time.Second,
 	}}
 }
--- a/oleandercove/edge/runner/shutdown.go
+++ b/oleandercove/edge/runner/shutdown.go
@@ -19,15 +19,18 @@
 	balancerDelay = 2500 * time.Millisecond
 	// graceMargin is reserved at the end of the grace time for the last steps.
 	graceMargin = 700 * time.Millisecond
+	// lastAnswerTime is how long requests that have not finished by then may take to be answered.
+	lastAnswerTime = 300 * time.Millisecond
 	// settingsPollInterval is the time between two checks of the settings file, which
 	// may change without a signal.
 	settingsPollInterval = 5 * time.Second
 )
 
 // shutDown lets running requests finish. It blocks until they have and the lease is
-// released, until graceMargin before the end of the grace time at most. Requests on
-// open connections are accepted for balancerDelay, until the load balancer sends no more,
-// and refused after that, because they might not finish.
+// released, until graceMargin before the end of the grace time at most, and lets those that
+// have not finished be answered then. Requests on open connections are accepted for
+// balancerDelay, until the load balancer sends no more, and refused after that, because they
+// might not finish.
 func (r *Runner) shutDown(stopControl func(), controllers *conc.WaitGroup) {
 	start := time.Now()
 	limit := start.Add(r.settings.Bounds.Grace.Std() - graceMargin)
@@ -45,17 +48,31 @@
 	r.gateway.RefuseNewRequests()
 	ctx, cancel := context.WithDeadline(context.Background(), limit)
 	defer cancel()
-	for _, s := range r.servers {
-		if err := s.Shutdown(ctx); err != nil {
-			r.log.Warn("grace time ended; remaining requests are cut off", "active", r.gateway.Active(), "err", err)
-		}
-	}
+	r.stopServers(ctx)
 	select {
 	case <-controllersDone:
 	case <-ctx.Done():
 	}
 }
 
+// stopServers blocks until the servers have stopped. At the end of ctx the remaining requests are
+// ended, and their answers written within lastAnswerTime.
+func (r *Runner) stopServers(ctx context.Context) {
+	stop := context.AfterFunc(ctx, func() {
+		r.log.Warn("grace time ended; remaining requests are ended", "active", r.gateway.Active())
+		r.gateway.EndRequests()
+	})
+	defer stop()
+	deadline, _ := ctx.Deadline()
+	last, cancel := context.WithDeadline(context.Background(), deadline.Add(lastAnswerTime))
+	defer cancel()
+	for _, s := range r.servers {
+		if err := s.Shutdown(last); err != nil {
+			r.log.Warn("remaining requests are cut off", "active", r.gateway.Active(), "err", err)
+		}
+	}
+}
+
 // watchSettings checks the settings file after SIGHUP and after each change, until ctx
 // is done. It logs the result; a running daemon keeps its settings.
 func (r *Runner) watchSettings(ctx context.Context) {
