prover/edge: the soak draws limits that servers name

A plain server and an engine name a limit of 6 a second for up to a second, and no server may get more requests than its limit allows.

--- a/prover/edge/soak_test.go
+++ b/prover/edge/soak_test.go
@@ -171,7 +171,7 @@
 	i := s.rng.IntN(len(s.routers))
 	r, endpoint := s.routers[i], s.endpoints[i]
 	p, e := s.Servers()[s.rng.IntN(len(s.Servers()))], s.Engines()[s.rng.IntN(len(s.Engines()))]
-	switch s.rng.IntN(11) {
+	switch s.rng.IntN(12) {
 	case 0:
 		s.recordDisruption(i)
 		r.Kill()
@@ -209,6 +209,14 @@
 		e.Rejection.Store(&imitator.Rejection{RetryAfter: "1.5"})
 		return func() { e.Rejection.Store(nil) }
 	case 9:
+		limit := "6"
+		p.Limit.Store(&limit)
+		e.Limit.Store(&limit)
+		return func() {
+			p.Limit.Store(nil)
+			e.Limit.Store(nil)
+		}
+	case 10:
 		p.Full.Store(true)
 		return func() { p.Full.Store(false) }
 	default:
@@ -248,6 +256,9 @@
 	if n := maxArrivalsInBackoff(arrivals, s.disruptions); n > maxBackoffArrivals {
 		t.Errorf("%d requests reached a server within its Retry-After time", n)
 	}
+	if worst := requestsOverLimit(arrivals, s.disruptions); worst.got > worst.allowed {
+		t.Errorf("more requests than a server's limit allows: %+v", worst)
+	}
 	crashes := s.Crashes()
 	// Crashes without an attempt are replacements of servers.
 	crashes = slices.DeleteFunc(crashes, func(c imitator.Crash) bool { return c.Attempt == "" })
