screener, runner: the dump lists the quarantined parts of prompts

Cause: an operator could see the quarantined contents in the dump, and parts only in the logs of their time. Change: RefusedParts. The refusal of a request that waited for missing records says so.

--- a/oleandercove/edge/runner/metrics.go
+++ b/oleandercove/edge/runner/metrics.go
@@ -55,6 +55,9 @@
 	Servers   []backend.Server
 	// Refused are the quarantined requests, which are not sent to backend servers.
 	Refused []screener.Case
+	// RefusedParts are the quarantined parts of prompts; requests with all parts of a case are
+	// not sent to backend servers.
+	RefusedParts []screener.PartCase
 }
 
 // dump writes the current state of the daemon as JSON.
@@ -62,7 +65,7 @@
 	s := state{
 		Host: r.settings.Host, Active: r.gateway.Active(), Peers: r.announcer.LiveHosts(),
 		Leases: r.leaser.States(), Servers: r.directory.Servers().All(),
-		Refused: r.screener.Cases(),
+		Refused: r.screener.Cases(), RefusedParts: r.screener.PartCases(),
 	}
 	if conf := r.directory.Configuration(); conf != nil {
 		s.Version, s.Revision, s.Confirmed = conf.Table.Configuration.Version, conf.Revision, r.timer.Now().Sub(conf.ConfirmedAt)
--- a/oleandercove/edge/screener/parts.go
+++ b/oleandercove/edge/screener/parts.go
@@ -136,6 +136,30 @@
 	}
 }
 
+// PartCase is a set of parts of prompts that is quarantined.
+type PartCase struct {
+	// Parts are the keys of the parts in hexadecimal.
+	Parts []string
+	// Age is the time since the last crash, in nanoseconds.
+	Age time.Duration
+}
+
+// PartCases returns the parts of prompts that are quarantined.
+func (s *Screener) PartCases() []PartCase {
+	now := s.options.Timer.Now()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var out []PartCase
+	for _, set := range s.parts.Sets(now) {
+		c := PartCase{Age: now.Sub(set.At)}
+		for _, p := range set.Parts {
+			c.Parts = append(c.Parts, p.String())
+		}
+		out = append(out, c)
+	}
+	return out
+}
+
 // withoutParts returns the record as it is kept for the content alone.
 func withoutParts(rec quarantiner.CrashRecord) quarantiner.CrashRecord {
 	rec.Parts = nil
--- a/oleandercove/edge/screener/screener.go
+++ b/oleandercove/edge/screener/screener.go
@@ -159,7 +159,7 @@
 			return nil, s.refusal(id)
 		case !now.Before(limit):
 			return nil, verdict.New(verdict.NotRun, verdict.Quarantined,
-				"request content %s is under suspicion of ending backend servers, and another copy of it runs", id.Content).WithRetryAfter(copyRetryAfter)
+				"request content %s or a part of its prompt is under suspicion of ending backend servers, and another copy of it runs or records are missing", id.Content).WithRetryAfter(copyRetryAfter)
 		}
 		if s.options.Timer.Sleep(ctx, pollInterval) != nil {
 			return nil, verdict.New(verdict.NotRun, verdict.DeadlineExceeded, "no time left to check request content %s", id.Content)
