--- a/prover/edge/soak_test.go
+++ b/prover/edge/soak_test.go
@@ -120,19 +120,32 @@
 }
 
 // crashRequest returns a poison request: a random one of a read and a stream that crash the
-// backend servers on which they run.
+// backend servers on which they run, and of a stream with a poison part in its prompt.
 func (s *soak) crashRequest() request {
-	if s.rng.IntN(2) == 0 {
+	switch s.rng.IntN(3) {
+	case 0:
 		return request{method: "GET", path: imitator.StatusPath + imitator.CrashTrigger, key: imitator.Key}
+	case 1:
+		return request{method: "POST", path: imitator.ModelPath, key: imitator.Key, body: imitator.CrashTrigger, output: 30}
+	default:
+		s.SetPoisonPart(&imitator.PoisonPart{ID: poisonPart, AfterHead: s.rng.IntN(2) == 0})
+		return request{method: "POST", path: imitator.ModelPath, key: imitator.Key, parts: soundPart + "," + poisonPart + ":120", output: 30}
 	}
-	return request{method: "POST", path: imitator.ModelPath, key: imitator.Key, body: imitator.CrashTrigger, output: 30}
 }
 
-// repeatRequest sends a request through all daemons in turn until stop is closed.
+// soundPart is a part of all prompts in the soak.
+const soundPart = "a11:40"
+
+// repeatRequest sends a request through all daemons in turn until stop is closed. One with parts
+// gets a body and a last part of its own each time.
 func (s *soak) repeatRequest(a request, stop <-chan struct{}) {
+	shared := a.parts
 	for n := 0; !isClosed(stop); n++ {
 		i := n % len(s.routers)
 		a.router, a.id = s.routers[i], s.id(i, "crash")
+		if shared != "" {
+			a.body, a.parts = a.id, fmt.Sprintf("%s,%x:9", shared, 0x1000000+n)
+		}
 		a.do()
 		time.Sleep(repeatPause)
 	}
@@ -154,7 +167,7 @@
 		case "read":
 			a.method, a.path, a.body = "GET", imitator.StatusPath, ""
 		case "stream":
-			a.path, a.body, a.output = imitator.ModelPath, "", 30
+			a.path, a.body, a.output, a.parts = imitator.ModelPath, "", 30, soundPart+",b:9"
 		}
 		got := a.do()
 		s.mu.Lock()
@@ -262,6 +275,10 @@
 	crashes := s.Crashes()
 	// Crashes without an attempt are replacements of servers.
 	crashes = slices.DeleteFunc(crashes, func(c imitator.Crash) bool { return c.Attempt == "" })
+	if crashing.parts != "" {
+		s.checkPoisonPart(t, crashes)
+		return
+	}
 	if len(crashes) <= maxCrashes {
 		return
 	}
@@ -279,6 +296,17 @@
 	}
 }
 
+// checkPoisonPart checks that requests with the poison part were rarely sent after it had crashed
+// partCrashes engines.
+func (s *soak) checkPoisonPart(t *testing.T, crashes []imitator.Crash) {
+	if len(crashes) <= partCrashes {
+		return
+	}
+	if n := s.arrivalsAfter("crash", crashes[partCrashes-1].At.Add(gossipTime), s.disruptions); n > maxLateSends {
+		t.Errorf("requests with a part that had crashed %d engines were sent %d more times", len(crashes), n)
+	}
+}
+
 // checkResponses compares the responses that clients received with the requests that servers
 // ran.
 func (s *soak) checkResponses(t *testing.T) {
