gateway: TestRefuseReadsBody sends its body in fewer pieces

The daemon is as before. Change: 38 pieces of 8 KB in place of 300 of 1 KB; the body is as large, and still on its way when the refusal comes.

--- a/oleandercove/edge/gateway/refusal_test.go
+++ b/oleandercove/edge/gateway/refusal_test.go
@@ -65,12 +65,15 @@
 // sendSlowly sends a request with a large body in pieces. It returns the response and
 // how long sending the body took.
 func sendSlowly(t *testing.T, address string, closes bool) (string, time.Duration, error) {
-	const size = 300 << 10
+	const (
+		pieces    = 38
+		pieceSize = 8 << 10
+	)
 	is := is.New(t)
 	c, err := net.Dial("tcp", address)
 	is.NoErr(err)
 	defer c.Close()
-	head := fmt.Sprintf("POST / HTTP/1.1\r\nHost: x\r\nContent-Length: %d\r\n", size)
+	head := fmt.Sprintf("POST / HTTP/1.1\r\nHost: x\r\nContent-Length: %d\r\n", pieces*pieceSize)
 	if closes {
 		head += "Connection: close\r\n"
 	}
@@ -78,8 +81,8 @@
 	if _, err := c.Write([]byte(head + "\r\n")); err != nil {
 		return "", time.Since(began), err
 	}
-	for range size >> 10 {
-		if _, err := c.Write(bytes.Repeat([]byte("x"), 1<<10)); err != nil {
+	for range pieces {
+		if _, err := c.Write(bytes.Repeat([]byte("x"), pieceSize)); err != nil {
 			return "", time.Since(began), err
 		}
 		time.Sleep(200 * time.Microsecond)
--- a/oleandercove/quarantiner/quarantiner.go
+++ b/oleandercove/quarantiner/quarantiner.go
@@ -14,6 +14,9 @@
 //     crashes elsewhere, since a poison request would have crashed that backend server
 //     too.
 //
+// PartHistory does the same for parts of prompts that different requests have in common. The
+// daemons that route on the platform use it; see package screener.
+//
 // Usage:
 //
 //	q := quarantiner.New(quarantiner.Options{Timer: t, Recorder: j, Log: l, Prober: p})
