--- a/review/standin/client.go
+++ b/review/standin/client.go
@@ -36,6 +36,8 @@
 type kept struct {
 	conn net.Conn
 	r    *bufio.Reader
+	// answers is the number of requests so far.
+	answers int
 }
 
 // clientPatience is how long a client waits for a new connection.
--- a/review/standin/daemon.go
+++ b/review/standin/daemon.go
@@ -1,11 +1,13 @@
 package main
 
 import (
+	"encoding/json"
 	"fmt"
 	"net/http"
 	"os"
 	"os/exec"
 	"path/filepath"
+	"strings"
 	"syscall"
 	"time"
 )
@@ -117,6 +119,22 @@
 
 func (d *daemon) signal(s syscall.Signal) { _ = d.cmd.Process.Signal(s) }
 
+// followed returns the daemon that this one last said in its log to follow.
+func (d *daemon) followed() string {
+	data, err := os.ReadFile(d.log.Name())
+	if err != nil {
+		return ""
+	}
+	peer := ""
+	for _, line := range strings.Split(string(data), "\n") {
+		var x struct{ Msg, Peer string }
+		if json.Unmarshal([]byte(line), &x) == nil && x.Msg == "following a peer" {
+			peer = x.Peer
+		}
+	}
+	return peer
+}
+
 // exited reports whether the process has ended.
 func (d *daemon) exited() bool {
 	select {
--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -27,6 +27,9 @@
 var cases = map[string]func(*stage) (broken bool, err error){
 	"drain":  drainCase,
 	"poison": poisonCase,
+	"dark":   darkCase,
+	"upload": uploadCase,
+	"files":  filesCase,
 }
 
 func main() {
--- a/review/standin/worker.go
+++ b/review/standin/worker.go
@@ -41,8 +41,10 @@
 	// onArrival is called for each request that names this worker.
 	onArrival func(a arrival)
 
+	// leaving is set once the worker leaves; it says so in all its answers.
+	leaving atomic.Bool
+
 	mu       sync.Mutex
-	draining bool
 	sequence int64
 }
 
@@ -69,11 +71,11 @@
 func (w *worker) entry() map[string]any {
 	w.mu.Lock()
 	defer w.mu.Unlock()
+	w.sequence++
 	state := "ready"
-	if w.draining {
+	if w.leaving.Load() {
 		state = "draining"
 	}
-	w.sequence++
 	return map[string]any{
 		"service": w.service, "address": w.address, "zone": w.zone, "version": "v1", "slots": w.slots, "state": state,
 		"cold_remaining_ms": 0, "sequence": w.sequence, "born": w.born,
@@ -84,8 +86,13 @@
 func (w *worker) ServeHTTP(rw http.ResponseWriter, r *http.Request) {
 	h := rw.Header()
 	h.Set(headerInstance, w.id)
+	if w.leaving.Load() {
+		h.Set("Server-Leaving", "1")
+	}
 	if r.URL.Path == "/healthz" {
-		rw.WriteHeader(http.StatusOK)
+		if w.leaving.Load() {
+			rw.WriteHeader(http.StatusServiceUnavailable)
+		}
 		return
 	}
 	id := r.Header.Get(headerID)
