--- a/review/standin/dark.go
+++ b/review/standin/dark.go
@@ -127,6 +127,7 @@
 	dark, closed := w.dark, make(chan struct{})
 	x.work = func(rw http.ResponseWriter, r *http.Request) {
 		if strings.HasPrefix(r.URL.Path, darkPath) {
+			w.note("worker %s begins to run %s", x.id, r.Header.Get(headerID))
 			w.crash(x, dark, closed)
 			<-closed
 			return
--- a/review/standin/files.go
+++ b/review/standin/files.go
@@ -97,6 +97,7 @@
 	for i := range 8 {
 		wg.Go(func() {
 			a := once(d.callers(), call{id: fmt.Sprintf("probe-%d-%d", n, i), method: http.MethodGet, path: "/cufi504/x", key: key, deadline: 600 * time.Millisecond})
+			p.note("probe-%d-%d sent at %.3f: connected %v, status %d, %v", n, i, a.started.Sub(p.began).Seconds(), a.connected, a.status, a.err)
 			if a.headed {
 				taken.Store(true)
 			}
@@ -132,6 +133,7 @@
 	w := p.workers[name][0]
 	p.workers[name] = p.workers[name][1:]
 	p.mu.Unlock()
+	p.note("worker %s drains, %s is ready", w.id, p.workers[name][len(p.workers[name])-1].id)
 	w.leaving.Store(true)
 	p.store.put("servers", w.id, w.entry())
 	time.AfterFunc(leaveTime, func() {
