--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -102,7 +102,7 @@
 func freePorts() (ports, error) {
 	var p [4]int
 	for i := range p {
-		l, err := net.Listen("tcp", "0.0.0.0:0")
+		l, err := net.Listen("tcp", "127.0.0.1:0")
 		if err != nil {
 			return ports{}, err
 		}
