--- a/core/receiver/receiver.go
+++ b/core/receiver/receiver.go
@@ -5,15 +5,16 @@
 // standard library buffers a complete head in memory, whatever its length, so that one
 // such server could exhaust the memory of a host. This package therefore bounds
 //   - the bytes of a head,
-//   - the number of interim responses before a response, and
-//   - the body of a late response to an earlier request that Discard skips.
+//   - the number of interim responses before a response,
+//   - the body of a late response to an earlier request that Discard skips, and
+//   - a body that ReadBody reads as a whole.
 //
 // A faulty server may also break off in the head of one response and continue with another
 // one. The joined head decodes without an error, with the status of the first response and
 // headers of both, and is rejected.
 //
 // The standard library bounds chunk sizes, chunk extensions and trailers. The caller
-// bounds the body of the response.
+// bounds a body that it passes on as it arrives.
 //
 // Usage:
 //
@@ -52,8 +53,8 @@
 	ErrHeadTooLarge = errors.New("head of the response is too large")
 	// ErrTooManyInterim is returned by Next if there are too many interim responses.
 	ErrTooManyInterim = errors.New("too many interim responses")
-	// ErrBodyTooLarge is returned by Discard if the body is too long to be discarded.
-	ErrBodyTooLarge = errors.New("body of an unwanted response is too large")
+	// ErrBodyTooLarge is returned by Discard and ReadBody if the body is too long.
+	ErrBodyTooLarge = errors.New("body of the response is too large")
 	// ErrJoinedHead is returned by Next if a head contains the status line of another one.
 	ErrJoinedHead = errors.New("head contains the status line of another response")
 )
@@ -132,6 +133,16 @@
 	return err
 }
 
+// ReadBody reads a whole body of at most limit bytes. It returns ErrBodyTooLarge if the body is
+// longer, or the error of a failed read.
+func ReadBody(r io.Reader, limit int64) ([]byte, error) {
+	data, err := io.ReadAll(io.LimitReader(r, limit+1))
+	if err == nil && int64(len(data)) > limit {
+		return nil, ErrBodyTooLarge
+	}
+	return data, err
+}
+
 // limitedReader is a reader with a limit that can be set and cleared.
 type limitedReader struct {
 	io.Reader
--- a/oleandercove/caller/attempt.go
+++ b/oleandercove/caller/attempt.go
@@ -4,11 +4,11 @@
 	"bytes"
 	"context"
 	"errors"
-	"io"
 	"net/http"
 	"time"
 
 	"oleandercove.example/core/api"
+	"oleandercove.example/core/receiver"
 	"oleandercove.example/core/unit"
 	"oleandercove.example/core/verdict"
 	"oleandercove.example/oleandercove/classifier"
@@ -91,7 +91,7 @@
 		}
 	}
 	if err == nil {
-		body, err = readResponse(res.Body)
+		body, err = receiver.ReadBody(res.Body, maxResponseBytes)
 	}
 	o := trace.Outcome(res, err == nil, tracer.Failure(ctx, err))
 	if err == nil && !o.IsRefusal() {
@@ -124,14 +124,6 @@
 	return c.idempotent && ok && repeats == true
 }
 
-func readResponse(r io.Reader) ([]byte, error) {
-	body, err := io.ReadAll(io.LimitReader(r, maxResponseBytes+1))
-	if err == nil && len(body) > maxResponseBytes {
-		err = io.ErrShortBuffer
-	}
-	return body, err
-}
-
 // newFailure returns the failure of an attempt. It reports the backend server as suspect
 // if a new connection failed before any byte of a response.
 func (c *call) newFailure(b watcher.Backend, o classifier.Outcome, reused bool, err error) *failure {
--- a/oleandercove/commander/reader.go
+++ b/oleandercove/commander/reader.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"net/http"
 	"slices"
 	"time"
@@ -68,8 +67,10 @@
 		return
 	}
 	defer res.Body.Close()
-	s := &engine.Status{}
-	if res.StatusCode == http.StatusOK && json.NewDecoder(res.Body).Decode(s) == nil {
+	if res.StatusCode != http.StatusOK {
+		return
+	}
+	if s, err := engine.ReadStatus(res.Body); err == nil {
 		b.Engine, b.Healthy, b.Seen = s, true, seen
 	}
 }
--- a/oleandercove/quarantiner/prober.go
+++ b/oleandercove/quarantiner/prober.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"errors"
 	"net/http"
 	"syscall"
@@ -38,9 +37,6 @@
 		return errors.Is(err, syscall.ECONNREFUSED) || errors.Is(err, syscall.ECONNRESET)
 	}
 	defer res.Body.Close()
-	var status engine.Status
-	if json.NewDecoder(res.Body).Decode(&status) != nil {
-		return false
-	}
-	return status.Start != start
+	status, err := engine.ReadStatus(res.Body)
+	return err == nil && status.Start != start
 }
--- a/oleandercove/watcher/poller.go
+++ b/oleandercove/watcher/poller.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"fmt"
 	"math"
 	"net/http"
@@ -350,7 +349,9 @@
 	if res.StatusCode != http.StatusOK {
 		return nil, false, fmt.Errorf("status call returned status %d", res.StatusCode)
 	}
-	s = &engine.Status{}
-	err = json.NewDecoder(res.Body).Decode(s)
-	return s, s.Draining, err
+	s, err = engine.ReadStatus(res.Body)
+	if err != nil {
+		return nil, false, err
+	}
+	return s, s.Draining, nil
 }
