--- a/oleandercove/edge/exchanger/exchanger.go
+++ b/oleandercove/edge/exchanger/exchanger.go
@@ -112,6 +112,14 @@
 // Dials returns the number of connections dialled so far.
 func (x *Exchanger) Dials() int64 { return x.dials.Load() }
 
+// CleanupInterval is how often to call CloseUnusable.
+const CleanupInterval = 2 * time.Second
+
+// CloseUnusable closes the idle connections on which no request may be sent any more. To a
+// server that has left no request is sent, so its connections would stay open, and so would
+// the bytes that a faulty server sends unasked.
+func (x *Exchanger) CloseUnusable() { x.pool.closeUnusable(time.Now()) }
+
 // Exchange is a request that was sent, with its response as it arrives.
 type Exchange struct {
 	Response *http.Response
--- a/oleandercove/edge/exchanger/pool.go
+++ b/oleandercove/edge/exchanger/pool.go
@@ -21,6 +21,8 @@
 	// defaultIdleTimeout is how long an idle connection is kept if the server states no
 	// timeout.
 	defaultIdleTimeout = 4 * time.Second
+	// maxIdleTimeout bounds the timeout that a server states.
+	maxIdleTimeout = time.Minute
 	// idleTimeoutPercent is the share of a timeout after which a connection is no
 	// longer used, so that no request is sent while the server closes the connection.
 	idleTimeoutPercent = 75
@@ -77,7 +79,7 @@
 	for _, part := range strings.Split(header, ",") {
 		if text, ok := strings.CutPrefix(strings.TrimSpace(part), "timeout="); ok {
 			if n, err := strconv.Atoi(text); err == nil {
-				idle = time.Duration(n) * time.Second
+				idle = time.Duration(min(n, int(maxIdleTimeout.Seconds()))) * time.Second
 			}
 		}
 	}
@@ -105,6 +107,9 @@
 	return err == nil && quiet
 }
 
+// isUsable reports whether a request may be sent on the idle connection.
+func (c *conn) isUsable(now time.Time) bool { return now.Before(c.idleDeadline) && c.isClean() }
+
 // setUnackedTimeout lets the kernel close a connection whose peer no longer
 // acknowledges sent bytes. Failures are ignored: a connection without the option only
 // ends later.
@@ -141,7 +146,7 @@
 		if c == nil {
 			return nil
 		}
-		if now.Before(c.idleDeadline) && c.isClean() {
+		if c.isUsable(now) {
 			return c
 		}
 		c.abort()
@@ -175,3 +180,22 @@
 	p.mu.Unlock()
 	c.abort()
 }
+
+// closeUnusable closes the connections that are no longer usable.
+func (p *pool) closeUnusable(now time.Time) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for a, list := range p.idle {
+		list = slices.DeleteFunc(list, func(c *conn) bool {
+			if c.isUsable(now) {
+				return false
+			}
+			c.abort()
+			return true
+		})
+		p.idle[a] = list
+		if len(list) == 0 {
+			delete(p.idle, a)
+		}
+	}
+}
--- a/oleandercove/edge/runner/runner.go
+++ b/oleandercove/edge/runner/runner.go
@@ -84,6 +84,7 @@
 	timer    timer.Service
 
 	directory *directory.Directory
+	exchanger *exchanger.Exchanger
 	follower  *follower.Follower
 	announcer *announcer.Announcer
 	leaser    *leaser.Leaser
@@ -127,6 +128,7 @@
 	x := exchanger.New(exchanger.Options{MaxIdle: maxIdleConnections, Identify: func(status int, h http.Header) unit.RequestID {
 		return platform.DecodeResponseMetadata(status, h).Request
 	}})
+	r.exchanger = x
 	var a *announcer.Announcer
 	p := prober.New(prober.Options{
 		Engines: engines, Directory: r.directory, Judge: j, Timer: r.timer, Log: r.log.WithPrefix("prober"),
@@ -256,6 +258,8 @@
 	r.log.Info("started", "version", Version, "data_centre", r.settings.DataCentre, "callers", r.settings.Listen.Callers)
 	background, cancel := context.WithCancel(context.WithoutCancel(ctx))
 	defer cancel()
+	stopCleanup := r.timer.Subscribe(exchanger.CleanupInterval, func(time.Time) { r.exchanger.CloseUnusable() })
+	defer stopCleanup()
 	var wg conc.WaitGroup
 	wg.Go(func() { r.follower.Run(background) })
 	wg.Go(func() { r.announcer.Run(background) })
--- a/oleanderfake/imitator/server.go
+++ b/oleanderfake/imitator/server.go
@@ -215,6 +215,13 @@
 // RemoveEntry removes the entry of the server from the store.
 func (p *Server) RemoveEntry() { p.site.Store.Remove(kindServers, p.ID) }
 
+// Connections returns the number of open connections to the server.
+func (p *Server) Connections() int {
+	p.site.mu.Lock()
+	defer p.site.mu.Unlock()
+	return p.site.connections[p.address]
+}
+
 func (p *Server) register() {
 	state := stateReady
 	if p.draining.Load() {
--- a/oleanderfake/imitator/site.go
+++ b/oleanderfake/imitator/site.go
@@ -71,9 +71,11 @@
 	crashes    []Crash
 	violations []string
 	version    int
-	listeners  map[string]*http.Server
-	stop       chan struct{}
-	closeOnce  sync.Once
+	// connections counts the open connections by address.
+	connections map[string]int
+	listeners   map[string]*http.Server
+	stop        chan struct{}
+	closeOnce   sync.Once
 
 	resumeFault atomic.Pointer[ResumeFault]
 	poison      atomic.Pointer[PoisonPart]
@@ -82,7 +84,7 @@
 // New starts the store and the backend servers of a site, which register in the store. It
 // returns an error if a listener fails to start.
 func New(o Options) (*Site, error) {
-	s := &Site{Store: newStore(), Runs: &Runs{byID: map[string][]Run{}}, options: o, listeners: map[string]*http.Server{}, stop: make(chan struct{})}
+	s := &Site{Store: newStore(), Runs: &Runs{byID: map[string][]Run{}}, options: o, connections: map[string]int{}, listeners: map[string]*http.Server{}, stop: make(chan struct{})}
 	for _, dc := range o.DataCentres {
 		for i := range o.Engines {
 			if err := s.startEngine(fmt.Sprintf("engine-%s%d", dc, i), dc, anyPort); err != nil {
@@ -146,7 +148,7 @@
 	if err != nil {
 		return "", err
 	}
-	srv := &http.Server{Handler: h}
+	srv := &http.Server{Handler: h, ConnState: s.countConnections(l.Addr().String())}
 	s.mu.Lock()
 	s.listeners[l.Addr().String()] = srv
 	s.mu.Unlock()
@@ -158,6 +160,20 @@
 	return l.Addr().String(), nil
 }
 
+// countConnections returns a function that counts the open connections to an address.
+func (s *Site) countConnections(address string) func(net.Conn, http.ConnState) {
+	return func(_ net.Conn, state http.ConnState) {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		switch state {
+		case http.StateNew:
+			s.connections[address]++
+		case http.StateClosed, http.StateHijacked:
+			s.connections[address]--
+		}
+	}
+}
+
 // ReportViolation records a violation of the platform's contract that the simulation
 // detected.
 func (s *Site) ReportViolation(format string, args ...any) {
