--- a/oleandercove/edge/follower/follower.go
+++ b/oleandercove/edge/follower/follower.go
@@ -21,7 +21,6 @@
 	"context"
 	"errors"
 	"fmt"
-	"io"
 	"math/rand/v2"
 	"net"
 	"net/http"
@@ -34,6 +33,7 @@
 	"github.com/sourcegraph/conc"
 	"google.golang.org/protobuf/proto"
 
+	"oleandercove.example/core/receiver"
 	"oleandercove.example/core/timer"
 	"oleandercove.example/core/unit"
 	"oleandercove.example/oleandercove/edge/directory"
@@ -93,7 +93,9 @@
 // New returns a Follower.
 func New(o Options) *Follower {
 	d := &net.Dialer{Timeout: callTimeoutSlack}
-	return &Follower{Options: o, started: o.Timer.Now(), client: &http.Client{Transport: &http.Transport{DialContext: d.DialContext, MaxIdleConnsPerHost: 1}}}
+	return &Follower{Options: o, started: o.Timer.Now(), client: &http.Client{Transport: &http.Transport{
+		DialContext: d.DialContext, MaxIdleConnsPerHost: 1, MaxResponseHeaderBytes: receiver.MaxHeadBytes,
+	}}}
 }
 
 // currentSource returns the source to use now.
@@ -239,7 +241,7 @@
 		return nil, err
 	}
 	defer func() { _ = resp.Body.Close() }()
-	data, err := io.ReadAll(io.LimitReader(resp.Body, maxReply))
+	data, err := receiver.ReadBody(resp.Body, maxReply)
 	if err != nil {
 		return nil, err
 	}
--- a/oleandercove/edge/runner/runner.go
+++ b/oleandercove/edge/runner/runner.go
@@ -11,7 +11,6 @@
 	"context"
 	"errors"
 	"fmt"
-	"io"
 	"net"
 	"net/http"
 	"os"
@@ -27,6 +26,7 @@
 	"oleandercove.example/core/backend"
 	"oleandercove.example/core/logger"
 	objects "oleandercove.example/core/platform"
+	"oleandercove.example/core/receiver"
 	"oleandercove.example/core/timer"
 	"oleandercove.example/core/unit"
 	"oleandercove.example/oleandercove/edge/announcer"
@@ -227,6 +227,9 @@
 	return out
 }
 
+// peerClient calls other daemons.
+var peerClient = &http.Client{Transport: &http.Transport{MaxResponseHeaderBytes: receiver.MaxHeadBytes}}
+
 // fetchConfiguration fetches the compressed configuration of a peer and its revision.
 // It blocks until the answer, fetchTimeout or the end of ctx.
 func fetchConfiguration(ctx context.Context, address string) (unit.Revision, []byte, error) {
@@ -236,7 +239,7 @@
 	if err != nil {
 		return 0, nil, err
 	}
-	resp, err := http.DefaultClient.Do(req)
+	resp, err := peerClient.Do(req)
 	if err != nil {
 		return 0, nil, err
 	}
@@ -248,7 +251,7 @@
 	if err != nil {
 		return 0, nil, err
 	}
-	packed, err := io.ReadAll(io.LimitReader(resp.Body, maxConfiguration))
+	packed, err := receiver.ReadBody(resp.Body, maxConfiguration)
 	return unit.Revision(revision), packed, err
 }
 
