--- a/oleandercove/edge/gateway/gateway.go
+++ b/oleandercove/edge/gateway/gateway.go
@@ -28,6 +28,7 @@
 	"oleandercove.example/oleandercove/edge/ledger"
 	"oleandercove.example/oleandercove/edge/prober"
 	"oleandercove.example/oleandercove/edge/rationer"
+	"oleandercove.example/oleandercove/edge/reserver"
 	"oleandercove.example/oleandercove/edge/screener"
 	"oleandercove.example/oleandercove/edge/throttler"
 	"oleandercove.example/platform"
@@ -57,6 +58,8 @@
 	Throttler *throttler.Throttler
 	// OnLeaving is called when a backend server first announces that it is leaving.
 	OnLeaving func()
+	// Bodies is the memory for the bodies of requests; nil means no bound.
+	Bodies *reserver.Reserver
 	// DataCentre is where this daemon runs.
 	DataCentre unit.DataCentre
 	// KeyRevocation is the time after which a revoked key must not work.
@@ -111,13 +114,15 @@
 // job is the state of one request of a caller.
 type job struct {
 	*Gateway
-	w       http.ResponseWriter
-	r       *http.Request
-	call    backend.Call
-	body    []byte
-	route   *routing.Route
-	service *routing.Service
-	account unit.AccountID
+	w    http.ResponseWriter
+	r    *http.Request
+	call backend.Call
+	body []byte
+	// reserved is the memory that is reserved for the body, in bytes.
+	reserved int64
+	route    *routing.Route
+	service  *routing.Service
+	account  unit.AccountID
 	// identity is the same for all attempts of one request, including retries by the caller.
 	identity screener.Identity
 	// authenticated is set for requests that carry a key. They are refused unless the
@@ -143,6 +148,7 @@
 	defer g.active.Add(-1)
 	j := &job{Gateway: g, w: w, r: r, call: platform.DecodeCall(r.Header), arrivedAt: time.Now()}
 	j.deadline = j.arrivedAt.Add(j.timeout())
+	defer j.releaseBody()
 	if g.keepAlivesDisabled.Load() {
 		w.Header().Set("Connection", "close")
 	}
--- a/oleandercove/edge/gateway/prepare.go
+++ b/oleandercove/edge/gateway/prepare.go
@@ -1,9 +1,6 @@
 package gateway
 
 import (
-	"errors"
-	"io"
-	"net"
 	"net/http"
 	"strings"
 	"time"
@@ -24,8 +21,6 @@
 	// startWait is how long a request waits for the first configuration of the daemon, which
 	// is read within some milliseconds of the start.
 	startWait = 100 * time.Millisecond
-	// defaultBodyLimit bounds bodies while the configuration sets no limit, in bytes.
-	defaultBodyLimit = 4 << 20
 )
 
 // prepare identifies the request and reads its body.
@@ -158,37 +153,3 @@
 	}
 	return time.Until(j.deadline)
 }
-
-// readBody reads the whole body, so that the request can be sent again and a slow
-// caller occupies no backend server.
-func (j *job) readBody(l routing.Limits) *verdict.Error {
-	limit := l.BodyBytes
-	if limit <= 0 {
-		limit = defaultBodyLimit
-	}
-	if j.r.ContentLength > limit {
-		return verdict.New(verdict.NotRun, verdict.TooLarge, "body has %d bytes, limit is %d", j.r.ContentLength, limit)
-	}
-	if j.r.Body == nil || j.r.Body == http.NoBody {
-		return nil
-	}
-	rc := http.NewResponseController(j.w)
-	if err := rc.SetReadDeadline(j.deadline); err != nil {
-		return verdict.New(verdict.NotRun, verdict.Internal, "deadline of the body: %v", err)
-	}
-	data, err := io.ReadAll(io.LimitReader(j.r.Body, limit+1))
-	if err := rc.SetReadDeadline(time.Time{}); err != nil {
-		j.Log.Debug("read deadline of the body not cleared", "id", j.call.Request, "err", err)
-	}
-	var timeout net.Error
-	switch {
-	case errors.As(err, &timeout) && timeout.Timeout():
-		return verdict.New(verdict.NotRun, verdict.SlowBody, "body did not arrive in time")
-	case err != nil:
-		return verdict.New(verdict.NotRun, verdict.BadRequest, "body can't be read: %v", err)
-	case int64(len(data)) > limit:
-		return verdict.New(verdict.NotRun, verdict.TooLarge, "body is larger than %d bytes", limit)
-	}
-	j.body = data
-	return nil
-}
--- a/oleandercove/edge/gateway/refusal.go
+++ b/oleandercove/edge/gateway/refusal.go
@@ -28,6 +28,9 @@
 	// faultRetryAfter is when callers may retry after a fault that lasts some seconds: the
 	// retry budget is used up, or the configuration has no such service.
 	faultRetryAfter = 1500 * time.Millisecond
+	// memoryRetryAfter is when callers may retry after there was no memory for their body.
+	// Requests with a large body last about as long; another daemon may have room.
+	memoryRetryAfter = 500 * time.Millisecond
 	// retryAfterJitter is the largest random extension of a delay, as a share of it, so
 	// that callers that were refused together don't retry together.
 	retryAfterJitter = 1.0
--- a/oleandercove/edge/runner/runner.go
+++ b/oleandercove/edge/runner/runner.go
@@ -42,6 +42,7 @@
 	"oleandercove.example/oleandercove/edge/observer"
 	"oleandercove.example/oleandercove/edge/prober"
 	"oleandercove.example/oleandercove/edge/rationer"
+	"oleandercove.example/oleandercove/edge/reserver"
 	"oleandercove.example/oleandercove/edge/screener"
 	"oleandercove.example/oleandercove/edge/settings"
 	"oleandercove.example/oleandercove/edge/throttler"
@@ -66,6 +67,8 @@
 	// memoryLimitPercent is the share of the memory limit up to which the runtime
 	// delays garbage collection.
 	memoryLimitPercent = 70
+	// bodyMemoryPercent is the share of the memory limit for the bodies of requests.
+	bodyMemoryPercent = 30
 	// fetchTimeout bounds a request to a peer for its configuration.
 	fetchTimeout = time.Second
 	// maxConfiguration bounds a compressed configuration from a peer, in bytes.
@@ -145,6 +148,7 @@
 		Directory: r.directory, Exchanger: x, Judge: j, Ledger: l, Rerouter: engines, Prober: p, Timer: r.timer,
 		Log: r.log.WithPrefix("gateway"), Meter: gateway.NewMeter(r.metrics.scope),
 		Budgeter: b, Rationer: rationer.New(rationer.Options{Part: b.Part, Timer: r.timer}),
+		Bodies:   reserver.New(int64(s.Limits.MemoryMegabytes) << 20 * bodyMemoryPercent / 100),
 		Screener: r.screener, Deferrer: deferrer.New(), Throttler: th, OnLeaving: func() { a.FlushNow() }, DataCentre: s.DataCentre, KeyRevocation: s.Bounds.KeyRevocation.Std(),
 	})
 	a, err := announcer.New(announcer.Options{
--- a/oleanderfake/imitator/configuration.go
+++ b/oleanderfake/imitator/configuration.go
@@ -1,5 +1,7 @@
 package imitator
 
+import "cmp"
+
 type (
 	configurationSpec struct {
 		Version  int           `json:"version"`
@@ -96,7 +98,7 @@
 			}},
 			{Name: plainService, MaxConnections: 50, HealthPath: healthPath},
 		},
-		Limits:  limitsSpec{HeaderBytes: 16384, BodyBytes: 65536, HeaderTimeout: 3000, IdleTimeout: 5000},
+		Limits:  limitsSpec{HeaderBytes: 16384, BodyBytes: cmp.Or(s.options.BodyBytes, 65536), HeaderTimeout: 3000, IdleTimeout: 5000},
 		Tenants: []tenantSpec{{Name: Account, Keys: keys}},
 	})
 }
--- a/oleanderfake/imitator/site.go
+++ b/oleanderfake/imitator/site.go
@@ -55,6 +55,8 @@
 	// Slots is the number of requests that a plain server runs at once; it rejects
 	// others. 0 means no limit.
 	Slots int64
+	// BodyBytes is the largest body of a request; 0 means 64 KiB.
+	BodyBytes int
 }
 
 // Site is a simulated platform with its backend servers.
