--- a/oleandercove/edge/directory/coverage.go
+++ b/oleandercove/edge/directory/coverage.go
@@ -76,6 +76,9 @@
 	return c.since.Add(reregistrationTime)
 }
 
+// isLost reports whether the registry has not been known for outageAge.
+func (c *coverage) isLost(now time.Time) bool { return now.Sub(c.at) > outageAge }
+
 // length returns the time from the beginning of the coverage to now; 0 if nothing is known.
 func (c *coverage) length(now time.Time) time.Duration {
 	if c.at.IsZero() {
--- a/oleandercove/edge/directory/directory.go
+++ b/oleandercove/edge/directory/directory.go
@@ -182,6 +182,7 @@
 		}
 	}
 	d.odd.Keep(list)
+	// After a list without a revision the own one is unknown, too.
 	d.servers.revision = v.Revision
 	d.publish(now)
 }
@@ -209,7 +210,7 @@
 }
 
 // ExpireServers removes the servers whose lapsed entries are no longer kept. Call it
-// regularly: no answer of the store or of a peer may arrive meanwhile.
+// regularly: the next answer of the store or of a peer may come late.
 func (d *Directory) ExpireServers(now time.Time) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
@@ -218,8 +219,8 @@
 	}
 }
 
-// confirmServers records a view of the registry. Lapsed entries are kept for a shorter time,
-// or no longer, once it shows that the store has answered other daemons earlier.
+// confirmServers records a view of the registry, which can change how long lapsed entries are
+// kept: until the end of another outage, or shorter if the store has answered others earlier.
 func (d *Directory) confirmServers(v View, now time.Time) {
 	before := d.coverage
 	d.coverage.confirm(v, now)
@@ -228,11 +229,12 @@
 		d.log.Info("backend servers known again", "unknown_for", v.At.Sub(before.at), "revision", v.Revision,
 			"store_answers_for", d.coverage.length(now), "keep_lapsed_for", max(0, hold.Sub(now)))
 	}
-	if held := before.holdUntil(); held.After(now) && hold.Before(held) {
-		d.servers.limitHold(hold, now)
-		if !hold.After(now) {
-			d.log.Info("store answered other daemons meanwhile, lapsed servers are removed", "store_answers_for", d.coverage.length(now))
-		}
+	held := before.holdUntil()
+	if hold != held {
+		d.servers.holdLapsed(hold, now)
+	}
+	if held.After(now) && !hold.After(now) {
+		d.log.Info("store answered other daemons meanwhile, lapsed servers are removed", "store_answers_for", d.coverage.length(now))
 	}
 }
 
@@ -289,9 +291,13 @@
 	return false
 }
 
+// publish makes the servers visible. In another gap lapsed entries are kept until its end: the
+// store may have been back for too short a time for servers to register again.
 func (d *Directory) publish(now time.Time) {
-	for _, id := range d.servers.expire(now) {
-		d.log.Info("backend server removed", "id", id)
+	if !d.coverage.isLost(now) {
+		for _, id := range d.servers.expire(now) {
+			d.log.Info("backend server removed", "id", id)
+		}
 	}
 	d.snapshot.Store(newServers(d.servers.current(d.notices, now)))
 }
--- a/oleandercove/edge/directory/registry.go
+++ b/oleandercove/edge/directory/registry.go
@@ -94,13 +94,13 @@
 	return true
 }
 
-// limitHold makes the removal of all lapsed entries due at until, or now if that has passed.
-func (r *registry) limitHold(until, now time.Time) {
+// holdLapsed keeps all lapsed entries until a time, or until now if that has passed.
+func (r *registry) holdLapsed(until, now time.Time) {
 	if until.Before(now) {
 		until = now
 	}
 	for _, e := range r.entries {
-		if e.removeAt.After(until) {
+		if e.hasLapsed() {
 			e.removeAt = until
 		}
 	}
--- a/oleandercove/edge/follower/follower.go
+++ b/oleandercove/edge/follower/follower.go
@@ -115,8 +115,6 @@
 
 // Run keeps the Directory up to date. It blocks until ctx is done.
 func (f *Follower) Run(ctx context.Context) {
-	stop := f.Timer.Subscribe(decisionInterval, func(time.Time) { f.Directory.ExpireServers(f.Timer.Now()) })
-	defer stop()
 	var wg conc.WaitGroup
 	wg.Go(func() { f.followStore(ctx) })
 	wg.Go(func() { f.followPeers(ctx) })
@@ -129,7 +127,7 @@
 	f.Syncer.ReadOnce(ctx)
 	for ctx.Err() == nil {
 		if !f.currentSource().Store {
-			_ = f.Timer.Sleep(ctx, decisionInterval)
+			f.awaitDecision(ctx)
 			continue
 		}
 		f.Log.Info("following the store", "peers", len(f.Peers()))
@@ -147,12 +145,18 @@
 	wg.Go(func() { f.Syncer.RunConfiguration(ctx) })
 	wg.Go(func() { f.Syncer.RunServers(ctx) })
 	for ctx.Err() == nil && f.currentSource().Store {
-		_ = f.Timer.Sleep(ctx, decisionInterval)
+		f.awaitDecision(ctx)
 	}
 	cancel()
 	wg.Wait()
 }
 
+// awaitDecision blocks until the next check of which source to use, or until ctx is done.
+func (f *Follower) awaitDecision(ctx context.Context) {
+	_ = f.Timer.Sleep(ctx, decisionInterval)
+	f.Directory.ExpireServers(f.Timer.Now())
+}
+
 // followPeers queries peers while the source includes any, until ctx is done.
 func (f *Follower) followPeers(ctx context.Context) {
 	var current, logged unit.HostID
@@ -163,7 +167,7 @@
 			_ = f.Timer.Sleep(ctx, decisionInterval)
 			continue
 		}
-		p := pickPeer(candidates, current)
+		p := pickPeer(candidates, current, rand.IntN)
 		if p.Host != current {
 			current, cursor = p.Host, directory.Cursor{}
 		}
@@ -185,14 +189,14 @@
 }
 
 // pickPeer returns the peer that was queried last if it is still a candidate, or else a
-// random candidate.
-func pickPeer(candidates []Peer, last unit.HostID) Peer {
+// random candidate. The function random returns a number below its argument.
+func pickPeer(candidates []Peer, last unit.HostID, random func(int) int) Peer {
 	for _, p := range candidates {
 		if p.Host == last {
 			return p
 		}
 	}
-	return candidates[rand.N(len(candidates))]
+	return candidates[random(len(candidates))]
 }
 
 // errStale is returned for an answer of a peer whose own server list is older than
