--- a/oleandercove/edge/follower/fleet_test.go
+++ b/oleandercove/edge/follower/fleet_test.go
@@ -76,6 +76,7 @@
 	from   unit.Revision
 	peer   *member
 	cursor directory.Cursor
+	silent silentPeers
 	// queryAt is the time of the next query of a peer.
 	queryAt time.Time
 	// frozenUntil, cutUntil and splitUntil are the ends of a freeze, of a cut from the store
@@ -86,7 +87,7 @@
 }
 
 func (m *member) start(now time.Time) {
-	*m = member{host: m.host, directory: directory.New(logger.Discard()), startedAt: now, disturbedUntil: now, used: map[*registration]bool{}, left: map[*registration]bool{}}
+	*m = member{host: m.host, directory: directory.New(logger.Discard()), startedAt: now, disturbedUntil: now, silent: silentPeers{}, used: map[*registration]bool{}, left: map[*registration]bool{}}
 }
 
 // fleet is a number of daemons that follow one store.
@@ -165,12 +166,13 @@
 	if m.peer != nil {
 		current = m.peer.host
 	}
-	if host := pickPeer(candidates, current, f.rng.IntN).Host; host != current {
+	if host := pickPeer(m.silent.exclude(candidates, f.now), current, f.rng.IntN).Host; host != current {
 		m.peer, m.cursor = f.members[slices.IndexFunc(f.members, func(x *member) bool { return x.host == host })], directory.Cursor{}
 	}
 	p := m.peer
 	if f.now.Before(p.frozenUntil) || f.now.Before(p.splitUntil) || f.now.Before(m.splitUntil) {
 		m.peer, m.queryAt = nil, f.now.Add(maxHold+callTimeoutSlack)
+		m.silent[p.host] = m.queryAt
 		return
 	}
 	u := decode(encode(p.directory.WaitForUpdate(context.Background(), m.cursor, 0, func() time.Time { return f.now })))
@@ -286,11 +288,16 @@
 	const playTime = 90 * time.Second
 	tests := []struct {
 		daemons int
-		seeds   uint64
-	}{{2, 10}, {3, 10}, {9, 20}, {40, 2}}
+		seeds   []uint64
+	}{
+		{2, firstSeeds(10)},
+		{3, firstSeeds(10)},
+		{9, firstSeeds(20)},
+		{40, []uint64{0, 1, 55, 120, 172}}, // the last three: a frozen peer was queried again and again
+	}
 	for _, tt := range tests {
 		n := tt.daemons
-		for seed := range tt.seeds {
+		for _, seed := range tt.seeds {
 			t.Run(fmt.Sprintf("%d daemons, seed %d", n, seed), func(t *testing.T) {
 				t.Parallel()
 				f := newFleet(n, seed)
@@ -312,3 +319,11 @@
 		}
 	}
 }
+
+func firstSeeds(n uint64) []uint64 {
+	var out []uint64
+	for seed := range n {
+		out = append(out, seed)
+	}
+	return out
+}
--- a/oleandercove/edge/follower/follower.go
+++ b/oleandercove/edge/follower/follower.go
@@ -21,9 +21,11 @@
 	"context"
 	"errors"
 	"fmt"
+	"maps"
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"slices"
 	"strconv"
 	"sync"
 	"sync/atomic"
@@ -161,13 +163,14 @@
 func (f *Follower) followPeers(ctx context.Context) {
 	var current, logged unit.HostID
 	var cursor directory.Cursor
+	silent := silentPeers{}
 	for ctx.Err() == nil {
 		candidates := f.currentSource().Peers
 		if len(candidates) == 0 {
 			_ = f.Timer.Sleep(ctx, decisionInterval)
 			continue
 		}
-		p := pickPeer(candidates, current, rand.IntN)
+		p := pickPeer(silent.exclude(candidates, f.Timer.Now()), current, rand.IntN)
 		if p.Host != current {
 			current, cursor = p.Host, directory.Cursor{}
 		}
@@ -177,6 +180,9 @@
 				f.Log.Warn("peer lost", "peer", p.Host, "err", err)
 			}
 			current, logged = "", ""
+			if !errors.Is(err, errStale) {
+				silent[p.Host] = f.Timer.Now()
+			}
 			_ = f.Timer.Sleep(ctx, retryDelay)
 			continue
 		}
@@ -188,6 +194,32 @@
 	}
 }
 
+// silentTime is how long a peer that did not answer is queried only if no other is left. A
+// daemon that has ended no longer counts as live after that time.
+const silentTime = 3 * time.Second
+
+// silentPeers holds when peers last failed to answer.
+//
+// Load pattern: one of the daemons that watch the store freezes. Each query of it takes a third
+// of the time within which removals of servers must be known.
+type silentPeers map[unit.HostID]time.Time
+
+// exclude returns the candidates that have not failed to answer within silentTime, or all of
+// them if there are none.
+func (s silentPeers) exclude(candidates []Peer, now time.Time) []Peer {
+	maps.DeleteFunc(s, func(_ unit.HostID, at time.Time) bool { return now.Sub(at) >= silentTime })
+	out := slices.DeleteFunc(slices.Clone(candidates), func(p Peer) bool { return s.has(p.Host) })
+	if len(out) == 0 {
+		return candidates
+	}
+	return out
+}
+
+func (s silentPeers) has(host unit.HostID) bool {
+	_, ok := s[host]
+	return ok
+}
+
 // pickPeer returns the peer that was queried last if it is still a candidate, or else a
 // random candidate. The function random returns a number below its argument.
 func pickPeer(candidates []Peer, last unit.HostID, random func(int) int) Peer {
