--- a/oleandercove/edge/exchanger/idle_test.go
+++ b/oleandercove/edge/exchanger/idle_test.go
@@ -35,14 +35,16 @@
 			l, err := net.Listen("tcp", "127.0.0.1:0")
 			is.NoErr(err)
 			defer func() { _ = l.Close() }()
+			idle, done := make(chan struct{}), make(chan struct{})
 			go func() {
+				defer close(done)
 				c, err := l.Accept()
 				if err != nil {
 					return
 				}
 				_, _ = c.Read(make([]byte, readBufferSize))
 				_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nId: 1\r\n"+tt.header+"Content-Length: 0\r\n\r\n")
-				time.Sleep(50 * time.Millisecond)
+				<-idle
 				tt.after(c)
 			}()
 			x, a := newExchanger(), backend.Address(l.Addr().String())
@@ -50,7 +52,12 @@
 			is.NoErr(err)
 			e.Close()
 			is.Equal(len(x.pool.idle[a]), 1)
-			time.Sleep(150 * time.Millisecond)
+			close(idle)
+			<-done
+			// What the server has sent or closed arrives some time later.
+			for end := time.Now().Add(5 * time.Second); len(x.pool.idle[a]) != tt.want && time.Now().Before(end); time.Sleep(time.Millisecond) {
+				x.pool.closeUnusable(time.Now().Add(tt.idle))
+			}
 			x.pool.closeUnusable(time.Now().Add(tt.idle))
 			is.Equal(len(x.pool.idle[a]), tt.want)
 		})
