--- a/prover/edge/bodies_test.go
+++ b/prover/edge/bodies_test.go
@@ -57,7 +57,7 @@
 	t.Logf("peak memory %d MiB, answers by status %v, those to small requests %v", peak>>20, statuses, small)
 	is.True(peak < hostMemory)
 	is.True(statuses[http.StatusOK] > hostMemory/3/bodyBytes) // more than fit at once: the memory is used again
-	is.Equal(statuses[0], 0) // no connection ends without an answer
-	is.Equal(len(small), 1)  // all are served
+	is.Equal(statuses[0], 0)                                  // no connection ends without an answer
+	is.Equal(len(small), 1)                                   // all are served
 	is.True(small[http.StatusOK] > 0)
 }
