--- a/oleandercove/edge/directory/coverage_test.go
+++ b/oleandercove/edge/directory/coverage_test.go
@@ -136,3 +136,14 @@
 	d.Apply(nil, View{Revision: 20, At: now.Add(-time.Second)}, now)
 	is.Equal(len(d.Servers().All()), 0)
 }
+
+// Guards against a removed server that stays in use because the list that lacks it, of a slow
+// store, was old when it arrived.
+func TestLateList(t *testing.T) {
+	is := is.New(t)
+	d := New(logger.Discard())
+	d.Replace([]objects.Object{server("a", "10.0.0.1:1", "ready", 11, 1)}, View{Revision: 12, At: start}, start)
+	sent := start.Add(outageAge / 2)
+	d.Replace(nil, View{Revision: 20, At: sent}, sent.Add(2*outageAge))
+	is.Equal(len(d.Servers().All()), 0)
+}
--- a/oleandercove/edge/directory/directory.go
+++ b/oleandercove/edge/directory/directory.go
@@ -210,11 +210,13 @@
 }
 
 // ExpireServers removes the servers whose lapsed entries are no longer kept. Call it
-// regularly: the next answer of the store or of a peer may come late.
+// regularly: the next answer of the store or of a peer may come late. In another gap lapsed
+// entries are kept until its end, because the store may have been back for too short a time for
+// servers to register again.
 func (d *Directory) ExpireServers(now time.Time) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	if d.servers.hasDueRemoval(now) {
+	if !d.coverage.isLost(now) && d.servers.hasDueRemoval(now) {
 		d.publish(now)
 	}
 }
@@ -291,13 +293,9 @@
 	return false
 }
 
-// publish makes the servers visible. In another gap lapsed entries are kept until its end: the
-// store may have been back for too short a time for servers to register again.
 func (d *Directory) publish(now time.Time) {
-	if !d.coverage.isLost(now) {
-		for _, id := range d.servers.expire(now) {
-			d.log.Info("backend server removed", "id", id)
-		}
+	for _, id := range d.servers.expire(now) {
+		d.log.Info("backend server removed", "id", id)
 	}
 	d.snapshot.Store(newServers(d.servers.current(d.notices, now)))
 }
