--- a/prover/edge/bodies_test.go
+++ b/prover/edge/bodies_test.go
@@ -33,6 +33,7 @@
 	body := strings.Repeat("x", bodyBytes)
 	var mu sync.Mutex
 	statuses := map[int]int{}
+	var failed []string
 	var wg sync.WaitGroup
 	began := time.Now()
 	for i := range bodyCallers {
@@ -41,6 +42,9 @@
 				a := request{router: s.routers[0], id: fmt.Sprintf("b%d-%d", i, n), method: http.MethodPost, path: imitator.BookPath, key: imitator.Key, body: body}.do()
 				mu.Lock()
 				statuses[a.status]++
+				if a.status == 0 {
+					failed = append(failed, fmt.Sprintf("after %s, %d runs: %v", a.took, len(s.Runs.ByAttempt(fmt.Sprintf("b%d-%d", i, n))), a.err))
+				}
 				mu.Unlock()
 				time.Sleep(100 * time.Millisecond)
 			}
@@ -54,7 +58,7 @@
 	wg.Wait()
 	peak, err := s.routers[0].PeakMemory()
 	is.NoErr(err)
-	t.Logf("peak memory %d MiB, answers by status %v, those to small requests %v", peak>>20, statuses, small)
+	t.Logf("peak memory %d MiB, answers by status %v, those to small requests %v, failures %v", peak>>20, statuses, small, failed)
 	is.True(peak < hostMemory)
 	is.True(statuses[http.StatusOK] > hostMemory/3/bodyBytes) // more than fit at once: the memory is used again
 	is.Equal(statuses[0], 0)                                  // no connection ends without an answer
