directory, follower, gateway: log where a view came from and how old it is

The gateway of TestRefuseReadsBody gets a directory, which the line reads; its checks are the same. Result: no decision changed; unit tests of the changed packages pass.

--- a/oleandercove/edge/announcer/confirmation.go
+++ b/oleandercove/edge/announcer/confirmation.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"oleandercove.example/core/unit"
+	"oleandercove.example/oleandercove/edge/directory"
 	"oleandercove.example/wire/peer"
 )
 
@@ -15,6 +16,7 @@
 // configurationFetch requests the configuration of a peer that has a newer revision
 // than this daemon.
 type configurationFetch struct {
+	peer        unit.HostID
 	address     string
 	confirmedAt time.Time
 }
@@ -33,7 +35,7 @@
 		a.Directory.Confirm(conf.Revision, at)
 	case conf == nil || unit.Revision(b.Revision) > conf.Revision:
 		select {
-		case a.fetches <- configurationFetch{address: b.Address, confirmedAt: at}:
+		case a.fetches <- configurationFetch{peer: unit.HostID(b.Host), address: b.Address, confirmedAt: at}:
 		default:
 		}
 	}
@@ -67,16 +69,23 @@
 	for {
 		select {
 		case f := <-a.fetches:
-			revision, packed, err := a.FetchConfiguration(ctx, f.address)
-			if err != nil {
-				a.Log.Warn("configuration fetch from peer failed", "peer", f.address, "err", err)
-				continue
-			}
-			if err := a.Directory.InstallPacked(revision, packed, f.confirmedAt); err != nil {
-				a.Log.Warn("configuration from peer not installed", "peer", f.address, "err", err)
-			}
+			a.fetch(ctx, f)
 		case <-ctx.Done():
 			return
 		}
 	}
 }
+
+// fetch fetches and installs the configuration of a peer.
+func (a *Announcer) fetch(ctx context.Context, f configurationFetch) {
+	r := directory.Receipt{Peer: f.peer, At: f.confirmedAt, Requested: a.Timer.Now()}
+	revision, packed, err := a.FetchConfiguration(ctx, f.address)
+	r.Received = a.Timer.Now()
+	if err != nil {
+		a.Log.Warn("configuration fetch from peer failed", "peer", f.peer, "took", r.Received.Sub(r.Requested), "err", err)
+		return
+	}
+	if err := a.Directory.InstallPacked(revision, packed, r); err != nil {
+		a.Log.Warn("configuration from peer not installed", "peer", f.peer, "err", err)
+	}
+}
--- a/oleandercove/edge/directory/coverage.go
+++ b/oleandercove/edge/directory/coverage.go
@@ -27,6 +27,8 @@
 	// Since is the time since which the store has answered some daemon at least once in
 	// each outageAge. Zero means that the source knows of no earlier answer.
 	Since time.Time
+	// Peer sent the list; it is empty if the store did.
+	Peer unit.HostID
 }
 
 // revision returns the revision to compare with others: an unknown one counts as the newest.
--- a/oleandercove/edge/directory/directory.go
+++ b/oleandercove/edge/directory/directory.go
@@ -15,7 +15,7 @@
 // Usage:
 //
 //	d := directory.New(log)
-//	err := d.Install(o.Revision, o.Value, sentAt)
+//	err := d.Install(o.Revision, o.Value, directory.Receipt{At: sentAt, Requested: sentAt, Received: now})
 //	if t := d.Table(); t != nil {
 //		servers := d.Servers().ByService("logbook")
 //	}
@@ -69,6 +69,8 @@
 	snapshot     atomic.Pointer[Servers]
 	history      history
 	coverage     coverage
+	// serversSource is the source of the last view of the registry.
+	serversSource string
 }
 
 // New returns an empty Directory.
@@ -83,6 +85,14 @@
 // Configuration returns the configuration, or nil if none is known.
 func (d *Directory) Configuration() *Configuration { return d.configuration.Load() }
 
+// Revision returns the revision of the configuration, or 0 if none is known.
+func (d *Directory) Revision() unit.Revision {
+	if conf := d.configuration.Load(); conf != nil {
+		return conf.Revision
+	}
+	return 0
+}
+
 // Configured returns a channel that is closed once a configuration is known.
 func (d *Directory) Configured() <-chan struct{} { return d.configured }
 
@@ -101,23 +111,23 @@
 const maxConfiguration = 16 << 20
 
 // InstallPacked decompresses a configuration that a peer has sent and installs it.
-func (d *Directory) InstallPacked(revision unit.Revision, packed []byte, at time.Time) error {
+func (d *Directory) InstallPacked(revision unit.Revision, packed []byte, r Receipt) error {
 	raw, err := packer.Unpack(packed, maxConfiguration)
 	if err != nil {
 		d.log.Error("configuration from a peer can't be decompressed", "revision", revision, "err", err)
 		return err
 	}
-	return d.Install(revision, raw, at)
+	return d.Install(revision, raw, r)
 }
 
-// Install puts a configuration in force that was read at a time, unless a newer one is
-// known. It returns an error if raw can't be decoded.
-func (d *Directory) Install(revision unit.Revision, raw json.RawMessage, at time.Time) error {
+// Install puts a configuration in force unless a newer one is known. It returns an error if
+// raw can't be decoded.
+func (d *Directory) Install(revision unit.Revision, raw json.RawMessage, r Receipt) error {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	old := d.configuration.Load()
 	if old != nil && revision <= old.Revision {
-		d.confirm(old, revision, at)
+		d.confirm(old, revision, r.At)
 		return nil
 	}
 	c, err := platform.DecodeConfiguration(raw)
@@ -130,12 +140,13 @@
 		return nil
 	}
 	packed := sync.OnceValues(func() ([]byte, error) { return packer.Pack(raw) })
-	d.configuration.Store(&Configuration{Table: c.Table(), Revision: revision, ConfirmedAt: at, packed: packed})
+	d.configuration.Store(&Configuration{Table: c.Table(), Revision: revision, ConfirmedAt: r.At, packed: packed})
 	if old == nil {
 		close(d.configured)
 	}
 	d.history.notify()
-	d.log.Info("configuration in force", "version", c.Version, "revision", revision, "routes", len(c.Routes))
+	d.log.Info("configuration in force", "version", c.Version, "revision", revision, "routes", len(c.Routes),
+		"source", r.source(), "age", r.age(), "took", r.transferTime())
 	return nil
 }
 
@@ -225,6 +236,7 @@
 // kept: until the end of another outage, or shorter if the store has answered others earlier.
 func (d *Directory) confirmServers(v View, now time.Time) {
 	before := d.coverage
+	d.serversSource = sourceName(v.Peer)
 	d.coverage.confirm(v, now)
 	hold := d.coverage.holdUntil()
 	if d.coverage.lostAt != before.lostAt {
@@ -262,7 +274,7 @@
 	if d.servers.put(s, o) {
 		d.history.add(o)
 		d.log.Info("backend server changed", "id", s.ID, "service", s.Service, "address", s.Address,
-			"draining", s.Draining, "layers", s.Layers, "revision", o.Revision)
+			"draining", s.Draining, "layers", s.Layers, "revision", o.Revision, "source", d.serversSource, "age", now.Sub(d.coverage.at))
 	}
 	return true
 }
@@ -275,7 +287,8 @@
 	}
 	e := d.servers.entries[id]
 	d.history.add(objects.Object{Name: string(id), Revision: e.object.Revision, Deleted: true})
-	d.log.Info("backend server no longer registered", "id", id, "revision", e.object.Revision, "kept_for", e.removeAt.Sub(now))
+	d.log.Info("backend server no longer registered", "id", id, "revision", e.object.Revision, "kept_for", e.removeAt.Sub(now),
+		"source", d.serversSource, "age", now.Sub(d.coverage.at))
 }
 
 // ignoreEntry applies an odd registry entry and reports whether the known entry of the
--- a/oleandercove/edge/directory/directory_test.go
+++ b/oleandercove/edge/directory/directory_test.go
@@ -30,10 +30,10 @@
 func TestOlderConfiguration(t *testing.T) {
 	is := is.New(t)
 	d := New(logger.Discard())
-	is.NoErr(d.Install(7, configuration(3), start))
-	is.NoErr(d.Install(5, configuration(2), start.Add(time.Second)))
+	is.NoErr(d.Install(7, configuration(3), Receipt{At: start}))
+	is.NoErr(d.Install(5, configuration(2), Receipt{At: start.Add(time.Second)}))
 	is.Equal(d.Table().Configuration.Version, routing.Version(3))
-	is.True(d.Install(9, json.RawMessage(`{"version":"x"}`), start) != nil)
+	is.True(d.Install(9, json.RawMessage(`{"version":"x"}`), Receipt{At: start}) != nil)
 	is.Equal(d.Configuration().Revision, unit.Revision(7))
 }
 
@@ -41,7 +41,7 @@
 func TestConfirmed(t *testing.T) {
 	is := is.New(t)
 	d := New(logger.Discard())
-	is.NoErr(d.Install(7, configuration(3), start))
+	is.NoErr(d.Install(7, configuration(3), Receipt{At: start}))
 	d.Confirm(6, start.Add(5*time.Second))
 	d.Confirm(7, start.Add(-time.Second))
 	is.Equal(d.Configuration().ConfirmedAt, start)
@@ -104,7 +104,7 @@
 	d := New(logger.Discard())
 	d.Replace([]objects.Object{server("a", "10.0.0.1:1", "ready", 1, 1)}, View{At: start}, start)
 	later := start.Add(5 * time.Second)
-	is.NoErr(d.ApplyUpdate(u, View{At: later}, later, later))
+	is.NoErr(d.ApplyUpdate(u, View{At: later}, Receipt{At: later, Received: later}))
 	is.Equal(len(d.Servers().All()), 1)
 }
 
@@ -114,11 +114,11 @@
 	is := is.New(t)
 	clock := func() time.Time { return start }
 	d, f := New(logger.Discard()), New(logger.Discard())
-	is.NoErr(d.Install(3, configuration(1), start))
+	is.NoErr(d.Install(3, configuration(1), Receipt{At: start}))
 	d.Replace([]objects.Object{server("a", "10.0.0.1:1", "ready", 4, 1), server("b", "10.0.0.2:1", "ready", 5, 1)}, View{At: start}, start)
 	u := d.WaitForUpdate(t.Context(), Cursor{}, time.Second, clock)
 	is.True(u.Full)
-	is.NoErr(f.ApplyUpdate(u, View{At: start}, start, start))
+	is.NoErr(f.ApplyUpdate(u, View{At: start}, Receipt{At: start, Received: start}))
 	is.Equal(len(f.Servers().All()), 2)
 	is.Equal(f.Configuration().Revision, unit.Revision(3))
 	d.Apply([]objects.Object{{Name: "a", Deleted: true}}, View{At: start}, start)
@@ -126,7 +126,7 @@
 	is.True(!u.Full)
 	is.Equal(len(u.Servers), 1)
 	is.True(u.Packed == nil)
-	is.NoErr(f.ApplyUpdate(u, View{At: start}, start, start))
+	is.NoErr(f.ApplyUpdate(u, View{At: start}, Receipt{At: start, Received: start}))
 	is.Equal(len(f.Servers().All()), 1)
 	u = d.WaitForUpdate(t.Context(), u.Cursor, time.Millisecond, clock)
 	is.True(!u.Full && len(u.Servers) == 0)
--- a/oleandercove/edge/directory/history.go
+++ b/oleandercove/edge/directory/history.go
@@ -142,24 +142,24 @@
 	return packed
 }
 
-// ApplyUpdate applies an update from another daemon. The times are on this daemon's
-// clock. It returns an error if the configuration can't be decompressed or decoded.
-func (d *Directory) ApplyUpdate(u Update, v View, confirmedAt, now time.Time) error {
+// ApplyUpdate applies an update from another daemon; the receipt is that of the
+// configuration. The times are on this daemon's clock. It returns an error if the
+// configuration can't be decompressed or decoded.
+func (d *Directory) ApplyUpdate(u Update, v View, r Receipt) error {
 	if u.Full {
-		d.Replace(u.Servers, v, now)
+		d.Replace(u.Servers, v, r.Received)
 	} else {
-		d.Apply(u.Servers, v, now)
+		d.Apply(u.Servers, v, r.Received)
 	}
-	return d.ApplyConfiguration(u, confirmedAt)
+	return d.ApplyConfiguration(u, r)
 }
 
-// ApplyConfiguration applies only the configuration of an update. The time at which it was
-// confirmed is on this daemon's clock. It returns an error if the configuration can't be
-// decompressed or decoded.
-func (d *Directory) ApplyConfiguration(u Update, confirmedAt time.Time) error {
+// ApplyConfiguration applies only the configuration of an update. It returns an error if the
+// configuration can't be decompressed or decoded.
+func (d *Directory) ApplyConfiguration(u Update, r Receipt) error {
 	if u.Packed != nil {
-		return d.InstallPacked(u.Cursor.Revision, u.Packed, confirmedAt)
+		return d.InstallPacked(u.Cursor.Revision, u.Packed, r)
 	}
-	d.Confirm(u.Cursor.Revision, confirmedAt)
+	d.Confirm(u.Cursor.Revision, r.At)
 	return nil
 }
--- a/oleandercove/edge/directory/syncer.go
+++ b/oleandercove/edge/directory/syncer.go
@@ -111,9 +111,10 @@
 
 func (s *Syncer) configurationFeed() feed {
 	var current unit.Revision
-	install := func(l objects.List, sent, _ time.Time) {
+	install := func(l objects.List, sent, answered time.Time) {
+		r := Receipt{At: sent, Requested: sent, Received: answered}
 		for _, o := range l.Objects {
-			if o.Name == platform.ConfigurationName && !o.Deleted && s.directory.Install(o.Revision, o.Value, sent) == nil {
+			if o.Name == platform.ConfigurationName && !o.Deleted && s.directory.Install(o.Revision, o.Value, r) == nil {
 				current = o.Revision
 			}
 		}
--- a/oleandercove/edge/follower/fleet_test.go
+++ b/oleandercove/edge/follower/fleet_test.go
@@ -181,7 +181,7 @@
 		return
 	}
 	m.cursor = u.Cursor
-	_ = m.directory.ApplyUpdate(u, directory.View{Revision: u.ServersRevision, At: f.now.Add(-u.ServersAge), Since: f.now.Add(-u.CoveredFor)}, f.now, f.now)
+	_ = m.directory.ApplyUpdate(u, directory.View{Revision: u.ServersRevision, At: f.now.Add(-u.ServersAge), Since: f.now.Add(-u.CoveredFor)}, directory.Receipt{At: f.now, Received: f.now})
 }
 
 // disturb begins one random disruption or change of the registry.
--- a/oleandercove/edge/follower/follower.go
+++ b/oleandercove/edge/follower/follower.go
@@ -88,6 +88,8 @@
 	// watching is set while this daemon calls the store.
 	watching atomic.Bool
 
+	answers answerCounts
+
 	mu        sync.Mutex
 	staleness staleness
 }
@@ -117,6 +119,8 @@
 
 // Run keeps the Directory up to date. It blocks until ctx is done.
 func (f *Follower) Run(ctx context.Context) {
+	stop := f.Timer.Subscribe(answersLogInterval, func(time.Time) { f.answers.log(f.Log) })
+	defer stop()
 	var wg conc.WaitGroup
 	wg.Go(func() { f.followStore(ctx) })
 	wg.Go(func() { f.followPeers(ctx) })
@@ -174,11 +178,10 @@
 		if p.Host != current {
 			current, cursor = p.Host, directory.Cursor{}
 		}
+		asked := f.Timer.Now()
 		next, err := f.queryPeer(ctx, p, cursor)
 		if err != nil {
-			if logged != "" {
-				f.Log.Warn("peer lost", "peer", p.Host, "err", err)
-			}
+			f.logFailure(p, err, asked)
 			current, logged = "", ""
 			if !errors.Is(err, errStale) {
 				silent[p.Host] = f.Timer.Now()
@@ -194,6 +197,13 @@
 	}
 }
 
+// logFailure logs a failed query with its cause and the ages of the views that it leaves.
+func (f *Follower) logFailure(p Peer, err error, asked time.Time) {
+	now := f.Timer.Now()
+	ages := f.Directory.Ages(now)
+	f.Log.Warn("peer lost", "peer", p.Host, "err", err, "took", now.Sub(asked), "configuration_age", ages.Configuration, "servers_age", ages.Servers)
+}
+
 // silentTime is how long a peer that did not answer is queried only if no other is left. A
 // daemon that has ended no longer counts as live after that time.
 const silentTime = 3 * time.Second
@@ -244,12 +254,8 @@
 func (f *Follower) queryPeer(ctx context.Context, p Peer, cursor directory.Cursor) (directory.Cursor, error) {
 	ctx, cancel := context.WithTimeout(ctx, maxHold+callTimeoutSlack)
 	defer cancel()
-	revision := unit.Revision(0)
-	if conf := f.Directory.Configuration(); conf != nil {
-		revision = conf.Revision
-	}
 	sent := f.Timer.Now()
-	url := fmt.Sprintf("http://%s%s?incarnation=%d&position=%d&revision=%d", p.Address, Path, cursor.Incarnation, cursor.Position, revision)
+	url := fmt.Sprintf("http://%s%s?incarnation=%d&position=%d&revision=%d", p.Address, Path, cursor.Incarnation, cursor.Position, f.Directory.Revision())
 	reply, err := f.fetchChanges(ctx, url)
 	if err != nil {
 		return cursor, err
@@ -258,12 +264,12 @@
 	f.lastAnswer.Store(answered.UnixNano())
 	u := decode(reply)
 	u.Waited = min(u.Waited, answered.Sub(sent))
-	view := directory.View{Revision: u.ServersRevision, At: sent.Add(u.Waited - u.ServersAge), Since: answered.Add(-u.CoveredFor)}
-	confirmedAt := sent.Add(u.Waited - u.ConfirmedAge)
+	view := directory.View{Revision: u.ServersRevision, At: sent.Add(u.Waited - u.ServersAge), Since: answered.Add(-u.CoveredFor), Peer: p.Host}
+	receipt := directory.Receipt{Peer: p.Host, At: sent.Add(u.Waited - u.ConfirmedAge), Requested: sent, Received: answered}
 	if u.ServersAge > staleAge {
-		return cursor, errors.Join(errStale, f.Directory.ApplyConfiguration(u, confirmedAt))
+		return cursor, errors.Join(errStale, f.Directory.ApplyConfiguration(u, receipt))
 	}
-	return u.Cursor, f.Directory.ApplyUpdate(u, view, confirmedAt, f.Timer.Now())
+	return u.Cursor, f.Directory.ApplyUpdate(u, view, receipt)
 }
 
 // fetchChanges requests the changes at a URL and decodes the answer.
@@ -320,6 +326,7 @@
 		w.Header().Set("Content-Encoding", "gzip")
 		data = packed
 	}
+	f.answers.add(u, len(data))
 	if _, err := w.Write(data); err != nil {
 		f.Log.Debug("sending changes to a follower failed", "err", err)
 	}
--- a/oleandercove/edge/follower/follower_test.go
+++ b/oleandercove/edge/follower/follower_test.go
@@ -174,12 +174,12 @@
 
 			sender := &Follower{Options: Options{Directory: directory.New(logger), Timer: manual, Log: logger}}
 			sender.Directory.Replace(nil, directory.View{At: now.Add(-3 * staleAge)}, now)
-			is.NoErr(sender.Directory.Install(5, configuration, now.Add(-time.Second)))
+			is.NoErr(sender.Directory.Install(5, configuration, directory.Receipt{At: now.Add(-time.Second)}))
 			server := httptest.NewServer(sender)
 			defer server.Close()
 
 			f := New(Options{Directory: directory.New(logger), Timer: manual, Log: logger})
-			is.NoErr(f.Directory.Install(tt.known, configuration, now.Add(-time.Hour)))
+			is.NoErr(f.Directory.Install(tt.known, configuration, directory.Receipt{At: now.Add(-time.Hour)}))
 			_, err := f.queryPeer(t.Context(), Peer{Host: "peer", Address: strings.TrimPrefix(server.URL, "http://")}, directory.Cursor{})
 			is.True(errors.Is(err, errStale))
 			got := f.Directory.Configuration()
--- a/oleandercove/edge/gateway/refusal.go
+++ b/oleandercove/edge/gateway/refusal.go
@@ -57,8 +57,10 @@
 func (j *job) refuse(err *verdict.Error) {
 	j.Meter.countRefusal(err.Reason)
 	delay := retryAfter(err.RetryAfter, j.timeLeft(), rand.Float64())
+	ages := j.Directory.Ages(j.Timer.Now())
 	j.Log.Info("request refused", "id", j.call.Request, "content", j.identity.Content, "parts", j.loggedParts(), "route", j.routeName(), "verdict", err.Verdict,
-		"reason", err.Reason, "detail", err.Detail, "after", time.Since(j.arrivedAt), "left", j.timeLeft(), "retry_after", delay)
+		"reason", err.Reason, "detail", err.Detail, "after", time.Since(j.arrivedAt), "left", j.timeLeft(), "retry_after", delay,
+		"revision", j.Directory.Revision(), "configuration_age", ages.Configuration, "servers_age", ages.Servers)
 	h := j.w.Header()
 	platform.SetRequestID(h, j.call.Request)
 	h.Set("Content-Type", jsonType)
--- a/oleandercove/edge/gateway/refusal_test.go
+++ b/oleandercove/edge/gateway/refusal_test.go
@@ -14,7 +14,6 @@
 	"testing"
 	"time"
 
-	"github.com/charmbracelet/log"
 	"github.com/matryer/is"
 	"github.com/uber-go/tally/v4"
 
@@ -40,7 +39,7 @@
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
 			is := is.New(t)
-			g := &Gateway{ending: context.Background(), Options: Options{Log: log.New(io.Discard), Meter: NewMeter(tally.NoopScope)}}
+			g := newTestGateway()
 			server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 				j := &job{Gateway: g, w: w, r: r, arrivedAt: time.Now(), deadline: time.Now().Add(time.Second)}
 				j.refuse(verdict.New(verdict.NotRun, tt.reason, "refused"))
@@ -164,7 +163,7 @@
 // "k", which was confirmed the given time ago.
 func installConfiguration(t *testing.T, g *Gateway, confirmed time.Duration) {
 	config := `{"version":1,"services":[{"name":"s"}],"tenants":[{"name":"t","api_keys":["k"]}],"routes":[{"name":"r","hostname":"x","path_prefix":"/","service":"s"}]}`
-	if err := g.Directory.Install(5, json.RawMessage(config), g.Timer.Now().Add(-confirmed)); err != nil {
+	if err := g.Directory.Install(5, json.RawMessage(config), directory.Receipt{At: g.Timer.Now().Add(-confirmed)}); err != nil {
 		t.Error(err)
 	}
 }
--- a/oleandercove/edge/gateway/stale_test.go
+++ b/oleandercove/edge/gateway/stale_test.go
@@ -79,7 +79,7 @@
 	g.Screener = screener.New(screener.Options{Timer: g.Timer, Log: g.Log})
 	g.Budgeter = budgeter.New(budgeter.Options{Share: 1, Reserve: 100, Hosts: func() int { return 1 }, Timer: g.Timer})
 	config := `{"version":1,"services":[{"name":"s"}],"routes":[{"name":"r","hostname":"x","path_prefix":"/","service":"s","max_attempts":2,"route_type":"` + routeType + `"}]}`
-	is.New(t).NoErr(g.Directory.Install(5, json.RawMessage(config), g.Timer.Now()))
+	is.New(t).NoErr(g.Directory.Install(5, json.RawMessage(config), directory.Receipt{At: g.Timer.Now()}))
 	return g
 }
 
--- a/oleandercove/edge/prober/prober_test.go
+++ b/oleandercove/edge/prober/prober_test.go
@@ -38,7 +38,7 @@
 func newProber(e Engines) (*Prober, *judge.Judge, *timer.Manual) {
 	d, j, m := directory.New(logger.Discard()), judge.New(), timer.NewManual(time.Unix(1000, 0))
 	config := json.RawMessage(`{"version":1,"services":[{"name":"model","engine":{"layers":4}},{"name":"plain"}]}`)
-	if err := d.Install(5, config, m.Now()); err != nil {
+	if err := d.Install(5, config, directory.Receipt{At: m.Now()}); err != nil {
 		panic(err)
 	}
 	entry := func(name, service, address string) objects.Object {
