gateway: a refusal or send past the bound of its view is answered as not run

Cause: only keys had an age. A 404, 401, 413 or 431 and an unknown service were decided by a configuration of any age, and a send by a list of servers of any age. Change: one measure for all, directory.Freshness. A refusal that the configuration demands holds while that was confirmed within ConfigurationApply less half a second; past it the daemon answers 503, not run. A send is refused past ConfigurationApply or ServerDrain less half a second if another daemon is known to have a newer view that keeps the bound; if none has, the store is away for all, and what is known is used as before. Beacons state the age of the list of servers beside that of the configuration, dated by the same echo. The bounds come from the platform's settings. TestTimesOfBeacons checks the age of the list of servers as well. Why it works: a configuration that was the newest one at a time T lacks only changes that were acknowledged after T, so a refusal within the bound of T can't be late, whatever the delay behind it. Before: TestRefusalFromOldConfiguration on answers 404, 401 and 413 with a configuration that is 6.9 s old. After: 503; TestSendOnOldView passes.

--- a/oleandercove/edge/announcer/confirmation.go
+++ b/oleandercove/edge/announcer/confirmation.go
@@ -9,9 +9,9 @@
 	"oleandercove.example/wire/peer"
 )
 
-// maxConfirmedAge bounds the age of a configuration that a peer states. No bound on the
-// age of keys is as long.
-const maxConfirmedAge = 24 * time.Hour
+// maxStatedAge bounds the age of a view that a peer states. No bound on the age of a view is as
+// long.
+const maxStatedAge = 24 * time.Hour
 
 // configurationFetch requests the configuration of a peer that has a newer revision
 // than this daemon.
@@ -21,31 +21,49 @@
 	confirmedAt time.Time
 }
 
-// confirmConfiguration compares the peer's revision of the configuration with that of
-// this daemon. It confirms an equal revision as of the time that confirmedAt returns, and
-// requests a fetch of a newer revision unless a fetch is waiting.
-func (a *Announcer) confirmConfiguration(b *peer.Beacon, now time.Time) {
-	at, ok := a.confirmedAt(b)
-	if !ok || b.Revision == 0 {
+// recordView records how current the peer's views are, and compares its revision of the
+// configuration with that of this daemon. It confirms an equal revision as of the time at which
+// the peer's was the newest one, and requests a fetch of a newer revision unless a fetch is
+// waiting.
+func (a *Announcer) recordView(b *peer.Beacon) {
+	v, ok := a.viewOf(b)
+	if !ok {
 		return
 	}
-	conf := a.Directory.Configuration()
+	a.Directory.RecordPeerView(v)
+	known := a.Directory.Revision()
 	switch {
-	case conf != nil && unit.Revision(b.Revision) == conf.Revision:
-		a.Directory.Confirm(conf.Revision, at)
-	case conf == nil || unit.Revision(b.Revision) > conf.Revision:
+	case v.Revision == 0:
+	case v.Revision == known:
+		a.Directory.Confirm(known, v.ConfiguredAt)
+	case v.Revision > known:
 		select {
-		case a.fetches <- configurationFetch{peer: unit.HostID(b.Host), address: b.Address, confirmedAt: at}:
+		case a.fetches <- configurationFetch{peer: unit.HostID(b.Host), address: b.Address, confirmedAt: v.ConfiguredAt}:
 		default:
 		}
 	}
 }
 
-// confirmedAt returns, on the clock of this daemon, a time at which the peer's
-// configuration was the newest one, or false if the beacon echoes no recent beacon or
-// states impossible times. The peer sent its beacon no earlier than echo_ms after this
-// daemon sent the echoed one.
-func (a *Announcer) confirmedAt(b *peer.Beacon) (time.Time, bool) {
+// viewOf returns how current the peer's views were when it sent its beacon, or false if that
+// can't be dated.
+func (a *Announcer) viewOf(b *peer.Beacon) (directory.PeerView, bool) {
+	sent, ok := a.earliestSendTime(b)
+	v := directory.PeerView{Revision: unit.Revision(b.Revision), ConfiguredAt: sent.Add(-statedAge(b.ConfirmedMs))}
+	if b.ServersMs > 0 {
+		v.ServersAt = sent.Add(-statedAge(b.ServersMs))
+	}
+	return v, ok
+}
+
+// statedAge returns an age that a peer states, cut so that it can't overflow.
+func statedAge(ms uint64) time.Duration {
+	return time.Duration(min(ms, uint64(maxStatedAge.Milliseconds()))) * time.Millisecond
+}
+
+// earliestSendTime returns the earliest time, on the clock of this daemon, at which the peer can
+// have sent its beacon, or false if the beacon echoes no recent beacon or states impossible
+// times: the peer sent it no earlier than echo_ms after this daemon sent the echoed one.
+func (a *Announcer) earliestSendTime(b *peer.Beacon) (time.Time, bool) {
 	if b.EchoIncarnation != a.incarnation || b.Echo == 0 {
 		return time.Time{}, false
 	}
@@ -59,8 +77,7 @@
 	if b.EchoMs > uint64(max(0, elapsed.Milliseconds())) {
 		return time.Time{}, false
 	}
-	age := time.Duration(min(b.ConfirmedMs, uint64(maxConfirmedAge.Milliseconds()))) * time.Millisecond
-	return sent.Add(time.Duration(b.EchoMs)*time.Millisecond - age), true
+	return sent.Add(time.Duration(b.EchoMs) * time.Millisecond), true
 }
 
 // runFetches fetches and installs the requested configurations, one at a time, until
--- a/oleandercove/edge/announcer/hosts_test.go
+++ b/oleandercove/edge/announcer/hosts_test.go
@@ -104,11 +104,13 @@
 			a := newAnnouncer(logger.Discard())
 			now := a.Timer.Now()
 			a.lastNumber, a.sentAt[1] = 1, now.Add(-time.Second)
-			at, ok := a.confirmedAt(&peer.Beacon{Echo: 1, EchoIncarnation: a.incarnation, EchoMs: tt.echoMs, ConfirmedMs: tt.confirmed})
+			v, ok := a.viewOf(&peer.Beacon{Echo: 1, EchoIncarnation: a.incarnation, EchoMs: tt.echoMs, ConfirmedMs: tt.confirmed, ServersMs: tt.confirmed})
 			is.Equal(ok, tt.ok)
-			if ok {
-				is.True(!at.After(now.Add(-900 * time.Millisecond)))
-				is.True(tt.confirmed < 1000 || at.Before(now.Add(-time.Minute)))
+			for _, at := range []time.Time{v.ConfiguredAt, v.ServersAt} {
+				if ok {
+					is.True(!at.After(now.Add(-900 * time.Millisecond)))
+					is.True(tt.confirmed < 1000 || at.Before(now.Add(-time.Minute)))
+				}
 			}
 		})
 	}
--- a/oleandercove/edge/announcer/receive.go
+++ b/oleandercove/edge/announcer/receive.go
@@ -48,7 +48,7 @@
 	for _, e := range b.Engines {
 		a.applyEngineState(e, now)
 	}
-	a.confirmConfiguration(&b, now)
+	a.recordView(&b)
 }
 
 // applyEngineState records the slowdown of an engine and the layers that it will release,
--- a/oleandercove/edge/announcer/send.go
+++ b/oleandercove/edge/announcer/send.go
@@ -93,6 +93,7 @@
 	if conf := a.Directory.Configuration(); conf != nil {
 		b.Revision, b.ConfirmedMs = uint64(conf.Revision), uint64(max(0, now.Sub(conf.ConfirmedAt).Milliseconds())+1)
 	}
+	b.ServersMs = uint64(max(0, a.Directory.Views(now).Servers.Age.Milliseconds()) + 1)
 	for _, x := range a.Judge.Exclusions(now) {
 		b.Marks = append(b.Marks, &peer.DownMark{Server: string(x.Server), LeftMs: uint32(x.Remaining.Milliseconds())})
 	}
--- a/oleandercove/edge/directory/directory.go
+++ b/oleandercove/edge/directory/directory.go
@@ -71,6 +71,7 @@
 	coverage     coverage
 	// serversSource is the source of the last view of the registry.
 	serversSource string
+	fleet         fleetViews
 }
 
 // New returns an empty Directory.
@@ -252,14 +253,6 @@
 	}
 }
 
-// ServersAge returns the time since the view of the registry was last known to be
-// current.
-func (d *Directory) ServersAge(now time.Time) time.Duration {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	return now.Sub(d.coverage.at)
-}
-
 // putEntry applies one registry entry and reports whether the server is to be kept. The
 // entry of a server that is not known describes one if it is sound.
 func (d *Directory) putEntry(o objects.Object, now time.Time) bool {
--- a/oleandercove/edge/directory/receipt.go
+++ b/oleandercove/edge/directory/receipt.go
@@ -33,19 +33,3 @@
 	}
 	return string(host)
 }
-
-// Ages are the ages of a daemon's views of the store: the times since they were last known to
-// be current.
-type Ages struct {
-	// Configuration is 0 as long as no configuration is known.
-	Configuration, Servers time.Duration
-}
-
-// Ages returns the ages of the views.
-func (d *Directory) Ages(now time.Time) Ages {
-	a := Ages{Servers: d.ServersAge(now)}
-	if conf := d.Configuration(); conf != nil {
-		a.Configuration = now.Sub(conf.ConfirmedAt)
-	}
-	return a
-}
--- a/oleandercove/edge/follower/fleet_test.go
+++ b/oleandercove/edge/follower/fleet_test.go
@@ -112,7 +112,7 @@
 }
 
 func (f *fleet) source(m *member) Source {
-	v := View{Self: m.host, Settled: true, PeerAnswered: true, Age: min(f.now.Sub(m.startedAt), m.directory.ServersAge(f.now))}
+	v := View{Self: m.host, Settled: true, PeerAnswered: true, Age: min(f.now.Sub(m.startedAt), m.directory.Views(f.now).Servers.Age)}
 	for _, x := range f.members {
 		if x != m {
 			v.Peers = append(v.Peers, Peer{Host: x.host})
--- a/oleandercove/edge/follower/follower.go
+++ b/oleandercove/edge/follower/follower.go
@@ -107,7 +107,7 @@
 	now := f.Timer.Now()
 	v := View{
 		Self: f.Host, Peers: f.Peers(), Seed: f.Seed, Settled: f.Settled(),
-		Age: min(now.Sub(f.started), f.Directory.ServersAge(now)),
+		Age: min(now.Sub(f.started), f.Directory.Views(now).Servers.Age),
 	}
 	v.PeerAnswered = now.Sub(time.Unix(0, f.lastAnswer.Load())) < answerValidity
 	v.Demanded = f.watching.Load() && now.Sub(time.Unix(0, f.lastQuery.Load())) < demandTime
@@ -200,8 +200,8 @@
 // logFailure logs a failed query with its cause and the ages of the views that it leaves.
 func (f *Follower) logFailure(p Peer, err error, asked time.Time) {
 	now := f.Timer.Now()
-	ages := f.Directory.Ages(now)
-	f.Log.Warn("peer lost", "peer", p.Host, "err", err, "took", now.Sub(asked), "configuration_age", ages.Configuration, "servers_age", ages.Servers)
+	v := f.Directory.Views(now)
+	f.Log.Warn("peer lost", "peer", p.Host, "err", err, "took", now.Sub(asked), "configuration_age", v.Configuration.Age, "servers_age", v.Servers.Age)
 }
 
 // silentTime is how long a peer that did not answer is queried only if no other is left. A
--- a/oleandercove/edge/follower/follower_test.go
+++ b/oleandercove/edge/follower/follower_test.go
@@ -185,7 +185,7 @@
 			got := f.Directory.Configuration()
 			is.Equal(got.Revision, unit.Revision(5))
 			is.True(now.Sub(got.ConfirmedAt) < 2*time.Second)
-			is.True(f.Directory.ServersAge(now) > staleAge)
+			is.True(f.Directory.Views(now).Servers.Age > staleAge)
 		})
 	}
 }
--- a/oleandercove/edge/gateway/call.go
+++ b/oleandercove/edge/gateway/call.go
@@ -59,7 +59,7 @@
 		if !ok || (sent > 0 && j.Budgeter.TakeRetry(j.service.Name) != nil) {
 			break
 		}
-		if err := j.checkKeys(); err != nil {
+		if err := j.checkViews(); err != nil {
 			if sent == 0 {
 				j.refuse(err)
 				return
--- a/oleandercove/edge/gateway/gateway.go
+++ b/oleandercove/edge/gateway/gateway.go
@@ -62,8 +62,7 @@
 	Bodies *reserver.Reserver
 	// DataCentre is where this daemon runs.
 	DataCentre unit.DataCentre
-	// KeyRevocation is the time after which a revoked key must not work.
-	KeyRevocation time.Duration
+	Bounds     ViewBounds
 }
 
 // Gateway is an http.Handler for the requests of callers.
--- a/oleandercove/edge/gateway/prepare.go
+++ b/oleandercove/edge/gateway/prepare.go
@@ -7,6 +7,7 @@
 
 	"oleandercove.example/core/routing"
 	"oleandercove.example/core/verdict"
+	"oleandercove.example/oleandercove/edge/directory"
 	"oleandercove.example/oleandercove/edge/screener"
 	"oleandercove.example/oleandercove/quarantiner"
 )
@@ -15,9 +16,6 @@
 	// defaultDeadline is the time limit of requests for which the caller sets none; a
 	// shorter limit of the route still applies.
 	defaultDeadline = 60 * time.Second
-	// keyAgeMargin is subtracted from the bound on revocation. It covers the time between
-	// the check of a key and the send of the request.
-	keyAgeMargin = 500 * time.Millisecond
 	// startWait is how long a request waits for the first configuration of the daemon, which
 	// is read within some milliseconds of the start.
 	startWait = 100 * time.Millisecond
@@ -28,20 +26,12 @@
 	if err := j.checkShutdown(); err != nil {
 		return err
 	}
-	table := j.awaitTable()
-	if table == nil {
+	conf := j.awaitConfiguration()
+	if conf == nil {
 		return verdict.New(verdict.NotRun, verdict.Starting, "no configuration is known yet").WithRetryAfter(startingRetryAfter)
 	}
-	limits := table.Configuration.Limits
-	if n := headerSize(j.r); limits.HeaderBytes > 0 && n > limits.HeaderBytes {
-		return verdict.New(verdict.NotRun, verdict.HeaderTooLarge, "headers have %d bytes, limit is %d", n, limits.HeaderBytes)
-	}
-	if err := j.identify(table); err != nil {
-		return err
-	}
-	j.deadline = j.arrivedAt.Add(j.timeout())
-	if err := j.readBody(limits); err != nil {
-		return err
+	if err := j.checkConfiguration(conf.Table); err != nil {
+		return j.confirmRefusal(err, conf)
 	}
 	// The body may have taken until late in the grace time.
 	if err := j.checkShutdown(); err != nil {
@@ -54,6 +44,20 @@
 	return nil
 }
 
+// checkConfiguration identifies the request and reads its body, and refuses what the
+// configuration doesn't allow.
+func (j *job) checkConfiguration(table *routing.Table) *verdict.Error {
+	limits := table.Configuration.Limits
+	if n := headerSize(j.r); limits.HeaderBytes > 0 && n > limits.HeaderBytes {
+		return verdict.New(verdict.NotRun, verdict.HeaderTooLarge, "headers have %d bytes, limit is %d", n, limits.HeaderBytes)
+	}
+	if err := j.identify(table); err != nil {
+		return err
+	}
+	j.deadline = j.arrivedAt.Add(j.timeout())
+	return j.readBody(limits)
+}
+
 // checkShutdown refuses the request if it might not finish before the daemon stops.
 func (j *job) checkShutdown() *verdict.Error {
 	if !j.refusing.Load() {
@@ -62,21 +66,20 @@
 	return verdict.New(verdict.NotRun, verdict.Draining, "daemon is shutting down").WithRetryAfter(drainingRetryAfter)
 }
 
-// awaitTable returns the look-up tables of the configuration, or nil if none is known within
-// startWait.
+// awaitConfiguration returns the configuration, or nil if none is known within startWait.
 //
 // Load pattern: all daemons of a fleet are killed. Their callers have one more try, and make it
 // as soon as a daemon accepts connections.
-func (j *job) awaitTable() *routing.Table {
-	if t := j.Directory.Table(); t != nil {
-		return t
+func (j *job) awaitConfiguration() *directory.Configuration {
+	if conf := j.Directory.Configuration(); conf != nil {
+		return conf
 	}
 	select {
 	case <-j.Directory.Configured():
 	case <-time.After(startWait):
 	case <-j.r.Context().Done():
 	}
-	return j.Directory.Table()
+	return j.Directory.Configuration()
 }
 
 // headerSize returns the size of the request line and headers, in bytes.
@@ -116,23 +119,6 @@
 	return nil
 }
 
-// checkKeys refuses an authenticated request if its key was revoked, or if the keys
-// were last confirmed too long ago for the bound on revocation. It is called again
-// before each send.
-func (j *job) checkKeys() *verdict.Error {
-	if !j.authenticated {
-		return nil
-	}
-	conf := j.Directory.Configuration()
-	if _, ok := conf.Table.Account(j.call.Key); !ok {
-		return verdict.New(verdict.NotRun, verdict.Unauthorized, "key was revoked")
-	}
-	if age := j.Timer.Now().Sub(conf.ConfirmedAt); age > j.KeyRevocation-keyAgeMargin {
-		return verdict.New(verdict.NotRun, verdict.PlatformUnavailable, "keys were last confirmed %s ago", age.Round(time.Millisecond)).WithRetryAfter(staleKeysRetryAfter)
-	}
-	return nil
-}
-
 // timeout returns the time limit of the request: the timeout of the caller or else
 // defaultDeadline, and at most the timeout of the route if it is known and has one.
 func (j *job) timeout() time.Duration {
--- a/oleandercove/edge/gateway/refusal.go
+++ b/oleandercove/edge/gateway/refusal.go
@@ -22,9 +22,9 @@
 	// drainingRetryAfter is when callers of a daemon that shuts down may retry; their
 	// next connection goes to another daemon.
 	drainingRetryAfter = 50 * time.Millisecond
-	// staleKeysRetryAfter is when callers may retry after their key could not be
-	// confirmed; another daemon may have newer keys.
-	staleKeysRetryAfter = 300 * time.Millisecond
+	// staleViewRetryAfter is when callers may retry after this daemon's view was too old to
+	// decide; another daemon may have a newer one.
+	staleViewRetryAfter = 300 * time.Millisecond
 	// faultRetryAfter is when callers may retry after a fault that lasts some seconds: the
 	// retry budget is used up, or the configuration has no such service.
 	faultRetryAfter = 1500 * time.Millisecond
@@ -57,10 +57,10 @@
 func (j *job) refuse(err *verdict.Error) {
 	j.Meter.countRefusal(err.Reason)
 	delay := retryAfter(err.RetryAfter, j.timeLeft(), rand.Float64())
-	ages := j.Directory.Ages(j.Timer.Now())
+	views := j.Directory.Views(j.Timer.Now())
 	j.Log.Info("request refused", "id", j.call.Request, "content", j.identity.Content, "parts", j.loggedParts(), "route", j.routeName(), "verdict", err.Verdict,
 		"reason", err.Reason, "detail", err.Detail, "after", time.Since(j.arrivedAt), "left", j.timeLeft(), "retry_after", delay,
-		"revision", j.Directory.Revision(), "configuration_age", ages.Configuration, "servers_age", ages.Servers)
+		"revision", j.Directory.Revision(), "configuration_age", views.Configuration.Age, "servers_age", views.Servers.Age)
 	h := j.w.Header()
 	platform.SetRequestID(h, j.call.Request)
 	h.Set("Content-Type", jsonType)
--- a/oleandercove/edge/gateway/refusal_test.go
+++ b/oleandercove/edge/gateway/refusal_test.go
@@ -103,7 +103,7 @@
 	}{
 		{"no configuration is known", func(*Gateway) {}, startingRetryAfter},
 		{"the daemon shuts down", func(g *Gateway) { g.RefuseNewRequests() }, drainingRetryAfter},
-		{"keys are not confirmed", func(g *Gateway) { installConfiguration(t, g, time.Minute) }, staleKeysRetryAfter},
+		{"keys are not confirmed", func(g *Gateway) { installConfiguration(t, g, time.Minute) }, staleViewRetryAfter},
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
@@ -155,15 +155,18 @@
 
 func newTestGateway() *Gateway {
 	return &Gateway{ending: context.Background(), Options: Options{
-		Log: logger.Discard(), Meter: NewMeter(tally.NoopScope), Directory: directory.New(logger.Discard()), Timer: timer.NewReal(), KeyRevocation: 5 * time.Second,
+		Log: logger.Discard(), Meter: NewMeter(tally.NoopScope), Directory: directory.New(logger.Discard()), Timer: timer.NewReal(), Bounds: ViewBounds{Keys: 5 * time.Second, Configuration: 4 * time.Second, Servers: 4 * time.Second},
 	}}
 }
 
-// installConfiguration installs a configuration with one route, for the host "x" and the key
-// "k", which was confirmed the given time ago.
+// installConfiguration installs a configuration that was confirmed the given time ago, with the
+// key "k" and a limit of 50 bytes for bodies. It has a route for the host "x", one without a key
+// for "open", and one to an unknown service for "no-service".
 func installConfiguration(t *testing.T, g *Gateway, confirmed time.Duration) {
-	config := `{"version":1,"services":[{"name":"s"}],"tenants":[{"name":"t","api_keys":["k"]}],"routes":[{"name":"r","hostname":"x","path_prefix":"/","service":"s"}]}`
-	if err := g.Directory.Install(5, json.RawMessage(config), directory.Receipt{At: g.Timer.Now().Add(-confirmed)}); err != nil {
+	config := `{"version":1,"services":[{"name":"s"}],"tenants":[{"name":"t","api_keys":["k"]}],"limits":{"max_body_bytes":50},"routes":[
+		{"name":"r","hostname":"x","path_prefix":"/","service":"s"},{"name":"o","hostname":"open","path_prefix":"/","service":"s","anonymous":true},
+		{"name":"n","hostname":"no-service","path_prefix":"/","service":"none"}]}`
+	if err := g.Directory.Install(5, json.RawMessage(config), directory.Receipt{At: g.Timer.Now().Add(-confirmed), Received: g.Timer.Now()}); err != nil {
 		t.Error(err)
 	}
 }
--- a/oleandercove/edge/gateway/stream.go
+++ b/oleandercove/edge/gateway/stream.go
@@ -124,7 +124,7 @@
 	if s.ctx.Err() != nil {
 		return verdict.New(verdict.NotRun, verdict.DeadlineExceeded, "no time left for an attempt")
 	}
-	if err := s.checkKeys(); err != nil {
+	if err := s.checkViews(); err != nil {
 		return err
 	}
 	release, err := s.Screener.Enter(s.ctx, s.identity)
--- /dev/null
+++ b/oleandercove/edge/gateway/views_test.go
@@ -0,0 +1,88 @@
+package gateway
+
+import (
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"oleandercove.example/core/unit"
+	"oleandercove.example/core/verdict"
+	"oleandercove.example/oleandercove/edge/directory"
+)
+
+// Guards against a refusal that a newer configuration takes back, by a daemon that has had no
+// answer for longer than a change may take. A caller doesn't repeat a request after it.
+func TestRefusalFromOldConfiguration(t *testing.T) {
+	const fresh, late = 1200 * time.Millisecond, 6900 * time.Millisecond
+	tests := []struct {
+		name      string
+		host, key string
+		body      string
+		age       time.Duration
+		want      int
+	}{
+		{"a route that is not there", "unknown", "k", "", fresh, http.StatusNotFound},
+		{"a route that an old configuration lacks", "unknown", "k", "", late, http.StatusServiceUnavailable},
+		{"a key that is not there", "x", "unknown", "", fresh, http.StatusUnauthorized},
+		{"a key that an old configuration lacks", "x", "unknown", "", late, http.StatusServiceUnavailable},
+		{"a service that is not there", "no-service", "k", "", fresh, http.StatusServiceUnavailable},
+		{"a body over the limit", "x", "k", strings.Repeat("x", 100), fresh, http.StatusRequestEntityTooLarge},
+		{"a body over an old limit", "open", "", strings.Repeat("x", 100), late, http.StatusServiceUnavailable},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			g := newTestGateway()
+			installConfiguration(t, g, tt.age)
+			r := httptest.NewRequest(http.MethodPost, "/a", strings.NewReader(tt.body))
+			r.Host = tt.host
+			r.Header.Set("Authorization", "Bearer "+tt.key)
+			w := httptest.NewRecorder()
+			g.ServeHTTP(w, r)
+			is.Equal(w.Code, tt.want)
+			is.True(strings.Contains(w.Body.String(), "NotRun"))
+		})
+	}
+}
+
+// Guards against requests that go to a removed route or to a server that has left, through a
+// daemon whose views are old while other daemons have newer ones, and against refusals while the
+// store is away for all.
+func TestSendOnOldView(t *testing.T) {
+	const fresh, late = 1200 * time.Millisecond, 6900 * time.Millisecond
+	tests := []struct {
+		name                   string
+		configuration, servers time.Duration
+		// newer is the revision of another daemon's configuration, and peer the age of its views.
+		newer unit.Revision
+		peer  time.Duration
+		want  bool
+	}{
+		{"fresh views are not enough", fresh, fresh, 5, 0, true},
+		{"a newer configuration elsewhere stops requests at once", fresh, fresh, 6, 0, true},
+		{"an old configuration is used although another daemon has a newer one", late, fresh, 6, fresh, false},
+		{"an old list of servers is used although another daemon has a newer one", fresh, late, 5, fresh, false},
+		{"nothing is served while the store is away", late, late, 5, late, true},
+		{"nothing is served without other daemons", late, late, 0, 0, true},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			g := newTestGateway()
+			now := g.Timer.Now()
+			installConfiguration(t, g, tt.configuration)
+			g.Directory.Replace(nil, directory.View{Revision: 7, At: now.Add(-tt.servers)}, now)
+			if tt.newer > 0 {
+				at := now.Add(-tt.peer)
+				g.Directory.RecordPeerView(directory.PeerView{Revision: tt.newer, ConfiguredAt: at, ServersAt: at})
+			}
+			err := (&job{Gateway: g}).checkViews()
+			is.Equal(err == nil, tt.want)
+			is.True(err == nil || err.Verdict == verdict.NotRun)
+		})
+	}
+}
--- a/oleandercove/edge/runner/runner.go
+++ b/oleandercove/edge/runner/runner.go
@@ -149,7 +149,8 @@
 		Log: r.log.WithPrefix("gateway"), Meter: gateway.NewMeter(r.metrics.scope),
 		Budgeter: b, Rationer: rationer.New(rationer.Options{Part: b.Part, Timer: r.timer}),
 		Bodies:   reserver.New(int64(s.Limits.MemoryMegabytes) << 20 * bodyMemoryPercent / 100),
-		Screener: r.screener, Deferrer: deferrer.New(), Throttler: th, OnLeaving: func() { a.FlushNow() }, DataCentre: s.DataCentre, KeyRevocation: s.Bounds.KeyRevocation.Std(),
+		Screener: r.screener, Deferrer: deferrer.New(), Throttler: th, OnLeaving: func() { a.FlushNow() }, DataCentre: s.DataCentre,
+		Bounds: gateway.ViewBounds{Keys: s.Bounds.KeyRevocation.Std(), Configuration: s.Bounds.ConfigurationApply.Std(), Servers: s.Bounds.ServerDrain.Std()},
 	})
 	a, err := announcer.New(announcer.Options{
 		Host: s.Host, DataCentre: s.DataCentre, Address: s.BeaconAddress(), PeerAddress: s.PeerAddress(), Seeds: r.seeds(), Registry: store,
--- a/oleandercove/edge/settings/settings.go
+++ b/oleandercove/edge/settings/settings.go
@@ -52,6 +52,11 @@
 type Bounds struct {
 	// KeyRevocation is the time after which a revoked key must be rejected.
 	KeyRevocation loader.Duration `check:"positive"`
+	// ConfigurationApply is the time within which a new configuration must be in force.
+	ConfigurationApply loader.Duration `check:"positive"`
+	// ServerDrain is the time within which a backend server that leaves must get no more
+	// requests.
+	ServerDrain loader.Duration `check:"positive"`
 	// Grace is the time between SIGTERM and SIGKILL.
 	Grace loader.Duration `check:"positive"`
 	// RetryShare and RetryReserve bound the retries of the whole fleet.
@@ -80,8 +85,11 @@
 // defaultSettings returns the settings of keys that the file leaves out.
 func defaultSettings() *Settings {
 	return &Settings{
-		Bounds: Bounds{Grace: loader.Duration(8 * time.Second), KeyRevocation: loader.Duration(5 * time.Second)},
-		Log:    Log{Level: "info", LinesPerSecond: 50},
+		Bounds: Bounds{
+			Grace: loader.Duration(8 * time.Second), KeyRevocation: loader.Duration(5 * time.Second),
+			ConfigurationApply: loader.Duration(4 * time.Second), ServerDrain: loader.Duration(4 * time.Second),
+		},
+		Log: Log{Level: "info", LinesPerSecond: 50},
 	}
 }
 
