follower: an old configuration makes a source as stale as an old list of servers

Cause: a daemon chose its source by the age of the list of servers alone. Where the store no longer answers the two watchers about the configuration, but does about servers, all daemons stay with them, and no other one asks the store. Change: the age that decides is that of the older view. An answer of a peer whose configuration is older than staleAge is applied, and counts as stale. TestWatcherFrozen now waits until only two daemons watch the store; for some seconds after a start all eight did.

--- a/oleandercove/edge/follower/choice.go
+++ b/oleandercove/edge/follower/choice.go
@@ -15,22 +15,21 @@
 	// watcherHashKey is hashed with the hosts to choose the watchers.
 	watcherHashKey = "store"
 	// minSubstitutes is the number of daemons, watchers included, that call the store
-	// first when the watchers send no fresh server list; the others query them. The
+	// first when the watchers send no fresh views; the others query them. The
 	// number doubles every substituteGrowthInterval up to maxSubstitutes: a store that
 	// rejects a part of the daemons serves one of these.
 	minSubstitutes           = 6
 	maxSubstitutes           = 24
 	substituteGrowthInterval = 500 * time.Millisecond
-	// staleAge is the age of the server list beyond which substitutes call the store, and
-	// beyond which the answer of a peer is of no use. Removals of servers must be known
-	// within two seconds.
+	// staleAge is the age of a view beyond which substitutes call the store, and beyond which
+	// the answer of a peer is of no use. Removals of servers must be known within two seconds.
 	staleAge = 1300 * time.Millisecond
 	// isolatedStaleAge is the age beyond which a daemon that no peer answers calls the
 	// store.
 	isolatedStaleAge = 1800 * time.Millisecond
 	// maxStaleAge is the age beyond which every daemon calls the store.
 	maxStaleAge = 8 * time.Second
-	// recoveryTime is how long after its server list was stale a daemon still relies on the
+	// recoveryTime is how long after a view was stale a daemon still relies on the
 	// substitutes. It is long enough for several calls to a slow store, and short because
 	// the substitutes add to the calls.
 	recoveryTime = 5 * time.Second
@@ -40,12 +39,12 @@
 	demandTime = 3 * time.Second
 )
 
-// staleness tracks when a daemon's server list was last stale.
+// staleness tracks when a daemon's views were last stale.
 type staleness struct {
 	at time.Time
 }
 
-// isRecovering reports whether the server list, which has the given age now, was stale within
+// isRecovering reports whether the older view, which has the given age now, was stale within
 // recoveryTime.
 func (s *staleness) isRecovering(age time.Duration, now time.Time) bool {
 	if age > staleAge {
@@ -68,15 +67,15 @@
 	Seed bool
 	// Settled is set once the daemon has run long enough to have discovered its peers.
 	Settled bool
-	// Age is the age of the list of servers, or the time since the start if the list is
-	// not known yet.
+	// Age is the age of the older of the configuration and the list of servers, or the time
+	// since the start if the list is not known yet.
 	Age time.Duration
-	// Recovering is set for some time after the list was stale.
+	// Recovering is set for some time after a view was stale.
 	Recovering bool
 	// Demanded is set while the daemon calls the store and a peer has queried it within
 	// demandTime.
 	Demanded bool
-	// PeerAnswered is true if a peer has answered lately, even with an old server list.
+	// PeerAnswered is true if a peer has answered lately, even with old views.
 	PeerAnswered bool
 }
 
@@ -133,8 +132,8 @@
 	return chooser.Top(watcherHashKey, hosts, len(hosts))
 }
 
-// substituteCount returns the number of daemons that call the store when the server list
-// of all has the age. It doubles with time up to maxSubstitutes.
+// substituteCount returns the number of daemons that call the store when a view of all has
+// the age. It doubles with time up to maxSubstitutes.
 func substituteCount(age time.Duration) int {
 	count := minSubstitutes
 	for at := staleAge + substituteGrowthInterval; at < age && count < maxSubstitutes; at += substituteGrowthInterval {
--- a/oleandercove/edge/follower/follower.go
+++ b/oleandercove/edge/follower/follower.go
@@ -5,8 +5,8 @@
 // each daemon that watches the store. The rule is therefore:
 //   - A few daemons, chosen by rendezvous hashing, watch the store. The others query
 //     one of them and wait for its answer.
-//   - While the server list is old on all daemons, and some seconds longer, a few more
-//     daemons call the store. The others query one of these.
+//   - While the configuration or the server list is old on all daemons, and some seconds
+//     longer, a few more daemons call the store. The others query one of these.
 //   - A daemon calls the store itself if no peer answers, and queries its peers if the
 //     store rejects it.
 //
@@ -107,7 +107,7 @@
 	now := f.Timer.Now()
 	v := View{
 		Self: f.Host, Peers: f.Peers(), Seed: f.Seed, Settled: f.Settled(),
-		Age: min(now.Sub(f.started), f.Directory.Views(now).Servers.Age),
+		Age: min(now.Sub(f.started), f.Directory.Views(now).Age()),
 	}
 	v.PeerAnswered = now.Sub(time.Unix(0, f.lastAnswer.Load())) < answerValidity
 	v.Demanded = f.watching.Load() && now.Sub(time.Unix(0, f.lastQuery.Load())) < demandTime
@@ -241,16 +241,16 @@
 	return candidates[random(len(candidates))]
 }
 
-// errStale is returned for an answer of a peer whose own server list is older than
-// staleAge. The configuration in it has been applied.
-var errStale = errors.New("server list of the peer is too old")
+// errStale is returned for an answer of a peer whose own views are older than staleAge. What is
+// newer in it has been applied.
+var errStale = errors.New("views of the peer are too old")
 
 // queryPeer queries one peer for changes after the cursor and applies its answer. It
 // blocks until the answer, at most for maxHold and callTimeoutSlack, and returns the
 // cursor for the next query.
 //
-// Load pattern: the store is slow or serves one kind of call only. A peer then has a new
-// configuration while its server list is old, because the two are read by separate calls.
+// Load pattern: the store is slow or serves one kind of call only. A peer then has one new view
+// and an old one, because the two are read by separate calls.
 func (f *Follower) queryPeer(ctx context.Context, p Peer, cursor directory.Cursor) (directory.Cursor, error) {
 	ctx, cancel := context.WithTimeout(ctx, maxHold+callTimeoutSlack)
 	defer cancel()
@@ -269,7 +269,11 @@
 	if u.ServersAge > staleAge {
 		return cursor, errors.Join(errStale, f.Directory.ApplyConfiguration(u, receipt))
 	}
-	return u.Cursor, f.Directory.ApplyUpdate(u, view, receipt)
+	err = f.Directory.ApplyUpdate(u, view, receipt)
+	if u.ConfirmedAge > staleAge {
+		return cursor, errors.Join(errStale, err)
+	}
+	return u.Cursor, err
 }
 
 // fetchChanges requests the changes at a URL and decodes the answer.
--- a/oleanderfake/imitator/configuration.go
+++ b/oleanderfake/imitator/configuration.go
@@ -82,7 +82,7 @@
 			TimeoutMS: 10000, TargetLatency: 500, MaxAttempts: attempts, StreamResume: service == modelService, GapAimMS: 200,
 		}
 	}
-	s.Store.Put("config", "main", configurationSpec{
+	s.Store.Put(KindConfiguration, "main", configurationSpec{
 		Version: version,
 		Routes: []routeSpec{
 			route(ModelPath, "streaming", modelService, 2),
--- a/oleanderfake/imitator/engine.go
+++ b/oleanderfake/imitator/engine.go
@@ -119,7 +119,7 @@
 func (e *Engine) Address() string { return e.address }
 
 // RemoveEntry removes the entry of the engine from the store.
-func (e *Engine) RemoveEntry() { e.site.Store.Remove(kindServers, e.ID) }
+func (e *Engine) RemoveEntry() { e.site.Store.Remove(KindServers, e.ID) }
 
 func (e *Engine) alive() bool {
 	e.mu.Lock()
@@ -157,7 +157,7 @@
 	}
 	e.mu.Unlock()
 	e.site.Store.recordHeartbeat(e.ID)
-	e.site.Store.Put(kindServers, e.ID, spec)
+	e.site.Store.Put(KindServers, e.ID, spec)
 }
 
 // ServeHTTP answers reports, orders and requests.
--- a/oleanderfake/imitator/server.go
+++ b/oleanderfake/imitator/server.go
@@ -19,7 +19,6 @@
 	headerTokens    = "X-Oleandercove-Token-Count"
 	headerRefusedBy = "At-Server"
 	headerLastEvent = "Last-Event-Id"
-	kindServers     = "servers"
 	stampPrefix     = "stamp-"
 	stateReady      = "ready"
 	stateDraining   = "draining"
@@ -213,7 +212,7 @@
 }
 
 // RemoveEntry removes the entry of the server from the store.
-func (p *Server) RemoveEntry() { p.site.Store.Remove(kindServers, p.ID) }
+func (p *Server) RemoveEntry() { p.site.Store.Remove(KindServers, p.ID) }
 
 // Connections returns the number of open connections to the server.
 func (p *Server) Connections() int {
@@ -228,7 +227,7 @@
 		state = stateDraining
 	}
 	p.site.Store.recordHeartbeat(p.ID)
-	p.site.Store.Put(kindServers, p.ID, serverSpec{
+	p.site.Store.Put(KindServers, p.ID, serverSpec{
 		Service: plainService, Address: p.address, Zone: "x", Slots: serverSlots, State: state, Born: 1 + p.restarts.Load(),
 	})
 }
--- a/oleanderfake/imitator/store.go
+++ b/oleanderfake/imitator/store.go
@@ -45,6 +45,13 @@
 	}
 )
 
+const (
+	// KindServers is the kind of the entries of backend servers, KindConfiguration that of the
+	// configuration.
+	KindServers       = "servers"
+	KindConfiguration = "config"
+)
+
 // Store simulates the platform's store.
 type Store struct {
 	mu       sync.Mutex
@@ -105,7 +112,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.lastHeartbeat[name] = time.Now()
-	_, ok := s.objects[kindServers][name]
+	_, ok := s.objects[KindServers][name]
 	return ok
 }
 
@@ -113,14 +120,14 @@
 func (s *Store) expire(maxAge time.Duration) {
 	s.mu.Lock()
 	var expired []string
-	for name := range s.objects[kindServers] {
+	for name := range s.objects[KindServers] {
 		if time.Since(s.lastHeartbeat[name]) > maxAge {
 			expired = append(expired, name)
 		}
 	}
 	s.mu.Unlock()
 	for _, name := range expired {
-		s.Remove(kindServers, name)
+		s.Remove(KindServers, name)
 	}
 }
 
@@ -132,6 +139,9 @@
 	LoseAnswers bool
 	// Delay is the time before each call is handled.
 	Delay time.Duration
+	// SilentKind is a kind of objects about which calls get no response, KindServers or
+	// KindConfiguration.
+	SilentKind string
 	// WriteDelay, if positive, delays the effect of writes by this time and drops their
 	// responses.
 	WriteDelay time.Duration
@@ -188,6 +198,8 @@
 	parts := strings.Split(strings.TrimPrefix(r.URL.Path, "/objects/"), "/")
 	q := r.URL.Query()
 	switch {
+	case parts[0] == f.SilentKind:
+		<-r.Context().Done()
 	case r.Method == http.MethodGet && len(parts) == 1 && q.Has("watch"):
 		e.store.watch(w, r, parts[0])
 	case r.Method == http.MethodGet && len(parts) == 1:
--- a/oleanderfake/imitator/store_test.go
+++ b/oleanderfake/imitator/store_test.go
@@ -83,7 +83,7 @@
 	has := func(e *Engine) bool {
 		s.Store.mu.Lock()
 		defer s.Store.mu.Unlock()
-		_, ok := s.Store.objects[kindServers][e.ID]
+		_, ok := s.Store.objects[KindServers][e.ID]
 		return ok
 	}
 	for end := time.Now().Add(10 * time.Second); has(dead) || !has(live); time.Sleep(10 * time.Millisecond) {
--- a/prover/edge/watcher_test.go
+++ b/prover/edge/watcher_test.go
@@ -28,21 +28,34 @@
 	revokeTime = 5 * time.Second
 )
 
-// watcher returns the number of a daemon that watches the store, of the two that do another
-// one for each round: those that call it most often.
-func (s *site) watcher(round int) int {
+// caller is a daemon with the number of its calls to the store in a second.
+type caller struct{ router, calls int }
+
+// watchers returns the numbers of the two daemons that watch the store. It blocks until the others,
+// which call it as well for some seconds after the start, call it at most half as often.
+func (s *site) watchers() []int {
+	s.t.Helper()
+	var callers []caller
+	s.waitFor("two daemons that watch the store", func() bool {
+		callers = s.countCalls(time.Second)
+		return 2*callers[2].calls <= callers[1].calls
+	})
+	return []int{callers[0].router, callers[1].router}
+}
+
+// countCalls returns the daemons by their calls to the store within a time, most calls first.
+func (s *site) countCalls(d time.Duration) []caller {
 	before := make([]int, len(s.endpoints))
 	for i, e := range s.endpoints {
 		before[i] = e.Calls()
 	}
-	time.Sleep(time.Second)
-	type caller struct{ router, calls int }
-	var callers []caller
+	time.Sleep(d)
+	var out []caller
 	for i, e := range s.endpoints {
-		callers = append(callers, caller{i, e.Calls() - before[i]})
+		out = append(out, caller{i, e.Calls() - before[i]})
 	}
-	slices.SortFunc(callers, func(a, b caller) int { return cmp.Compare(b.calls, a.calls) })
-	return callers[round%2].router
+	slices.SortFunc(out, func(a, b caller) int { return cmp.Compare(b.calls, a.calls) })
+	return out
 }
 
 // lateArrivals returns the requests that undisturbed daemons sent to a server later than
@@ -67,7 +80,7 @@
 	s := newSiteWith(t, watcherDaemons, imitator.Options{DataCentres: []string{"x"}, Engines: 3, Servers: 4, WorkTime: 20 * time.Millisecond})
 	c := s.startLoad("read", watcherDaemons)
 	for round := range watcherRounds {
-		frozen, p := s.watcher(round), s.Servers()[round]
+		frozen, p := s.watchers()[round%2], s.Servers()[round]
 		e := disruptions{strconv.Itoa(frozen): {time.Now()}}
 		is.NoErr(s.routers[frozen].Pause())
 		time.Sleep(100 * time.Millisecond)
