fetcher: an answer of a peer is cut off when nothing arrives, not after a fixed time

A slow link, or a host that is not run in time, loses each of these races. The client stood twice, in follower and runner. Change: one package, edge/fetcher, for both. The time to the first byte and the time without any byte are bounded, a due timer gives the reader one more 100 ms, and the whole answer has 4 s. A silent peer is found within 0.7 s as before.

--- a/oleandercove/edge/follower/fleet_test.go
+++ b/oleandercove/edge/follower/fleet_test.go
@@ -22,6 +22,9 @@
 	// after a disruption a daemon counts as undisturbed again.
 	drainTime   = 2 * time.Second
 	contactTime = 3 * time.Second
+	// queryTimeout is how long a query of a silent peer takes: the time to the first byte and
+	// the last chance of its reader.
+	queryTimeout = maxHold + answerSlack + 100*time.Millisecond
 	// returnTime is how long after an outage servers take to register again.
 	returnTime = 2 * time.Second
 )
@@ -171,7 +174,7 @@
 	}
 	p := m.peer
 	if f.now.Before(p.frozenUntil) || f.now.Before(p.splitUntil) || f.now.Before(m.splitUntil) {
-		m.peer, m.queryAt = nil, f.now.Add(maxHold+callTimeoutSlack)
+		m.peer, m.queryAt = nil, f.now.Add(queryTimeout)
 		m.silent[p.host] = m.queryAt
 		return
 	}
--- a/oleandercove/edge/follower/follower.go
+++ b/oleandercove/edge/follower/follower.go
@@ -23,7 +23,6 @@
 	"fmt"
 	"maps"
 	"math/rand/v2"
-	"net"
 	"net/http"
 	"slices"
 	"strconv"
@@ -35,10 +34,10 @@
 	"github.com/sourcegraph/conc"
 	"google.golang.org/protobuf/proto"
 
-	"oleandercove.example/core/receiver"
 	"oleandercove.example/core/timer"
 	"oleandercove.example/core/unit"
 	"oleandercove.example/oleandercove/edge/directory"
+	"oleandercove.example/oleandercove/edge/fetcher"
 	"oleandercove.example/oleandercove/edge/packer"
 	"oleandercove.example/wire/peer"
 )
@@ -51,9 +50,15 @@
 	// answerValidity is how long after an answer of any peer the peers count as
 	// reachable.
 	answerValidity = time.Second
-	// callTimeoutSlack is how long an answer may take beyond maxHold. It also bounds
-	// the time to connect.
-	callTimeoutSlack = 300 * time.Millisecond
+	// answerSlack is how long the first byte of an answer may take beyond maxHold.
+	answerSlack = 200 * time.Millisecond
+	// dialTimeout bounds the time to connect to a peer, stallTimeout the time without any
+	// byte of an answer.
+	dialTimeout  = 300 * time.Millisecond
+	stallTimeout = 300 * time.Millisecond
+	// maxTransferTime bounds the time for a whole answer. A configuration that takes longer
+	// is not in force in time.
+	maxTransferTime = 4 * time.Second
 	// decisionInterval is the time between two checks of which source to use.
 	decisionInterval = 100 * time.Millisecond
 	// retryDelay is the time before the next query after a failed one.
@@ -80,7 +85,7 @@
 // Follower keeps a Directory up to date, and answers the followers among its peers.
 type Follower struct {
 	Options
-	client  *http.Client
+	fetcher *fetcher.Fetcher
 	started time.Time
 	// lastAnswer is when a peer last answered, and lastQuery when one last queried this
 	// daemon, in nanoseconds of the timer's clock.
@@ -96,10 +101,9 @@
 
 // New returns a Follower.
 func New(o Options) *Follower {
-	d := &net.Dialer{Timeout: callTimeoutSlack}
-	return &Follower{Options: o, started: o.Timer.Now(), client: &http.Client{Transport: &http.Transport{
-		DialContext: d.DialContext, MaxIdleConnsPerHost: 1, MaxResponseHeaderBytes: receiver.MaxHeadBytes,
-	}}}
+	return &Follower{Options: o, started: o.Timer.Now(), fetcher: fetcher.New(fetcher.Options{
+		Dial: dialTimeout, FirstByte: maxHold + answerSlack, Stall: stallTimeout, Total: maxTransferTime, MaxBytes: maxReply,
+	})}
 }
 
 // currentSource returns the source to use now.
@@ -246,14 +250,12 @@
 var errStale = errors.New("views of the peer are too old")
 
 // queryPeer queries one peer for changes after the cursor and applies its answer. It
-// blocks until the answer, at most for maxHold and callTimeoutSlack, and returns the
-// cursor for the next query.
+// blocks until the answer, as long as bytes arrive and at most for maxTransferTime, and returns
+// the cursor for the next query.
 //
 // Load pattern: the store is slow or serves one kind of call only. A peer then has one new view
 // and an old one, because the two are read by separate calls.
 func (f *Follower) queryPeer(ctx context.Context, p Peer, cursor directory.Cursor) (directory.Cursor, error) {
-	ctx, cancel := context.WithTimeout(ctx, maxHold+callTimeoutSlack)
-	defer cancel()
 	sent := f.Timer.Now()
 	url := fmt.Sprintf("http://%s%s?incarnation=%d&position=%d&revision=%d", p.Address, Path, cursor.Incarnation, cursor.Position, f.Directory.Revision())
 	reply, err := f.fetchChanges(ctx, url)
@@ -278,24 +280,12 @@
 
 // fetchChanges requests the changes at a URL and decodes the answer.
 func (f *Follower) fetchChanges(ctx context.Context, url string) (*peer.ChangesReply, error) {
-	r, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
-	if err != nil {
-		return nil, err
-	}
-	resp, err := f.client.Do(r)
+	a, err := f.fetcher.Get(ctx, url)
 	if err != nil {
 		return nil, err
 	}
-	defer func() { _ = resp.Body.Close() }()
-	data, err := receiver.ReadBody(resp.Body, maxReply)
-	if err != nil {
-		return nil, err
-	}
-	if resp.StatusCode != http.StatusOK {
-		return nil, errors.New("peer answered " + resp.Status)
-	}
 	var reply peer.ChangesReply
-	return &reply, proto.Unmarshal(data, &reply)
+	return &reply, proto.Unmarshal(a.Body, &reply)
 }
 
 // ServeHTTP answers the query of a follower. It blocks until there are changes, for
--- a/oleandercove/edge/follower/follower_test.go
+++ b/oleandercove/edge/follower/follower_test.go
@@ -209,7 +209,7 @@
 			is := is.New(t)
 			u := decode(tt.reply)
 			is.True(u.ServersAge >= 0 && u.ConfirmedAge >= 0 && u.Waited >= 0)
-			is.True(u.Waited <= maxHold+callTimeoutSlack)
+			is.True(u.Waited <= maxHold+answerSlack)
 			if tt.reply.ServersAgeMs > 0 {
 				is.True(u.ServersAge >= maxAge && u.ConfirmedAge >= maxAge)
 			}
--- a/oleandercove/edge/follower/reply.go
+++ b/oleandercove/edge/follower/reply.go
@@ -17,7 +17,7 @@
 		Cursor: directory.Cursor{Incarnation: r.Incarnation, Position: r.Position, Revision: unit.Revision(r.Revision)},
 		Full:   r.Full, ServersRevision: unit.Revision(r.ServersRevision), ServersAge: milliseconds(r.ServersAgeMs, 2*maxAge),
 		CoveredFor: milliseconds(r.CoveredMs, maxAge), ConfirmedAge: milliseconds(r.ConfigurationAgeMs, 2*maxAge),
-		Packed: r.Configuration, Waited: milliseconds(r.HeldMs, maxHold+callTimeoutSlack),
+		Packed: r.Configuration, Waited: milliseconds(r.HeldMs, maxHold+answerSlack),
 	}
 	for _, s := range r.Servers {
 		u.Servers = append(u.Servers, objects.Object{
--- a/oleandercove/edge/runner/runner.go
+++ b/oleandercove/edge/runner/runner.go
@@ -26,7 +26,6 @@
 	"oleandercove.example/core/backend"
 	"oleandercove.example/core/logger"
 	objects "oleandercove.example/core/platform"
-	"oleandercove.example/core/receiver"
 	"oleandercove.example/core/timer"
 	"oleandercove.example/core/unit"
 	"oleandercove.example/oleandercove/edge/announcer"
@@ -35,6 +34,7 @@
 	"oleandercove.example/oleandercove/edge/deferrer"
 	"oleandercove.example/oleandercove/edge/directory"
 	"oleandercove.example/oleandercove/edge/exchanger"
+	"oleandercove.example/oleandercove/edge/fetcher"
 	"oleandercove.example/oleandercove/edge/follower"
 	"oleandercove.example/oleandercove/edge/gateway"
 	"oleandercove.example/oleandercove/edge/judge"
@@ -69,8 +69,11 @@
 	memoryLimitPercent = 70
 	// bodyMemoryPercent is the share of the memory limit for the bodies of requests.
 	bodyMemoryPercent = 30
-	// fetchTimeout bounds a request to a peer for its configuration.
-	fetchTimeout = time.Second
+	// fetchDialTimeout, fetchStallTimeout and maxFetchTime bound a request to a peer for its
+	// configuration: the time to connect, without any byte, and for the whole answer.
+	fetchDialTimeout  = 300 * time.Millisecond
+	fetchStallTimeout = 500 * time.Millisecond
+	maxFetchTime      = 4 * time.Second
 	// maxConfiguration bounds a compressed configuration from a peer, in bytes.
 	maxConfiguration = 4 << 20
 	// logQueueLines is the number of log lines that are queued for a slow reader.
@@ -232,32 +235,20 @@
 	return out
 }
 
-// peerClient calls other daemons.
-var peerClient = &http.Client{Transport: &http.Transport{MaxResponseHeaderBytes: receiver.MaxHeadBytes}}
+// configurations requests the configurations of other daemons.
+var configurations = fetcher.New(fetcher.Options{
+	Dial: fetchDialTimeout, FirstByte: fetchStallTimeout, Stall: fetchStallTimeout, Total: maxFetchTime, MaxBytes: maxConfiguration,
+})
 
-// fetchConfiguration fetches the compressed configuration of a peer and its revision.
-// It blocks until the answer, fetchTimeout or the end of ctx.
+// fetchConfiguration fetches the compressed configuration of a peer and its revision. It blocks
+// until the whole answer, as long as bytes arrive and at most for maxFetchTime.
 func fetchConfiguration(ctx context.Context, address string) (unit.Revision, []byte, error) {
-	ctx, cancel := context.WithTimeout(ctx, fetchTimeout)
-	defer cancel()
-	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+configurationPath, nil)
-	if err != nil {
-		return 0, nil, err
-	}
-	resp, err := peerClient.Do(req)
-	if err != nil {
-		return 0, nil, err
-	}
-	defer func() { _ = resp.Body.Close() }()
-	if resp.StatusCode != http.StatusOK {
-		return 0, nil, errors.New("peer answered " + resp.Status)
-	}
-	revision, err := strconv.ParseUint(resp.Header.Get(headerRevision), 10, 64)
+	a, err := configurations.Get(ctx, "http://"+address+configurationPath)
 	if err != nil {
 		return 0, nil, err
 	}
-	packed, err := receiver.ReadBody(resp.Body, maxConfiguration)
-	return unit.Revision(revision), packed, err
+	revision, err := strconv.ParseUint(a.Header.Get(headerRevision), 10, 64)
+	return unit.Revision(revision), a.Body, err
 }
 
 // Run serves until ctx is done and then shuts down gracefully, or until a listener
