follower: answers that a follower can't use carry no servers, and it asks less often

Cause: while the store is away, or rejects the daemons that watch it, all daemons query the 6 to 24 that call it, 20 times a second each. A daemon whose list is stale answered with all servers, which the follower throws away: 3,292 bytes, 0.69 ms of processor time and 1.3 MB of garbage an answer with 195 servers (BenchmarkFullAnswer, this machine). For 189 followers of 6 substitutes that is 630 answers a second each, 0.43 of a core and 17 Mbit/s, on hosts of 0.192 cores and 20 Mbit/s: just the daemons from which the others expect the next revision. Change: such an answer is sent at once with the ages and a newer configuration alone, and from the fourth failure in a row the pause of a follower doubles up to 0.4 s. Before: TestStaleAnswers, 3,292 bytes; after: 7 bytes. At 195 hosts a substitute gets 79 queries a second in the worst case (computed).

--- a/oleandercove/edge/directory/coverage_test.go
+++ b/oleandercove/edge/directory/coverage_test.go
@@ -108,11 +108,11 @@
 	d.Replace([]objects.Object{server("a", "10.0.0.1:1", "ready", 11, 1)}, View{Revision: 12, At: start}, start)
 	now := start.Add(5 * time.Second)
 	clock := func() time.Time { return now }
-	before := d.WaitForUpdate(t.Context(), Cursor{}, 0, clock).Cursor
+	before := d.WaitForUpdate(t.Context(), Cursor{}, 0, unknownAge, clock).Cursor
 	d.Replace(nil, View{Revision: 20, At: now}, now)
 	is.Equal(len(d.Servers().All()), 1)
-	is.Equal(len(d.WaitForUpdate(t.Context(), Cursor{}, 0, clock).Servers), 0)
-	changes := d.WaitForUpdate(t.Context(), before, 0, clock).Servers
+	is.Equal(len(d.WaitForUpdate(t.Context(), Cursor{}, 0, unknownAge, clock).Servers), 0)
+	changes := d.WaitForUpdate(t.Context(), before, 0, unknownAge, clock).Servers
 	is.Equal(changes, []objects.Object{{Name: "a", Revision: 11, Deleted: true}})
 	now = now.Add(reregistrationTime / 2)
 	d.Apply(nil, View{Revision: 20, At: now}, now)
--- a/oleandercove/edge/directory/directory_test.go
+++ b/oleandercove/edge/directory/directory_test.go
@@ -97,7 +97,7 @@
 	is := is.New(t)
 	clock := func() time.Time { return start }
 	fresh := New(logger.Discard())
-	u := fresh.WaitForUpdate(t.Context(), Cursor{}, 0, clock)
+	u := fresh.WaitForUpdate(t.Context(), Cursor{}, 0, unknownAge, clock)
 	is.True(u.Full)
 	is.True(u.ServersAge > time.Hour)
 
@@ -116,19 +116,19 @@
 	d, f := New(logger.Discard()), New(logger.Discard())
 	is.NoErr(d.Install(3, configuration(1), Receipt{At: start}))
 	d.Replace([]objects.Object{server("a", "10.0.0.1:1", "ready", 4, 1), server("b", "10.0.0.2:1", "ready", 5, 1)}, View{At: start}, start)
-	u := d.WaitForUpdate(t.Context(), Cursor{}, time.Second, clock)
+	u := d.WaitForUpdate(t.Context(), Cursor{}, time.Second, unknownAge, clock)
 	is.True(u.Full)
 	is.NoErr(f.ApplyUpdate(u, View{At: start}, Receipt{At: start, Received: start}))
 	is.Equal(len(f.Servers().All()), 2)
 	is.Equal(f.Configuration().Revision, unit.Revision(3))
 	d.Apply([]objects.Object{{Name: "a", Deleted: true}}, View{At: start}, start)
-	u = d.WaitForUpdate(t.Context(), u.Cursor, time.Second, clock)
+	u = d.WaitForUpdate(t.Context(), u.Cursor, time.Second, unknownAge, clock)
 	is.True(!u.Full)
 	is.Equal(len(u.Servers), 1)
 	is.True(u.Packed == nil)
 	is.NoErr(f.ApplyUpdate(u, View{At: start}, Receipt{At: start, Received: start}))
 	is.Equal(len(f.Servers().All()), 1)
-	u = d.WaitForUpdate(t.Context(), u.Cursor, time.Millisecond, clock)
+	u = d.WaitForUpdate(t.Context(), u.Cursor, time.Millisecond, unknownAge, clock)
 	is.True(!u.Full && len(u.Servers) == 0)
 }
 
--- a/oleandercove/edge/directory/history.go
+++ b/oleandercove/edge/directory/history.go
@@ -80,22 +80,27 @@
 // hasChanges reports whether an update holds servers or a configuration.
 func (u Update) hasChanges() bool { return u.Full || len(u.Servers) > 0 || u.Packed != nil }
 
-// WaitForUpdate blocks until there are changes after the cursor, at most for wait or
-// until ctx is done, and returns the changes.
-func (d *Directory) WaitForUpdate(ctx context.Context, c Cursor, wait time.Duration, now func() time.Time) Update {
+// WaitForUpdate blocks until there are changes after the cursor, at most for wait or until ctx is
+// done, and returns the changes. If the list of servers is older than maxAge, it returns at once
+// and without servers: the receiver doesn't use them.
+//
+// Load pattern: the store is away, or rejects the daemons that watch it. All others query the few
+// that call the store, again and again, and the lists of all servers would take the links and the
+// processor time of these few.
+func (d *Directory) WaitForUpdate(ctx context.Context, c Cursor, wait, maxAge time.Duration, now func() time.Time) Update {
 	end := time.NewTimer(wait)
 	defer end.Stop()
 	began := time.Now()
 	for {
-		u, wake := d.update(c, now())
+		u, wake := d.update(c, maxAge, now())
 		u.Waited = time.Since(began)
-		if u.hasChanges() {
+		if u.hasChanges() || u.ServersAge > maxAge {
 			return u
 		}
 		select {
 		case <-wake:
 		case <-end.C:
-			u, _ = d.update(c, now())
+			u, _ = d.update(c, maxAge, now())
 			u.Waited = time.Since(began)
 			return u
 		case <-ctx.Done():
@@ -104,7 +109,7 @@
 	}
 }
 
-func (d *Directory) update(c Cursor, now time.Time) (Update, <-chan struct{}) {
+func (d *Directory) update(c Cursor, maxAge time.Duration, now time.Time) (Update, <-chan struct{}) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	u := Update{
@@ -118,6 +123,11 @@
 			u.Packed = d.pack(conf)
 		}
 	}
+	if u.ServersAge > maxAge {
+		// The receiver continues from where it is.
+		u.Cursor.Incarnation, u.Cursor.Position = c.Incarnation, c.Position
+		return u, d.history.wake
+	}
 	changes, ok := d.history.since(c.Position)
 	if c.Incarnation == d.history.incarnation && ok {
 		u.Servers = append(u.Servers, changes...)
--- a/oleandercove/edge/follower/fleet_test.go
+++ b/oleandercove/edge/follower/fleet_test.go
@@ -178,7 +178,7 @@
 		m.silent[p.host] = m.queryAt
 		return
 	}
-	u := decode(encode(p.directory.WaitForUpdate(context.Background(), m.cursor, 0, func() time.Time { return f.now })))
+	u := decode(encode(p.directory.WaitForUpdate(context.Background(), m.cursor, 0, staleAge, func() time.Time { return f.now })))
 	if u.ServersAge > staleAge {
 		m.peer, m.queryAt = nil, f.now.Add(retryDelay)
 		return
--- a/oleandercove/edge/follower/follower.go
+++ b/oleandercove/edge/follower/follower.go
@@ -61,8 +61,12 @@
 	maxTransferTime = 4 * time.Second
 	// decisionInterval is the time between two checks of which source to use.
 	decisionInterval = 100 * time.Millisecond
-	// retryDelay is the time before the next query after a failed one.
-	retryDelay = 50 * time.Millisecond
+	// retryDelay is the time before the next query after a failed one. It doubles from the
+	// failure quickRetries on, up to maxRetryDelay: while the store is away no peer has
+	// anything, and the few that are queried have little processor time.
+	retryDelay    = 50 * time.Millisecond
+	maxRetryDelay = 400 * time.Millisecond
+	quickRetries  = 4
 	// maxReply bounds the answer of a peer, in bytes.
 	maxReply = 32 << 20
 )
@@ -172,6 +176,7 @@
 	var current, logged unit.HostID
 	var cursor directory.Cursor
 	silent := silentPeers{}
+	failures := 0
 	for ctx.Err() == nil {
 		candidates := f.currentSource().Peers
 		if len(candidates) == 0 {
@@ -190,10 +195,11 @@
 			if !errors.Is(err, errStale) {
 				silent[p.Host] = f.Timer.Now()
 			}
-			_ = f.Timer.Sleep(ctx, retryDelay)
+			failures++
+			_ = f.Timer.Sleep(ctx, retryPause(failures))
 			continue
 		}
-		cursor = next
+		cursor, failures = next, 0
 		if logged != p.Host {
 			logged = p.Host
 			f.Log.Info("following a peer", "peer", p.Host)
@@ -201,6 +207,15 @@
 	}
 }
 
+// retryPause returns the time before the next query after a number of failed ones.
+func retryPause(failures int) time.Duration {
+	d := retryDelay
+	for n := quickRetries; n < failures && d < maxRetryDelay; n++ {
+		d *= 2
+	}
+	return min(d, maxRetryDelay)
+}
+
 // logFailure logs a failed query with its cause and the ages of the views that it leaves.
 func (f *Follower) logFailure(p Peer, err error, asked time.Time) {
 	now := f.Timer.Now()
@@ -302,7 +317,7 @@
 		return n
 	}
 	c := directory.Cursor{Incarnation: number("incarnation"), Position: number("position"), Revision: unit.Revision(number("revision"))}
-	u := f.Directory.WaitForUpdate(r.Context(), c, maxHold, f.Timer.Now)
+	u := f.Directory.WaitForUpdate(r.Context(), c, maxHold, staleAge, f.Timer.Now)
 	data, err := proto.Marshal(encode(u))
 	if err != nil {
 		f.Log.Error("encoding changes for a follower failed", "err", err)
--- a/oleandercove/edge/follower/follower_test.go
+++ b/oleandercove/edge/follower/follower_test.go
@@ -7,6 +7,7 @@
 	"io"
 	"math"
 	"math/rand/v2"
+	"net/http"
 	"net/http/httptest"
 	"slices"
 	"strings"
@@ -16,6 +17,7 @@
 	"github.com/charmbracelet/log"
 	"github.com/matryer/is"
 
+	objects "oleandercove.example/core/platform"
 	"oleandercove.example/core/timer"
 	"oleandercove.example/core/unit"
 	"oleandercove.example/oleandercove/edge/directory"
@@ -216,3 +218,68 @@
 		})
 	}
 }
+
+// Guards against daemons that call the store and have no processor time and no link left, because
+// all others query them while the store is away or rejects them, and each query of a list that is
+// of no use is answered with all servers.
+func TestStaleAnswers(t *testing.T) {
+	const servers, queriers, limit = 195, 20, 200 // the limit in bytes an answer
+	tests := []struct {
+		name string
+		age  time.Duration
+		want bool
+	}{
+		{"a fresh list is not sent", staleAge / 2, true},
+		{"a stale list is sent", 2 * staleAge, false},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			now := time.Now()
+			f := New(Options{Directory: directory.New(log.New(io.Discard)), Timer: timer.NewManual(now), Log: log.New(io.Discard)})
+			f.Directory.Replace(entries(servers), directory.View{Revision: 9, At: now.Add(-tt.age)}, now)
+			for range queriers {
+				f.ServeHTTP(httptest.NewRecorder(), httptest.NewRequest(http.MethodGet, Path, nil))
+			}
+			bytes := f.answers.bytes.Load() / queriers
+			t.Logf("%d bytes an answer", bytes)
+			is.Equal(f.answers.full.Load() == queriers, tt.want)
+			is.Equal(bytes > limit, tt.want)
+		})
+	}
+}
+
+// entries returns the registry entries of a number of servers.
+func entries(n int) []objects.Object {
+	var out []objects.Object
+	for i := range n {
+		value := fmt.Sprintf(`{"service":"s","slots":192,"address":"10.128.%d.%d:8080","zone":"x","state":"ready","sequence":%d,"born":%d}`, i/200, i%200, i, 1764970000000+i)
+		out = append(out, objects.Object{Name: fmt.Sprintf("i-%08x", i*7919), Revision: unit.Revision(1 + i%8), Value: json.RawMessage(value)})
+	}
+	return out
+}
+
+// Guards against daemons that query each other twenty times a second for as long as the store is
+// away, and against one that waits although another peer may have what it needs.
+func TestRetryPause(t *testing.T) {
+	is := is.New(t)
+	var quick, steady time.Duration
+	for n := 1; n <= quickRetries; n++ {
+		quick += retryPause(n)
+	}
+	for n := 20; n < 30; n++ {
+		steady += retryPause(n)
+	}
+	is.True(quick <= 200*time.Millisecond)
+	is.Equal(steady, 10*maxRetryDelay)
+}
+
+// BenchmarkFullAnswer measures an answer with all servers of a large fleet.
+func BenchmarkFullAnswer(b *testing.B) {
+	now := time.Now()
+	f := New(Options{Directory: directory.New(log.New(io.Discard)), Timer: timer.NewManual(now), Log: log.New(io.Discard)})
+	f.Directory.Replace(entries(195), directory.View{Revision: 9, At: now}, now)
+	for b.Loop() {
+		f.ServeHTTP(httptest.NewRecorder(), httptest.NewRequest(http.MethodGet, Path, nil))
+	}
+}
