follower: followers without a cursor share one compressed list of servers

Cause: each answer with all servers was encoded and compressed for its follower alone, with a new compressor: 0.69 ms of processor time and 1.34 MB of garbage (BenchmarkFullAnswer, 195 servers, this machine). When a watcher is lost, the other one answers some 190 followers so at once: 0.13 s of a core on a host with 0.192 cores. Change: the compressed list is kept as long as the position of the history stands; the rest of an answer follows it as a part of its own, which followers of any version read. Compressors are reused. TestFullAnswers, TestPartsFollowEachOther.

--- a/oleandercove/edge/follower/follower.go
+++ b/oleandercove/edge/follower/follower.go
@@ -38,7 +38,6 @@
 	"oleandercove.example/core/unit"
 	"oleandercove.example/oleandercove/edge/directory"
 	"oleandercove.example/oleandercove/edge/fetcher"
-	"oleandercove.example/oleandercove/edge/packer"
 	"oleandercove.example/wire/peer"
 )
 
@@ -98,6 +97,7 @@
 	watching atomic.Bool
 
 	answers answerCounts
+	full    fullAnswer
 
 	mu        sync.Mutex
 	staleness staleness
@@ -318,7 +318,7 @@
 	}
 	c := directory.Cursor{Incarnation: number("incarnation"), Position: number("position"), Revision: unit.Revision(number("revision"))}
 	u := f.Directory.WaitForUpdate(r.Context(), c, maxHold, staleAge, f.Timer.Now)
-	data, err := proto.Marshal(encode(u))
+	data, err := f.encodeAnswer(u)
 	if err != nil {
 		f.Log.Error("encoding changes for a follower failed", "err", err)
 		w.WriteHeader(http.StatusInternalServerError)
@@ -326,14 +326,7 @@
 	}
 	if u.Full {
 		// The HTTP client of the follower decompresses it.
-		packed, err := packer.Pack(data)
-		if err != nil {
-			f.Log.Error("compressing changes for a follower failed", "err", err)
-			w.WriteHeader(http.StatusInternalServerError)
-			return
-		}
 		w.Header().Set("Content-Encoding", "gzip")
-		data = packed
 	}
 	f.answers.add(u, len(data))
 	if _, err := w.Write(data); err != nil {
--- a/oleandercove/edge/follower/follower_test.go
+++ b/oleandercove/edge/follower/follower_test.go
@@ -249,6 +249,29 @@
 	}
 }
 
+// Guards against a follower that gets the servers of a while ago, because the answers for followers
+// without a cursor share one list.
+func TestFullAnswers(t *testing.T) {
+	const servers = 12
+	is := is.New(t)
+	now := time.Now()
+	sender := New(Options{Directory: directory.New(log.New(io.Discard)), Timer: timer.NewManual(now), Log: log.New(io.Discard)})
+	sender.Directory.Replace(entries(servers), directory.View{Revision: 90, At: now}, now)
+	is.NoErr(sender.Directory.Install(5, json.RawMessage(`{"version":3}`), directory.Receipt{At: now}))
+	server := httptest.NewServer(sender)
+	defer server.Close()
+	for left := servers; left > servers-3; left-- {
+		for range 2 {
+			f := New(Options{Directory: directory.New(log.New(io.Discard)), Timer: timer.NewManual(now), Log: log.New(io.Discard)})
+			_, err := f.queryPeer(t.Context(), Peer{Host: "peer", Address: strings.TrimPrefix(server.URL, "http://")}, directory.Cursor{})
+			is.NoErr(err)
+			is.Equal(len(f.Directory.Servers().All()), left)
+			is.Equal(f.Directory.Revision(), unit.Revision(5))
+		}
+		sender.Directory.Replace(entries(left-1), directory.View{Revision: 90, At: now}, now)
+	}
+}
+
 // entries returns the registry entries of a number of servers.
 func entries(n int) []objects.Object {
 	var out []objects.Object
--- a/oleandercove/edge/packer/packer.go
+++ b/oleandercove/edge/packer/packer.go
@@ -7,6 +7,7 @@
 // Usage:
 //
 //	packed, err := packer.Pack(raw)
+//	head, err := packer.Wrap(rest)
 //	raw, err := packer.Unpack(packed, limit)
 package packer
 
@@ -15,17 +16,41 @@
 	"compress/gzip"
 	"errors"
 	"io"
+	"sync"
 )
 
 // ErrTooLarge is returned by Unpack for data that is larger than the limit.
 var ErrTooLarge = errors.New("decompressed data is larger than the limit")
 
+// writers holds compressors by level. A new one allocates more than a megabyte.
+type writers struct {
+	pool  sync.Pool
+	level int
+}
+
+var (
+	fast  = writers{level: gzip.BestSpeed}
+	plain = writers{level: gzip.NoCompression}
+)
+
 // Pack compresses data, for speed rather than for size. Its errors are those of gzip.
-func Pack(data []byte) ([]byte, error) {
+func Pack(data []byte) ([]byte, error) { return fast.pack(data) }
+
+// Wrap returns data in the same format without compressing it, for data that is short or
+// compressed already. Results of Pack and Wrap that follow each other unpack to their data, one
+// after the other.
+func Wrap(data []byte) ([]byte, error) { return plain.pack(data) }
+
+func (p *writers) pack(data []byte) ([]byte, error) {
 	var b bytes.Buffer
-	w, err := gzip.NewWriterLevel(&b, gzip.BestSpeed)
-	if err != nil {
-		return nil, err
+	w, ok := p.pool.Get().(*gzip.Writer)
+	if ok {
+		w.Reset(&b)
+	} else {
+		var err error
+		if w, err = gzip.NewWriterLevel(&b, p.level); err != nil {
+			return nil, err
+		}
 	}
 	if _, err := w.Write(data); err != nil {
 		return nil, err
@@ -33,6 +58,7 @@
 	if err := w.Close(); err != nil {
 		return nil, err
 	}
+	p.pool.Put(w)
 	return b.Bytes(), nil
 }
 
--- a/oleandercove/edge/packer/packer_test.go
+++ b/oleandercove/edge/packer/packer_test.go
@@ -35,6 +35,20 @@
 	}
 }
 
+// Guards against a daemon that reads only the first of two parts that were packed apart.
+func TestPartsFollowEachOther(t *testing.T) {
+	is := is.New(t)
+	for range 2 { // the second time with writers that were used before
+		first, err := Pack([]byte("all servers, "))
+		is.NoErr(err)
+		second, err := Wrap([]byte("and their age"))
+		is.NoErr(err)
+		got, err := Unpack(append(first, second...), 100)
+		is.NoErr(err)
+		is.Equal(string(got), "all servers, and their age")
+	}
+}
+
 // Guards against corrupted data that is accepted as a configuration.
 func TestCorruptedData(t *testing.T) {
 	is := is.New(t)
