follower: the hosts with the most capacity watch the store for the others

Cause: the two daemons that watch the store were chosen by a hash alone. On the large site they are edge-nl-west-a-8 and edge-nl-west-e-10, hosts of 0.192 cores and 20 Mbit/s beside fifteen of 0.8 cores and 200 Mbit/s. Change: hosts state their capacity, processor share times link, in beacons; only its order counts. Those with the most call the store first, in the order of the hash among equals. Where all are alike, or don't say, the order is as before.

--- a/oleandercove/edge/announcer/announcer.go
+++ b/oleandercove/edge/announcer/announcer.go
@@ -38,6 +38,7 @@
 	"oleandercove.example/core/unit"
 	"oleandercove.example/oleandercove/edge/budgeter"
 	"oleandercove.example/oleandercove/edge/directory"
+	"oleandercove.example/oleandercove/edge/follower"
 	"oleandercove.example/oleandercove/edge/judge"
 	"oleandercove.example/oleandercove/edge/ledger"
 	"oleandercove.example/oleandercove/edge/screener"
@@ -81,6 +82,8 @@
 	Address string
 	// PeerAddress is where this daemon answers requests of peers.
 	PeerAddress string
+	// Capacity is what this host can carry for other daemons.
+	Capacity follower.Capacity
 	// Seeds are beacon addresses that may belong to daemons.
 	Seeds     []string
 	Registry  Registry
--- a/oleandercove/edge/announcer/receive.go
+++ b/oleandercove/edge/announcer/receive.go
@@ -9,6 +9,7 @@
 	"oleandercove.example/core/backend"
 	"oleandercove.example/core/unit"
 	"oleandercove.example/oleandercove/edge/directory"
+	"oleandercove.example/oleandercove/edge/follower"
 	"oleandercove.example/wire/peer"
 )
 
@@ -88,5 +89,6 @@
 	p.host, p.incarnation, p.lastNumber, p.lastHeard = unit.HostID(b.Host), b.Incarnation, b.Number, now
 	p.dataCentre = unit.DataCentre(b.DataCentre)
 	p.address, p.leaving, p.servedModel = b.Address, b.Leaving, b.Served
+	p.capacity = follower.Capacity(b.Capacity)
 	return p.updateDown(b.Marks), true
 }
--- a/oleandercove/edge/announcer/remote.go
+++ b/oleandercove/edge/announcer/remote.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"oleandercove.example/core/unit"
+	"oleandercove.example/oleandercove/edge/follower"
 	"oleandercove.example/wire/peer"
 )
 
@@ -20,6 +21,7 @@
 	lastHeard   time.Time
 	leaving     bool
 	servedModel bool
+	capacity    follower.Capacity
 	// livenessTimeout is how long the peer counts as live without a beacon.
 	livenessTimeout time.Duration
 	// down holds the servers that the last beacon listed as down.
--- a/oleandercove/edge/announcer/send.go
+++ b/oleandercove/edge/announcer/send.go
@@ -89,7 +89,7 @@
 // newBeacon returns the part of a beacon that is the same for all receivers, with the
 // next number.
 func (a *Announcer) newBeacon(now time.Time) *peer.Beacon {
-	b := &peer.Beacon{Host: string(a.Host), DataCentre: string(a.DataCentre), Address: a.PeerAddress, Incarnation: a.incarnation, Served: a.Options.HasServedModel()}
+	b := &peer.Beacon{Host: string(a.Host), DataCentre: string(a.DataCentre), Address: a.PeerAddress, Incarnation: a.incarnation, Served: a.Options.HasServedModel(), Capacity: uint32(a.Capacity)}
 	if conf := a.Directory.Configuration(); conf != nil {
 		b.Revision, b.ConfirmedMs = uint64(conf.Revision), uint64(max(0, now.Sub(conf.ConfirmedAt).Milliseconds())+1)
 	}
--- a/oleandercove/edge/follower/choice.go
+++ b/oleandercove/edge/follower/choice.go
@@ -1,6 +1,8 @@
 package follower
 
 import (
+	"cmp"
+	"math"
 	"slices"
 	"time"
 
@@ -55,14 +57,29 @@
 
 // Peer is another daemon, with the address at which it answers requests of peers.
 type Peer struct {
-	Host    unit.HostID
-	Address string
+	Host     unit.HostID
+	Address  string
+	Capacity Capacity
+}
+
+// Capacity is what a host can carry for other daemons. Only its order counts; 0 means that it is
+// not known.
+type Capacity uint32
+
+// capacityUnit is the unit of a Capacity, in cores times megabits a second.
+const capacityUnit = 0.01
+
+// NewCapacity returns the capacity of a host with a number of cores, or a share of one, and a link
+// of some megabits a second. Answering followers takes both.
+func NewCapacity(cores, megabits float64) Capacity {
+	return Capacity(min(max(0, cores*megabits/capacityUnit), math.MaxUint32))
 }
 
 // View is what the choice of a source depends on.
 type View struct {
-	Self  unit.HostID
-	Peers []Peer
+	Self     unit.HostID
+	Capacity Capacity
+	Peers    []Peer
 	// Seed is set for a daemon whose address all others have from their start.
 	Seed bool
 	// Settled is set once the daemon has run long enough to have discovered its peers.
@@ -123,13 +140,21 @@
 	return Source{Store: v.Seed || (v.Age > isolatedStaleAge && !v.PeerAnswered), Peers: v.Peers}
 }
 
-// rankHosts returns all hosts in the order in which they call the store.
+// rankHosts returns all hosts in the order in which they call the store: those with the most
+// capacity first, hosts with the same in the order of a hash.
+//
+// Load pattern: each of two watchers answers half of a large fleet, and each substitute a part of it
+// while the store is away. On a small host that takes the time in which it would follow the store
+// itself.
 func rankHosts(v View) []unit.HostID {
-	hosts := []unit.HostID{v.Self}
+	hosts, capacities := []unit.HostID{v.Self}, map[unit.HostID]Capacity{v.Self: v.Capacity}
 	for _, p := range v.Peers {
 		hosts = append(hosts, p.Host)
+		capacities[p.Host] = p.Capacity
 	}
-	return chooser.Top(watcherHashKey, hosts, len(hosts))
+	ranked := chooser.Top(watcherHashKey, hosts, len(hosts))
+	slices.SortStableFunc(ranked, func(a, b unit.HostID) int { return cmp.Compare(capacities[b], capacities[a]) })
+	return ranked
 }
 
 // substituteCount returns the number of daemons that call the store when a view of all has
--- a/oleandercove/edge/follower/follower.go
+++ b/oleandercove/edge/follower/follower.go
@@ -3,8 +3,8 @@
 //
 // Load pattern: each call to the store is paid, and each change of a server is sent to
 // each daemon that watches the store. The rule is therefore:
-//   - A few daemons, chosen by rendezvous hashing, watch the store. The others query
-//     one of them and wait for its answer.
+//   - A few daemons, those with the most capacity and among equals by rendezvous hashing,
+//     watch the store. The others query one of them and wait for its answer.
 //   - While the configuration or the server list is old on all daemons, and some seconds
 //     longer, a few more daemons call the store. The others query one of these.
 //   - A daemon calls the store itself if no peer answers, and queries its peers if the
@@ -72,7 +72,8 @@
 
 // Options configures a Follower.
 type Options struct {
-	Host unit.HostID
+	Host     unit.HostID
+	Capacity Capacity
 	// Seed is set for a daemon whose address all others have from their start.
 	Seed bool
 	// Settled reports whether the daemon has run long enough to have discovered its peers.
@@ -114,7 +115,7 @@
 func (f *Follower) currentSource() Source {
 	now := f.Timer.Now()
 	v := View{
-		Self: f.Host, Peers: f.Peers(), Seed: f.Seed, Settled: f.Settled(),
+		Self: f.Host, Capacity: f.Capacity, Peers: f.Peers(), Seed: f.Seed, Settled: f.Settled(),
 		Age: min(now.Sub(f.started), f.Directory.Views(now).Age()),
 	}
 	v.PeerAnswered = now.Sub(time.Unix(0, f.lastAnswer.Load())) < answerValidity
--- a/oleandercove/edge/follower/follower_test.go
+++ b/oleandercove/edge/follower/follower_test.go
@@ -10,6 +10,7 @@
 	"net/http"
 	"net/http/httptest"
 	"slices"
+	"strconv"
 	"strings"
 	"testing"
 	"time"
@@ -71,6 +72,45 @@
 	}
 }
 
+// Guards against small hosts that have no processor time and no link left for requests and for their
+// own views, because the fleet follows the store through them although larger ones are there.
+func TestWatchersHaveCapacity(t *testing.T) {
+	const large, small = 16000, 384
+	tests := []struct {
+		name        string
+		large, want int
+	}{
+		{"large hosts watch nothing", 15, watcherCount},
+		{"the only large host is left out", 1, 1},
+		{"nobody watches without large hosts", 0, 0},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			capacity := func(host unit.HostID) Capacity {
+				if n, err := strconv.Atoi(strings.TrimPrefix(string(host), "host-")); err == nil && n >= 100 && n < 100+tt.large {
+					return large
+				}
+				return small
+			}
+			watchers := storeFollowers(views(195, func(v *View) {
+				v.Capacity = capacity(v.Self)
+				for i := range v.Peers {
+					v.Peers[i].Capacity = capacity(v.Peers[i].Host)
+				}
+			}))
+			is.Equal(len(watchers), watcherCount)
+			found := 0
+			for _, host := range watchers {
+				if capacity(host) == large {
+					found++
+				}
+			}
+			is.Equal(found, tt.want)
+		})
+	}
+}
+
 // Guards against a fleet that calls the store all at once when it starts as a whole and
 // knows only the seeds, and against one that waits for seeds that are unavailable.
 func TestFleetStart(t *testing.T) {
--- a/oleandercove/edge/runner/runner.go
+++ b/oleandercove/edge/runner/runner.go
@@ -156,7 +156,7 @@
 		Bounds: gateway.ViewBounds{Keys: s.Bounds.KeyRevocation.Std(), Configuration: s.Bounds.ConfigurationApply.Std(), Servers: s.Bounds.ServerDrain.Std()},
 	})
 	a, err := announcer.New(announcer.Options{
-		Host: s.Host, DataCentre: s.DataCentre, Address: s.BeaconAddress(), PeerAddress: s.PeerAddress(), Seeds: r.seeds(), Registry: store,
+		Host: s.Host, DataCentre: s.DataCentre, Address: s.BeaconAddress(), PeerAddress: s.PeerAddress(), Capacity: r.capacity(), Seeds: r.seeds(), Registry: store,
 		Directory: r.directory, Judge: j, Ledger: l, Budgeter: b, Screener: r.screener, Throttler: th, Timer: r.timer, Log: r.log.WithPrefix("announcer"),
 		HasServedModel: r.gateway.HasServedModel, EngineStates: r.engineStates, ProbeSuspect: p.ProbeSuspect, FetchConfiguration: fetchConfiguration,
 	})
@@ -165,7 +165,7 @@
 	}
 	r.announcer = a
 	r.follower = follower.New(follower.Options{
-		Host: s.Host, Seed: a.IsSeed(), Settled: a.Settled, Directory: r.directory, Syncer: syncer, Peers: a.LivePeers, Timer: r.timer, Log: r.log.WithPrefix("follower"),
+		Host: s.Host, Capacity: r.capacity(), Seed: a.IsSeed(), Settled: a.Settled, Directory: r.directory, Syncer: syncer, Peers: a.LivePeers, Timer: r.timer, Log: r.log.WithPrefix("follower"),
 	})
 	r.leaser = r.newLeaser(store)
 	o := observer.New(observer.Options{
@@ -220,6 +220,12 @@
 	return out
 }
 
+// capacity returns what this host can carry for other daemons.
+func (r *Runner) capacity() follower.Capacity {
+	l := r.settings.Limits
+	return follower.NewCapacity(float64(l.Cores)*l.ProcessorShare, l.LinkMegabits)
+}
+
 // seeds returns the beacon addresses on the hosts of the seeds: all daemons use the
 // same ports. Invalid seeds are logged and left out.
 func (r *Runner) seeds() []string {
--- a/oleandercove/edge/settings/settings.go
+++ b/oleandercove/edge/settings/settings.go
@@ -46,6 +46,9 @@
 type Limits struct {
 	Cores           int `check:"positive"`
 	MemoryMegabytes int `check:"positive"`
+	// ProcessorShare is the part of each core that the process gets, LinkMegabits the speed of
+	// the host's link in megabits a second. Hosts with more of both serve the others first.
+	ProcessorShare, LinkMegabits float64
 }
 
 // Bounds are the times and shares that the rules of the platform require.
@@ -89,7 +92,8 @@
 			Grace: loader.Duration(8 * time.Second), KeyRevocation: loader.Duration(5 * time.Second),
 			ConfigurationApply: loader.Duration(4 * time.Second), ServerDrain: loader.Duration(4 * time.Second),
 		},
-		Log: Log{Level: "info", LinesPerSecond: 50},
+		Limits: Limits{ProcessorShare: 1, LinkMegabits: 1000},
+		Log:    Log{Level: "info", LinesPerSecond: 50},
 	}
 }
 
