--- a/prover/edge/stale_view_test.go
+++ b/prover/edge/stale_view_test.go
@@ -48,3 +48,24 @@
 		is.True(after < applyTime)
 	}
 }
+
+// Guards against requests to a server that has left, because the store no longer answers the daemons
+// that watch it about servers, while it does about the configuration.
+func TestServersSilent(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	s := newSiteWith(t, watcherDaemons, imitator.Options{DataCentres: []string{"x"}, Engines: 3, Servers: 4, WorkTime: 20 * time.Millisecond})
+	c := s.startLoad("read", watcherDaemons)
+	for _, i := range s.watchers() {
+		s.endpoints[i].Inject(imitator.Faults{SilentKind: imitator.KindServers})
+	}
+	time.Sleep(time.Second)
+	p := s.Servers()[0]
+	p.Withdraw()
+	removed := time.Now()
+	time.Sleep(2 * applyTime)
+	late := s.lateArrivals(p.ID, removed, time.Now(), disruptions{})
+	t.Logf("late requests: %v", late)
+	is.Equal(len(late), 0)
+	c.finish()
+}
