follower: lists of changed servers are compressed once for all followers

Cause: a list of changes went out uncompressed, to each follower. Change: from four servers on, the list is compressed; the last one is kept for all followers with the same cursor, as that of all servers.

--- a/oleandercove/edge/follower/answers.go
+++ b/oleandercove/edge/follower/answers.go
@@ -43,43 +43,62 @@
 	}
 }
 
-// fullAnswer holds the compressed list of all servers at a position of the history.
+// minPackedServers is the number of servers from which an answer is compressed. An entry has some
+// 250 bytes.
+const minPackedServers = 4
+
+// span identifies a list of servers: all of them, or the changes between two positions.
+type span struct {
+	full     bool
+	from, to uint64
+}
+
+// packedServers holds the last compressed list of all servers and of changes.
 //
-// Load pattern: a watcher is lost, or a fleet starts. Some hundred followers that have no cursor
-// at this daemon query it within a second.
-type fullAnswer struct {
-	mu       sync.Mutex
-	position uint64
-	packed   []byte
+// Load pattern: a watcher is lost, or a fleet starts, and some hundred followers that have no
+// cursor at this daemon query it within a second. Or most servers change within some 100 ms, as
+// when layers are placed, and followers with the same cursor wait for that.
+type packedServers struct {
+	mu            sync.Mutex
+	all, changed  span
+	packedAll     []byte
+	packedChanged []byte
 }
 
-// pack returns the compressed part of an answer that is the same for all followers without a
-// cursor.
-func (f *fullAnswer) pack(u directory.Update) ([]byte, error) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	if f.packed != nil && f.position == u.Cursor.Position {
-		return f.packed, nil
+// pack returns the compressed part of an answer that is the same for all followers with a cursor.
+func (p *packedServers) pack(c directory.Cursor, u directory.Update) ([]byte, error) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	key, last, packed := span{from: c.Position, to: u.Cursor.Position}, &p.changed, &p.packedChanged
+	if u.Full {
+		key, last, packed = span{full: true, to: u.Cursor.Position}, &p.all, &p.packedAll
+	}
+	if *packed != nil && *last == key {
+		return *packed, nil
 	}
-	data, err := proto.Marshal(encode(directory.Update{Full: true, Servers: u.Servers}))
+	data, err := proto.Marshal(encode(directory.Update{Full: u.Full, Servers: u.Servers}))
 	if err != nil {
 		return nil, err
 	}
-	packed, err := packer.Pack(data)
+	list, err := packer.Pack(data)
 	if err != nil {
 		return nil, err
 	}
-	f.position, f.packed = u.Cursor.Position, packed
-	return packed, nil
+	*last, *packed = key, list
+	return list, nil
 }
 
-// encodeAnswer returns the body of an answer, compressed if it has all servers. Concatenated
-// encodings of a message are decoded as one message, and so is compressed data.
-func (f *Follower) encodeAnswer(u directory.Update) ([]byte, error) {
-	if !u.Full {
+// isPacked reports whether an answer is compressed.
+func isPacked(u directory.Update) bool { return u.Full || len(u.Servers) >= minPackedServers }
+
+// encodeAnswer returns the body of an answer to a follower with a cursor, compressed if isPacked
+// says so. Concatenated encodings of a message are decoded as one message, and so is compressed
+// data.
+func (f *Follower) encodeAnswer(c directory.Cursor, u directory.Update) ([]byte, error) {
+	if !isPacked(u) {
 		return proto.Marshal(encode(u))
 	}
-	list, err := f.full.pack(u)
+	list, err := f.packed.pack(c, u)
 	if err != nil {
 		return nil, err
 	}
--- a/oleandercove/edge/follower/follower.go
+++ b/oleandercove/edge/follower/follower.go
@@ -98,7 +98,7 @@
 	watching atomic.Bool
 
 	answers answerCounts
-	full    fullAnswer
+	packed  packedServers
 
 	mu        sync.Mutex
 	staleness staleness
@@ -319,13 +319,13 @@
 	}
 	c := directory.Cursor{Incarnation: number("incarnation"), Position: number("position"), Revision: unit.Revision(number("revision"))}
 	u := f.Directory.WaitForUpdate(r.Context(), c, maxHold, staleAge, f.Timer.Now)
-	data, err := f.encodeAnswer(u)
+	data, err := f.encodeAnswer(c, u)
 	if err != nil {
 		f.Log.Error("encoding changes for a follower failed", "err", err)
 		w.WriteHeader(http.StatusInternalServerError)
 		return
 	}
-	if u.Full {
+	if isPacked(u) {
 		// The HTTP client of the follower decompresses it.
 		w.Header().Set("Content-Encoding", "gzip")
 	}
--- a/oleandercove/edge/follower/follower_test.go
+++ b/oleandercove/edge/follower/follower_test.go
@@ -312,12 +312,42 @@
 	}
 }
 
+// Guards against links of watchers that are full for seconds, in which all others hear nothing,
+// because most servers change at once, as when layers are placed.
+func TestManyChanges(t *testing.T) {
+	const servers, followers, limit = 195, 97, 500 << 10 // 0.2 s of a link of 20 Mbit/s
+	is := is.New(t)
+	now := time.Now()
+	sender := New(Options{Directory: directory.New(log.New(io.Discard)), Timer: timer.NewManual(now), Log: log.New(io.Discard)})
+	sender.Directory.Replace(nil, directory.View{Revision: 1, At: now}, now)
+	server := httptest.NewServer(sender)
+	defer server.Close()
+	var list []*Follower
+	var cursors []directory.Cursor
+	p := Peer{Host: "peer", Address: strings.TrimPrefix(server.URL, "http://")}
+	for range followers {
+		f := New(Options{Directory: directory.New(log.New(io.Discard)), Timer: timer.NewManual(now), Log: log.New(io.Discard)})
+		c, err := f.queryPeer(t.Context(), p, directory.Cursor{})
+		is.NoErr(err)
+		list, cursors = append(list, f), append(cursors, c)
+	}
+	sender.Directory.Apply(entries(servers), directory.View{Revision: 90, At: now}, now)
+	sender.answers.bytes.Store(0)
+	for i, f := range list {
+		_, err := f.queryPeer(t.Context(), p, cursors[i])
+		is.NoErr(err)
+		is.Equal(len(f.Directory.Servers().All()), servers)
+	}
+	t.Logf("%d bytes", sender.answers.bytes.Load())
+	is.True(sender.answers.bytes.Load() < limit)
+}
+
 // entries returns the registry entries of a number of servers.
 func entries(n int) []objects.Object {
 	var out []objects.Object
 	for i := range n {
 		value := fmt.Sprintf(`{"service":"s","slots":192,"address":"10.128.%d.%d:8080","zone":"x","state":"ready","sequence":%d,"born":%d}`, i/200, i%200, i, 1764970000000+i)
-		out = append(out, objects.Object{Name: fmt.Sprintf("i-%08x", i*7919), Revision: unit.Revision(1 + i%8), Value: json.RawMessage(value)})
+		out = append(out, objects.Object{Name: fmt.Sprintf("i-%08x", i*7919), Revision: unit.Revision(2 + i%8), Value: json.RawMessage(value)})
 	}
 	return out
 }
