directory: a long configuration is decoded outside of the lock

Change: the times of the views have a lock of their own, and a configuration is decoded before the lock is taken.

--- a/oleandercove/edge/directory/directory.go
+++ b/oleandercove/edge/directory/directory.go
@@ -71,7 +71,7 @@
 	coverage     coverage
 	// serversSource is the source of the last view of the registry.
 	serversSource string
-	fleet         fleetViews
+	times         viewTimes
 }
 
 // New returns an empty Directory.
@@ -124,31 +124,40 @@
 // Install puts a configuration in force unless a newer one is known. It returns an error if
 // raw can't be decoded.
 func (d *Directory) Install(revision unit.Revision, raw json.RawMessage, r Receipt) error {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	old := d.configuration.Load()
-	if old != nil && revision <= old.Revision {
-		d.confirm(old, revision, r.At)
+	if known := d.Configuration(); known != nil && revision <= known.Revision {
+		d.Confirm(revision, r.At)
 		return nil
 	}
+	// Decoding a long configuration takes a while, in which requests must go on.
 	c, err := platform.DecodeConfiguration(raw)
 	if err != nil {
 		d.log.Error("configuration can't be decoded", "revision", revision, "err", err)
 		return err
 	}
-	if old != nil && c.Version < old.Table.Configuration.Version {
-		d.log.Warn("older configuration ignored", "version", c.Version, "known", old.Table.Configuration.Version)
-		return nil
-	}
 	packed := sync.OnceValues(func() ([]byte, error) { return packer.Pack(raw) })
-	d.configuration.Store(&Configuration{Table: c.Table(), Revision: revision, ConfirmedAt: r.At, packed: packed})
-	if old == nil {
-		close(d.configured)
+	d.replaceConfiguration(&Configuration{Table: c.Table(), Revision: revision, ConfirmedAt: r.At, packed: packed}, r)
+	return nil
+}
+
+// replaceConfiguration puts a configuration in force unless a newer one is known.
+func (d *Directory) replaceConfiguration(next *Configuration, r Receipt) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	old, c := d.configuration.Load(), next.Table.Configuration
+	switch {
+	case old == nil:
+		defer close(d.configured)
+	case next.Revision <= old.Revision:
+		d.confirm(old, next.Revision, r.At)
+		return
+	case c.Version < old.Table.Configuration.Version:
+		d.log.Warn("older configuration ignored", "version", c.Version, "known", old.Table.Configuration.Version)
+		return
 	}
+	d.configuration.Store(next)
 	d.history.notify()
-	d.log.Info("configuration in force", "version", c.Version, "revision", revision, "routes", len(c.Routes),
+	d.log.Info("configuration in force", "version", c.Version, "revision", next.Revision, "routes", len(c.Routes),
 		"source", r.source(), "age", r.age(), "took", r.transferTime())
-	return nil
 }
 
 // Confirm records that the store held the revision at a time.
@@ -239,6 +248,7 @@
 	before := d.coverage
 	d.serversSource = sourceName(v.Peer)
 	d.coverage.confirm(v, now)
+	d.times.setServersAt(d.coverage.at)
 	hold := d.coverage.holdUntil()
 	if d.coverage.lostAt != before.lostAt {
 		d.log.Info("backend servers known again", "unknown_for", v.At.Sub(before.at), "revision", v.Revision,
--- a/oleandercove/edge/directory/freshness.go
+++ b/oleandercove/edge/directory/freshness.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"sync"
 	"time"
 
 	"oleandercove.example/core/unit"
@@ -74,26 +75,46 @@
 	return now.Sub(at)
 }
 
+// viewTimes holds what is needed to date the views. It has a lock of its own, because each send
+// reads it, and installing a long list or configuration takes a while.
+type viewTimes struct {
+	mu sync.Mutex
+	// serversAt is when this daemon's list of backend servers was last known to be current.
+	serversAt time.Time
+	fleet     fleetViews
+}
+
+func (t *viewTimes) setServersAt(at time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.serversAt = at
+}
+
+func (t *viewTimes) get() (serversAt time.Time, fleet fleetViews) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.serversAt, t.fleet
+}
+
 // RecordPeerView records the views of another daemon. They show that this daemon's own views are
 // old although the store answers.
 func (d *Directory) RecordPeerView(p PeerView) {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	d.fleet.record(p)
+	d.times.mu.Lock()
+	defer d.times.mu.Unlock()
+	d.times.fleet.record(p)
 }
 
 // Views returns how current the views are.
 func (d *Directory) Views(now time.Time) Views {
-	d.mu.Lock()
-	defer d.mu.Unlock()
+	serversAt, fleet := d.times.get()
 	v := Views{
 		Configuration: Freshness{FleetAge: unknownAge},
-		Servers:       Freshness{Age: now.Sub(d.coverage.at), FleetAge: ageSince(d.fleet.serversAt, now)},
+		Servers:       Freshness{Age: ageSince(serversAt, now), FleetAge: ageSince(fleet.serversAt, now)},
 	}
 	if conf := d.configuration.Load(); conf != nil {
 		v.Configuration.Age = now.Sub(conf.ConfirmedAt)
-		if d.fleet.revision > conf.Revision {
-			v.Configuration.FleetAge = ageSince(d.fleet.configuredAt, now)
+		if fleet.revision > conf.Revision {
+			v.Configuration.FleetAge = ageSince(fleet.configuredAt, now)
 		}
 	}
 	return v
