directory: a daemon counts as behind only once it had time to follow

Cause: after an outage of the store some daemons have a new list of servers a quarter of a second before others. Change: a daemon knows since when another one has had a newer view, by more than daemons in touch differ, and refuses sends on its own one only a second after that.

--- a/oleandercove/edge/announcer/confirmation.go
+++ b/oleandercove/edge/announcer/confirmation.go
@@ -25,12 +25,12 @@
 // configuration with that of this daemon. It confirms an equal revision as of the time at which
 // the peer's was the newest one, and requests a fetch of a newer revision unless a fetch is
 // waiting.
-func (a *Announcer) recordView(b *peer.Beacon) {
+func (a *Announcer) recordView(b *peer.Beacon, now time.Time) {
 	v, ok := a.viewOf(b)
 	if !ok {
 		return
 	}
-	a.Directory.RecordPeerView(v)
+	a.Directory.RecordPeerView(v, now)
 	known := a.Directory.Revision()
 	switch {
 	case v.Revision == 0:
--- a/oleandercove/edge/announcer/receive.go
+++ b/oleandercove/edge/announcer/receive.go
@@ -49,7 +49,7 @@
 	for _, e := range b.Engines {
 		a.applyEngineState(e, now)
 	}
-	a.recordView(&b)
+	a.recordView(&b, now)
 }
 
 // applyEngineState records the slowdown of an engine and the layers that it will release,
--- a/oleandercove/edge/directory/directory.go
+++ b/oleandercove/edge/directory/directory.go
@@ -155,6 +155,7 @@
 		return
 	}
 	d.configuration.Store(next)
+	d.times.setRevision(next.Revision)
 	d.history.notify()
 	d.log.Info("configuration in force", "version", c.Version, "revision", next.Revision, "routes", len(c.Routes),
 		"source", r.source(), "age", r.age(), "took", r.transferTime())
@@ -248,7 +249,7 @@
 	before := d.coverage
 	d.serversSource = sourceName(v.Peer)
 	d.coverage.confirm(v, now)
-	d.times.setServersAt(d.coverage.at)
+	d.times.setServersAt(d.coverage.at, now)
 	hold := d.coverage.holdUntil()
 	if d.coverage.lostAt != before.lostAt {
 		d.log.Info("backend servers known again", "unknown_for", v.At.Sub(before.at), "revision", v.Revision,
--- a/oleandercove/edge/directory/freshness.go
+++ b/oleandercove/edge/directory/freshness.go
@@ -12,22 +12,36 @@
 // can make wrong compares it with the bound for that decision:
 //   - A refusal that the view demands is true as long as the view is not older than the time
 //     within which a change must be in force. Past that the daemon doesn't know.
-//   - A send relies on the view until another daemon is known to have a newer one that keeps the
-//     bound. If none has, the store is away for all, and what is known goes on to be used.
+//   - A send relies on the view until another daemon has had a newer one, which keeps the bound,
+//     for longer than it takes to follow. If none has, the store is away for all, and what is
+//     known goes on to be used.
 type Freshness struct {
 	// Age is the time since this daemon's view was last known to be current.
 	Age time.Duration
 	// FleetAge is the time since a newer view of another daemon was known to be current, or
 	// unknownAge if this daemon knows of none.
 	FleetAge time.Duration
+	// Behind is how long this daemon has known of a newer view without following it.
+	Behind time.Duration
 }
 
-// unknownAge is the age of a view of which nothing is known.
-const unknownAge = time.Duration(math.MaxInt64)
+const (
+	// unknownAge is the age of a view of which nothing is known.
+	unknownAge = time.Duration(math.MaxInt64)
+	// followTime is how long a daemon in touch takes at most to follow a newer view of another
+	// one: a query of a peer that is silent, and one that answers. After an outage of the store
+	// some daemons have a new view that much earlier than others.
+	followTime = time.Second
+	// maxServersLag is by how much the list of servers of another daemon is newer in ordinary
+	// times, since a daemon hears through another one.
+	maxServersLag = time.Second
+)
 
 // IsBehind reports whether the view is older than a bound that a newer view of another daemon
-// keeps.
-func (f Freshness) IsBehind(bound time.Duration) bool { return f.Age > bound && f.FleetAge <= bound }
+// keeps, and has not followed that for followTime.
+func (f Freshness) IsBehind(bound time.Duration) bool {
+	return f.Age > bound && f.FleetAge <= bound && f.Behind > followTime
+}
 
 // Views is how current a daemon's views are.
 type Views struct {
@@ -47,24 +61,37 @@
 	ServersAt time.Time
 }
 
-// fleetViews are the newest views that other daemons have.
-type fleetViews struct {
-	revision                unit.Revision
-	configuredAt, serversAt time.Time
+// lead is a newer view of another daemon.
+type lead struct {
+	// at is when that view was current, since when this daemon has known that it has a newer
+	// one; zero while it has none.
+	at, since time.Time
 }
 
-// record merges what another daemon says. A configuration that is older than the newest one known
-// is no evidence.
-func (f *fleetViews) record(p PeerView) {
-	if p.Revision > f.revision {
-		f.revision, f.configuredAt = p.Revision, p.ConfiguredAt
+// record merges a view of another daemon that was current at a time.
+func (l *lead) record(at time.Time) {
+	if at.After(l.at) {
+		l.at = at
 	}
-	if p.Revision == f.revision && p.ConfiguredAt.After(f.configuredAt) {
-		f.configuredAt = p.ConfiguredAt
+}
+
+// mark records whether the view is newer than this daemon's.
+func (l *lead) mark(isAhead bool, now time.Time) {
+	switch {
+	case !isAhead:
+		l.since = time.Time{}
+	case l.since.IsZero():
+		l.since = now
 	}
-	if p.ServersAt.After(f.serversAt) {
-		f.serversAt = p.ServersAt
+}
+
+// freshness returns how current a view of the given age is.
+func (l lead) freshness(age time.Duration, now time.Time) Freshness {
+	f := Freshness{Age: age, FleetAge: unknownAge}
+	if !l.since.IsZero() {
+		f.FleetAge, f.Behind = now.Sub(l.at), now.Sub(l.since)
 	}
+	return f
 }
 
 // ageSince returns the time since a view was current, or unknownAge.
@@ -79,43 +106,67 @@
 // reads it, and installing a long list or configuration takes a while.
 type viewTimes struct {
 	mu sync.Mutex
+	// known is the revision of this daemon's configuration, newest that of any daemon's.
+	known, newest unit.Revision
 	// serversAt is when this daemon's list of backend servers was last known to be current.
-	serversAt time.Time
-	fleet     fleetViews
+	serversAt              time.Time
+	configuration, servers lead
 }
 
-func (t *viewTimes) setServersAt(at time.Time) {
+// setServersAt records that this daemon's list was current at a time.
+func (t *viewTimes) setServersAt(at, now time.Time) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.serversAt = at
+	t.markServers(now)
+}
+
+// setRevision records that this daemon has a revision of the configuration.
+func (t *viewTimes) setRevision(revision unit.Revision) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.known = revision
+	if t.known >= t.newest {
+		t.newest, t.configuration = t.known, lead{}
+	}
 }
 
-func (t *viewTimes) get() (serversAt time.Time, fleet fleetViews) {
+// record merges what another daemon says of its views. Of configurations only the newest one
+// counts.
+func (t *viewTimes) record(p PeerView, now time.Time) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return t.serversAt, t.fleet
+	t.newest = max(t.newest, p.Revision)
+	if p.Revision == t.newest && p.Revision > t.known {
+		t.configuration.record(p.ConfiguredAt)
+		t.configuration.mark(true, now)
+	}
+	if !p.ServersAt.IsZero() {
+		t.servers.record(p.ServersAt)
+		t.markServers(now)
+	}
+}
+
+// markServers records whether the newest list of another daemon is newer than this daemon's. The
+// caller holds the lock.
+func (t *viewTimes) markServers(now time.Time) {
+	t.servers.mark(t.servers.at.Sub(t.serversAt) > maxServersLag, now)
 }
 
 // RecordPeerView records the views of another daemon. They show that this daemon's own views are
 // old although the store answers.
-func (d *Directory) RecordPeerView(p PeerView) {
-	d.times.mu.Lock()
-	defer d.times.mu.Unlock()
-	d.times.fleet.record(p)
+func (d *Directory) RecordPeerView(p PeerView, now time.Time) {
+	d.times.record(p, now)
 }
 
 // Views returns how current the views are.
 func (d *Directory) Views(now time.Time) Views {
-	serversAt, fleet := d.times.get()
-	v := Views{
-		Configuration: Freshness{FleetAge: unknownAge},
-		Servers:       Freshness{Age: ageSince(serversAt, now), FleetAge: ageSince(fleet.serversAt, now)},
-	}
-	if conf := d.configuration.Load(); conf != nil {
-		v.Configuration.Age = now.Sub(conf.ConfirmedAt)
-		if fleet.revision > conf.Revision {
-			v.Configuration.FleetAge = ageSince(fleet.configuredAt, now)
-		}
+	conf := d.configuration.Load()
+	d.times.mu.Lock()
+	defer d.times.mu.Unlock()
+	v := Views{Servers: d.times.servers.freshness(ageSince(d.times.serversAt, now), now)}
+	if conf != nil {
+		v.Configuration = d.times.configuration.freshness(now.Sub(conf.ConfirmedAt), now)
 	}
 	return v
 }
