command, docs: the check of the settings template knows the new values

One of them is a whole number where the setting is a fraction. Change: the test has values for them. Result: go test ./oleandercove/command passes.

--- a/oleandercove/command/command_test.go
+++ b/oleandercove/command/command_test.go
@@ -31,7 +31,8 @@
 	values := map[string]string{
 		"node_name": "edge-1", "zone": "a", "ip": "10.0.0.1", "port_range|json": "[7340,7355]", "seeds|json": `["10.0.0.1:8229"]`,
 		"platform.address": "10.0.0.9:80", "listen.frontend": "10.0.0.1:81", "listen.ready": "10.0.0.1:82", "limits.cores": "1",
-		"limits.memory_mb": "284", "bounds.revoke_ms": "5000", "bounds.grace_s": "8",
+		"limits.memory_mb": "284", "limits.cpu_share": "0.4", "limits.link_mbps": "200", "bounds.revoke_ms": "5000",
+		"bounds.config_apply_ms": "2000", "bounds.drain_ms": "2000", "bounds.grace_s": "8",
 		"bounds.retry_budget_ratio": "0.2", "bounds.retry_slack": "202",
 	}
 	text := string(template)
