follower: the simulated fleet has a configuration, too

TestFleetServers plays freezes, cuts, restarts and outages with real directories and choices of source. It now writes configurations meanwhile, silences the store about them towards some daemons, and demands a new one within 2 s of every daemon in touch.

--- a/oleandercove/edge/follower/fleet_test.go
+++ b/oleandercove/edge/follower/fleet_test.go
@@ -18,7 +18,8 @@
 
 const (
 	fleetStep = 50 * time.Millisecond
-	// drainTime is how long after its removal a server may be used, and contactTime how long
+	// drainTime is how long after its removal a server may be used, and how long after it was
+	// written a configuration may be missing; contactTime is how long
 	// after a disruption a daemon counts as undisturbed again.
 	drainTime   = 2 * time.Second
 	contactTime = 3 * time.Second
@@ -46,6 +47,15 @@
 	changes  []objects.Object
 	// downSince and downUntil bound the last outage.
 	downSince, downUntil time.Time
+	// configured is the revision of the configuration, configuredAt when it was written.
+	configured   unit.Revision
+	configuredAt time.Time
+}
+
+// configure writes a configuration.
+func (s *fleetStore) configure(now time.Time) {
+	s.revision++
+	s.configured, s.configuredAt = s.revision, now
 }
 
 func (s *fleetStore) register(id string, now time.Time) {
@@ -85,6 +95,9 @@
 	// frozenUntil, cutUntil and splitUntil are the ends of a freeze, of a cut from the store
 	// and of a cut from the peers; disturbedUntil is the end of the last disruption.
 	frozenUntil, cutUntil, splitUntil, disturbedUntil time.Time
+	// silentUntil is the time until which the store doesn't answer about the configuration. The
+	// daemon counts as undisturbed meanwhile.
+	silentUntil time.Time
 	// used holds the registrations that the daemon has used, left those that it no longer uses.
 	used, left map[*registration]bool
 }
@@ -99,10 +112,13 @@
 	members []*member
 	now     time.Time
 	rng     *rand.Rand
+	// configRNG draws what happens to the configuration.
+	configRNG *rand.Rand
 }
 
 func newFleet(n int, seed uint64) *fleet {
-	f := &fleet{store: &fleetStore{revision: 10, current: map[string]*registration{}}, now: time.Unix(1000, 0), rng: rand.New(rand.NewPCG(seed, 2))}
+	f := &fleet{store: &fleetStore{revision: 10, current: map[string]*registration{}}, now: time.Unix(1000, 0), rng: rand.New(rand.NewPCG(seed, 2)), configRNG: rand.New(rand.NewPCG(seed, 3))}
+	f.store.configure(f.now)
 	for i := range 6 {
 		f.store.register(fmt.Sprint(i), f.now)
 	}
@@ -115,7 +131,7 @@
 }
 
 func (f *fleet) source(m *member) Source {
-	v := View{Self: m.host, Settled: true, PeerAnswered: true, Age: min(f.now.Sub(m.startedAt), m.directory.Views(f.now).Servers.Age)}
+	v := View{Self: m.host, Settled: true, PeerAnswered: true, Age: min(f.now.Sub(m.startedAt), m.directory.Views(f.now).Age())}
 	for _, x := range f.members {
 		if x != m {
 			v.Peers = append(v.Peers, Peer{Host: x.host})
@@ -145,6 +161,10 @@
 	if f.store.isDown(f.now) || f.now.Before(m.cutUntil) {
 		return
 	}
+	if !f.now.Before(m.silentUntil) {
+		value := json.RawMessage(fmt.Sprintf(`{"version":%d}`, f.store.configured))
+		_ = m.directory.Install(f.store.configured, value, directory.Receipt{At: f.now, Received: f.now})
+	}
 	v := directory.View{Revision: f.store.revision, At: f.now}
 	if m.from == 0 {
 		var list []objects.Object
@@ -179,12 +199,17 @@
 		return
 	}
 	u := decode(encode(p.directory.WaitForUpdate(context.Background(), m.cursor, 0, staleAge, func() time.Time { return f.now })))
+	receipt := directory.Receipt{At: f.now.Add(-u.ConfirmedAge), Received: f.now}
 	if u.ServersAge > staleAge {
 		m.peer, m.queryAt = nil, f.now.Add(retryDelay)
+		_ = m.directory.ApplyConfiguration(u, receipt)
 		return
 	}
 	m.cursor = u.Cursor
-	_ = m.directory.ApplyUpdate(u, directory.View{Revision: u.ServersRevision, At: f.now.Add(-u.ServersAge), Since: f.now.Add(-u.CoveredFor)}, directory.Receipt{At: f.now, Received: f.now})
+	_ = m.directory.ApplyUpdate(u, directory.View{Revision: u.ServersRevision, At: f.now.Add(-u.ServersAge), Since: f.now.Add(-u.CoveredFor)}, receipt)
+	if u.ConfirmedAge > staleAge {
+		m.peer, m.queryAt = nil, f.now.Add(retryDelay)
+	}
 }
 
 // disturb begins one random disruption or change of the registry.
@@ -220,6 +245,22 @@
 	}
 }
 
+// reconfigure writes a configuration, or silences the store about it towards some daemons. Its
+// random numbers are apart from those of disturb, so that the known seeds play the same.
+func (f *fleet) reconfigure() {
+	if f.configRNG.IntN(2) == 0 {
+		f.store.configure(f.now)
+		return
+	}
+	if len(f.members) <= minSubstitutes {
+		return
+	}
+	for range watcherCount {
+		m := f.members[f.configRNG.IntN(len(f.members))]
+		m.silentUntil = f.now.Add(time.Second + time.Duration(f.configRNG.IntN(6000))*time.Millisecond)
+	}
+}
+
 // goDown begins an outage of the store in which some entries lapse, if it is long enough.
 func (f *fleet) goDown(length time.Duration) {
 	s := f.store
@@ -254,6 +295,9 @@
 		undisturbedSince = f.store.downUntil
 	}
 	inTouch := f.now.Sub(undisturbedSince) > contactTime
+	if inTouch && f.now.Sub(f.store.configuredAt) > drainTime && m.directory.Revision() != f.store.configured {
+		return fmt.Sprintf("configuration %d is in force %s after %d was written", m.directory.Revision(), f.now.Sub(f.store.configuredAt), f.store.configured)
+	}
 	for _, r := range f.store.all {
 		if f.store.replaced(r) {
 			continue
@@ -286,7 +330,9 @@
 
 // Guards against servers that come back after their removal, or are not removed in time,
 // because one daemon that was frozen, cut off or restarted no longer knows what the others
-// do, and against the loss of servers whose entries lapse in an outage of the store.
+// do, against configurations that are not in force in time, because the store is silent about
+// them towards some daemons, and against the loss of servers whose entries lapse in an outage of
+// the store.
 func TestFleetServers(t *testing.T) {
 	const playTime = 90 * time.Second
 	tests := []struct {
@@ -304,12 +350,16 @@
 			t.Run(fmt.Sprintf("%d daemons, seed %d", n, seed), func(t *testing.T) {
 				t.Parallel()
 				f := newFleet(n, seed)
-				began, next := f.now, f.now.Add(contactTime)
+				began, next, nextConfiguration := f.now, f.now.Add(contactTime), f.now.Add(contactTime)
 				for ; f.now.Sub(began) < playTime; f.now = f.now.Add(fleetStep) {
 					if f.now.After(next) {
 						f.disturb()
 						next = f.now.Add(time.Duration(200+f.rng.IntN(2000)) * time.Millisecond)
 					}
+					if f.now.After(nextConfiguration) {
+						f.reconfigure()
+						nextConfiguration = f.now.Add(time.Duration(200+f.configRNG.IntN(2000)) * time.Millisecond)
+					}
 					f.registerAgain()
 					for _, i := range f.rng.Perm(n) {
 						f.step(f.members[i])
