follower: the model of TestRejectedWatchers lets the older view decide, as the product does

Its replicas chose their source by the age of the list of servers alone, which the product no longer does: substitutes stopped calling the store once they had the servers. Change: replicas know when their configuration was current, and the older view decides. What is demanded is the same.

--- a/oleandercove/edge/follower/outage_test.go
+++ b/oleandercove/edge/follower/outage_test.go
@@ -17,9 +17,10 @@
 	host      unit.HostID
 	rejected  bool
 	staleness staleness
-	// serversAt is when the server list was current, revision the known configuration.
-	serversAt time.Duration
-	revision  int
+	// serversAt and configuredAt are when the server list and the configuration were current,
+	// revision is that of the known configuration.
+	serversAt, configuredAt time.Duration
+	revision                int
 	// storeSince is since when the daemon calls the store; negative while it doesn't.
 	storeSince time.Duration
 	// peer is the peer that the daemon queries, queriesAt when it last did, and queriedAt when
@@ -49,15 +50,18 @@
 			r.serversAt = max(r.serversAt, now-serversTime)
 		}
 		// The first answer is to a list, which a change of the source cuts off.
-		if now-r.storeSince >= configurationTime && now-written >= configurationTime {
-			r.revision = newest
+		if now-r.storeSince >= configurationTime {
+			r.configuredAt = max(r.configuredAt, now-configurationTime)
+			if now-written >= configurationTime {
+				r.revision = newest
+			}
 		}
 	}
 	r.query(fleet, source.Peers, now)
 }
 
 func (r *replica) source(fleet []*replica, now time.Duration) Source {
-	v := View{Self: r.host, Settled: true, PeerAnswered: true, Age: now - r.serversAt}
+	v := View{Self: r.host, Settled: true, PeerAnswered: true, Age: r.age(now)}
 	for _, x := range fleet {
 		if x != r {
 			v.Peers = append(v.Peers, Peer{Host: x.host})
@@ -68,6 +72,11 @@
 	return ChooseSource(v)
 }
 
+// age returns the age of the older view.
+func (r *replica) age(now time.Duration) time.Duration {
+	return now - min(r.serversAt, r.configuredAt)
+}
+
 // query applies the state of one of the candidates, which stays the peer while its own list is
 // fresh.
 func (r *replica) query(fleet []*replica, candidates []Peer, now time.Duration) {
@@ -80,12 +89,15 @@
 		r.peer = fleet[slices.IndexFunc(fleet, func(x *replica) bool { return x.host == host })]
 	}
 	r.peer.queriedAt = now
-	r.revision = max(r.revision, r.peer.revision)
-	if now-r.peer.serversAt > staleAge {
+	if r.peer.revision >= r.revision {
+		r.revision, r.configuredAt = r.peer.revision, max(r.configuredAt, r.peer.configuredAt)
+	}
+	if now-r.peer.serversAt <= staleAge {
+		r.serversAt = max(r.serversAt, r.peer.serversAt)
+	}
+	if r.peer.age(now) > staleAge {
 		r.peer = nil
-		return
 	}
-	r.serversAt = max(r.serversAt, r.peer.serversAt)
 }
 
 // Guards against a configuration that reaches no daemon in time, because the daemons that the
