announcer, gateway: bytes between data centres are counted by purpose, and passes cross only between aggregators

Cause: four fifths of the beacons between data centres were passes of prompt parts, which every daemon sent to 16 daemons elsewhere four times a second for three seconds. Change: passes and the load of a data centre are exchanged by the aggregators of one rank, in every interval; a chain in another data centre costs a tenth more; the bytes are counted by purpose in the metrics and in /dump.

--- a/oleandercove/edge/announcer/announcer.go
+++ b/oleandercove/edge/announcer/announcer.go
@@ -15,6 +15,7 @@
 //   - Two daemons of each data centre, its aggregators, send the aggregate load of the
 //     data centre to the aggregators of the others, and pass the summaries that they
 //     receive on to the daemons of their own data centre.
+//   - The passes of parts of prompts take the same way.
 //
 // Usage:
 //
@@ -41,6 +42,7 @@
 	"oleandercove.example/oleandercove/edge/follower"
 	"oleandercove.example/oleandercove/edge/judge"
 	"oleandercove.example/oleandercove/edge/ledger"
+	"oleandercove.example/oleandercove/edge/measurer"
 	"oleandercove.example/oleandercove/edge/screener"
 	"oleandercove.example/oleandercove/edge/throttler"
 )
@@ -93,6 +95,8 @@
 	Budgeter  *budgeter.Budgeter
 	Screener  *screener.Screener
 	Throttler *throttler.Throttler
+	// Crossings counts the bytes of beacons to other data centres; nil counts none.
+	Crossings *measurer.Measurer
 	Timer     timer.Service
 	Log       *log.Logger
 	// HasServedModel reports whether this daemon has forwarded a model request.
--- a/oleandercove/edge/announcer/crashes.go
+++ b/oleandercove/edge/announcer/crashes.go
@@ -36,14 +36,22 @@
 	return out
 }
 
-// encodePassesAndSets adds the passes and poison sets of parts to a beacon.
-func encodePassesAndSets(b *peer.Beacon, u screener.PartUpdate, now time.Time) {
-	for _, p := range u.Passes {
-		b.Passes = append(b.Passes, &peer.PartPass{Part: uint64(p.Part), AgeMs: ageMs(p.At, now)})
+// encodePasses encodes the passes of parts with their age.
+func encodePasses(passes []quarantiner.PartPass, now time.Time) []*peer.PartPass {
+	out := make([]*peer.PartPass, 0, len(passes))
+	for _, p := range passes {
+		out = append(out, &peer.PartPass{Part: uint64(p.Part), AgeMs: ageMs(p.At, now)})
 	}
-	for _, s := range u.Sets {
-		b.PoisonSets = append(b.PoisonSets, &peer.PoisonSet{Parts: encodeParts(s.Parts), Weight: uint32(s.Weight), AgeMs: ageMs(s.At, now)})
+	return out
+}
+
+// encodeSets encodes poison sets with their age.
+func encodeSets(sets []quarantiner.PoisonSet, now time.Time) []*peer.PoisonSet {
+	out := make([]*peer.PoisonSet, 0, len(sets))
+	for _, s := range sets {
+		out = append(out, &peer.PoisonSet{Parts: encodeParts(s.Parts), Weight: uint32(s.Weight), AgeMs: ageMs(s.At, now)})
 	}
+	return out
 }
 
 // decodePassesAndSets returns the passes and poison sets in a beacon.
--- a/oleandercove/edge/announcer/crashes_test.go
+++ b/oleandercove/edge/announcer/crashes_test.go
@@ -39,8 +39,7 @@
 		Passes: []quarantiner.PartPass{{Part: 1 << 63, At: sent.Add(-3 * time.Second)}},
 		Sets:   []quarantiner.PoisonSet{{Parts: []quarantiner.PartKey{7, 5, 5}, Weight: 15, At: sent.Add(-2 * time.Second)}},
 	}
-	var b peer.Beacon
-	encodePassesAndSets(&b, give, sent)
+	b := peer.Beacon{Passes: encodePasses(give.Passes, sent), PoisonSets: encodeSets(give.Sets, sent)}
 	got := decodePassesAndSets(&b, received)
 	is.Equal(got, screener.PartUpdate{
 		Passes: []quarantiner.PartPass{{Part: 1 << 63, At: received.Add(-3 * time.Second)}},
--- a/oleandercove/edge/announcer/loads.go
+++ b/oleandercove/edge/announcer/loads.go
@@ -6,22 +6,19 @@
 
 	"oleandercove.example/core/routing"
 	"oleandercove.example/core/unit"
-	"oleandercove.example/oleandercove/chooser"
 	"oleandercove.example/oleandercove/edge/budgeter"
 	"oleandercove.example/oleandercove/edge/ledger"
 	"oleandercove.example/wire/peer"
 )
 
-// aggregatorsPerCentre is the number of daemons of a data centre that exchange load
-// with other data centres. One of them may be lost at any time.
-const aggregatorsPerCentre = 2
-
 // centrePrefix marks the aggregate load of a data centre in the ledger, among the loads
 // of hosts. No host name begins with it.
 const centrePrefix = "centre/"
 
-// loadReport is the work in flight that one round of beacons reports.
+// loadReport is the work in flight that one round of beacons reports, and the passes of parts of
+// prompts.
 type loadReport struct {
+	aggregation
 	ownCentre unit.DataCentre
 	// ownLoads and ownUsage are those of this daemon, for peers in its data centre.
 	ownLoads []*peer.ServerLoad
@@ -30,46 +27,50 @@
 	// others. Both are empty unless this daemon is an aggregator.
 	ownSummary     *peer.CentreLoads
 	otherSummaries []*peer.CentreLoads
-	// aggregators are the aggregators of the other data centres.
-	aggregators []unit.HostID
+	passes         []*peer.PartPass
 }
 
 // partFor returns the part of the report for one peer, as a beacon with nothing else.
 func (l *loadReport) partFor(p peerState) *peer.Beacon {
 	switch {
 	case p.dataCentre == l.ownCentre:
-		return &peer.Beacon{Loads: l.ownLoads, Uses: l.ownUsage, Centres: l.otherSummaries}
-	case l.ownSummary != nil && slices.Contains(l.aggregators, p.host):
-		return &peer.Beacon{Centres: []*peer.CentreLoads{l.ownSummary}}
+		return &peer.Beacon{Loads: l.ownLoads, Uses: l.ownUsage, Centres: l.otherSummaries, Passes: l.passes}
+	case l.exchangesWith(p.host):
+		return &peer.Beacon{Centres: []*peer.CentreLoads{l.ownSummary}, Passes: l.passes}
 	default:
 		return &peer.Beacon{}
 	}
 }
 
-// collectLoads returns the work in flight for one round of beacons.
-func (a *Announcer) collectLoads(now time.Time) *loadReport {
-	report := &loadReport{ownCentre: a.DataCentre, ownLoads: encodeLoads(a.Ledger.OwnLoads()), ownUsage: encodeUsage(a.Budgeter.OwnUsage())}
-	hosts := a.hostsByCentre(now)
-	if !slices.Contains(chooser.Top(string(a.DataCentre), hosts[a.DataCentre], aggregatorsPerCentre), a.Host) {
+// collectLoads returns the report for one round of beacons.
+func (a *Announcer) collectLoads(g aggregation, passes []*peer.PartPass, now time.Time) *loadReport {
+	report := &loadReport{
+		aggregation: g, ownCentre: a.DataCentre, passes: passes,
+		ownLoads: encodeLoads(a.Ledger.OwnLoads()), ownUsage: encodeUsage(a.Budgeter.OwnUsage()),
+	}
+	if g.rank == notAggregator {
 		return report
 	}
-	localHosts := hosts[a.DataCentre]
+	localHosts := a.hostsByCentre(now)[a.DataCentre]
 	isLocal := func(h unit.HostID) bool { return slices.Contains(localHosts, h) }
 	report.ownSummary = &peer.CentreLoads{
 		DataCentre: string(a.DataCentre), Loads: encodeLoads(a.Ledger.SumLoads(isLocal)), Uses: encodeUsage(a.Budgeter.SumUsage(isLocal)),
 	}
+	report.otherSummaries = a.receivedSummaries(now)
+	return report
+}
+
+// receivedSummaries returns the load summaries of other data centres that are not too old.
+func (a *Announcer) receivedSummaries(now time.Time) []*peer.CentreLoads {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	for centre, list := range hosts {
-		if centre == a.DataCentre {
-			continue
-		}
-		report.aggregators = append(report.aggregators, chooser.Top(string(centre), list, aggregatorsPerCentre)...)
-		if summary := a.summaries[centre]; summary != nil && now.Sub(summary.receivedAt) < summaryExpiry {
-			report.otherSummaries = append(report.otherSummaries, summary.loads)
+	var out []*peer.CentreLoads
+	for _, summary := range a.summaries {
+		if now.Sub(summary.receivedAt) < summaryExpiry {
+			out = append(out, summary.loads)
 		}
 	}
-	return report
+	return out
 }
 
 // summaryExpiry is how long a load summary of another data centre is passed on.
--- a/oleandercove/edge/announcer/send.go
+++ b/oleandercove/edge/announcer/send.go
@@ -6,6 +6,8 @@
 
 	"google.golang.org/protobuf/proto"
 
+	"oleandercove.example/oleandercove/edge/measurer"
+	"oleandercove.example/oleandercove/quarantiner"
 	"oleandercove.example/wire/peer"
 )
 
@@ -18,7 +20,7 @@
 		all = append(all, *p)
 	}
 	a.mu.Unlock()
-	a.sendTo(all, now)
+	a.sendTo(all, a.currentAggregation(now), now)
 }
 
 // sendRound sends the regular beacon to a bounded number of peers and expires old
@@ -27,16 +29,18 @@
 	a.Ledger.Expire(now)
 	a.Ledger.SetOtherDaemons(a.knownPeers())
 	a.Ledger.NextRound()
-	a.sendTo(a.targets(now), now)
+	g := a.currentAggregation(now)
+	a.sendTo(a.targets(g, now), g, now)
 }
 
-func (a *Announcer) sendTo(peers []peerState, now time.Time) {
-	data, err := proto.Marshal(a.newBeacon(now))
+func (a *Announcer) sendTo(peers []peerState, g aggregation, now time.Time) {
+	parts := a.Screener.PartUpdate(now)
+	data, err := proto.Marshal(a.newBeacon(parts.Sets, now))
 	if err != nil {
 		a.Log.Error("beacon encoding failed", "err", err)
 		return
 	}
-	report := a.collectLoads(now)
+	report := a.collectLoads(g, encodePasses(parts.Passes, now), now)
 	for _, p := range peers {
 		part := report.partFor(p)
 		part.Echo, part.EchoIncarnation, part.EchoMs = p.lastNumber, p.incarnation, uint64(now.Sub(p.lastHeard).Milliseconds())
@@ -49,27 +53,38 @@
 		if _, err := a.conn.WriteToUDP(datagram, p.udp); err != nil {
 			a.Log.Debug("beacon send failed", "peer", p.host, "err", err)
 		}
+		if p.dataCentre != a.DataCentre {
+			a.Crossings.Add(measurer.Beacons, len(datagram))
+		}
 	}
 }
 
 // targets returns copies of the peers that get the next beacon: a bounded number of
-// those in this data centre and of those in all others. It removes peers that have
-// been silent for longer than peerExpiry.
-func (a *Announcer) targets(now time.Time) []peerState {
+// those in this data centre and of those in all others, and those with which this daemon
+// exchanges as an aggregator. It removes peers that have been silent for longer than
+// peerExpiry.
+func (a *Announcer) targets(g aggregation, now time.Time) []peerState {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	var sameCentre, otherCentres []*peerState
+	var sameCentre, otherCentres, partners []*peerState
 	for address, p := range a.peers {
 		switch {
 		case now.Sub(p.lastHeard) > peerExpiry:
 			delete(a.peers, address)
 		case p.dataCentre == a.DataCentre:
 			sameCentre = append(sameCentre, p)
+		case g.exchangesWith(p.host) && p.isLive(now):
+			partners = append(partners, p)
 		default:
 			otherCentres = append(otherCentres, p)
 		}
 	}
-	return append(sample(sameCentre), sample(otherCentres)...)
+	out := append(sample(sameCentre), sample(otherCentres)...)
+	for _, p := range partners {
+		p.livenessTimeout = livenessTimeoutFor(len(otherCentres) + len(partners))
+		out = append(out, *p)
+	}
+	return out
 }
 
 // sample returns copies of up to fanOut random peers of a list. It sets the liveness
@@ -88,7 +103,7 @@
 
 // newBeacon returns the part of a beacon that is the same for all receivers, with the
 // next number.
-func (a *Announcer) newBeacon(now time.Time) *peer.Beacon {
+func (a *Announcer) newBeacon(sets []quarantiner.PoisonSet, now time.Time) *peer.Beacon {
 	b := &peer.Beacon{Host: string(a.Host), DataCentre: string(a.DataCentre), Address: a.PeerAddress, Incarnation: a.incarnation, Served: a.Options.HasServedModel(), Capacity: uint32(a.Capacity)}
 	if conf := a.Directory.Configuration(); conf != nil {
 		b.Revision, b.ConfirmedMs = uint64(conf.Revision), uint64(max(0, now.Sub(conf.ConfirmedAt).Milliseconds())+1)
@@ -109,7 +124,7 @@
 		})
 	}
 	b.Crashes = encodeCrashes(a.Screener.Records(now), now)
-	encodePassesAndSets(b, a.Screener.PartUpdate(now), now)
+	b.PoisonSets = encodeSets(sets, now)
 	b.Limits = encodeLimits(a.Throttler.Marks(now), now)
 	a.mu.Lock()
 	defer a.mu.Unlock()
--- a/oleandercove/edge/follower/choice.go
+++ b/oleandercove/edge/follower/choice.go
@@ -57,9 +57,10 @@
 
 // Peer is another daemon, with the address at which it answers requests of peers.
 type Peer struct {
-	Host     unit.HostID
-	Address  string
-	Capacity Capacity
+	Host       unit.HostID
+	DataCentre unit.DataCentre
+	Address    string
+	Capacity   Capacity
 }
 
 // Capacity is what a host can carry for other daemons. Only its order counts; 0 means that it is
--- a/oleandercove/edge/follower/follower.go
+++ b/oleandercove/edge/follower/follower.go
@@ -34,6 +34,7 @@
 	"oleandercove.example/core/unit"
 	"oleandercove.example/oleandercove/edge/directory"
 	"oleandercove.example/oleandercove/edge/fetcher"
+	"oleandercove.example/oleandercove/edge/measurer"
 )
 
 const (
@@ -60,8 +61,9 @@
 
 // Options configures a Follower.
 type Options struct {
-	Host     unit.HostID
-	Capacity Capacity
+	Host       unit.HostID
+	DataCentre unit.DataCentre
+	Capacity   Capacity
 	// Seed is set for a daemon whose address all others have from their start.
 	Seed bool
 	// Settled reports whether the daemon has run long enough to have discovered its peers.
@@ -70,8 +72,10 @@
 	Syncer    *directory.Syncer
 	// Peers returns the live peers.
 	Peers func() []Peer
-	Timer timer.Service
-	Log   *log.Logger
+	// Crossings counts the bytes of answers from other data centres; nil counts none.
+	Crossings *measurer.Measurer
+	Timer     timer.Service
+	Log       *log.Logger
 }
 
 // Follower keeps a Directory up to date, and answers the followers among its peers.
--- a/oleandercove/edge/follower/query.go
+++ b/oleandercove/edge/follower/query.go
@@ -12,6 +12,7 @@
 
 	"oleandercove.example/core/unit"
 	"oleandercove.example/oleandercove/edge/directory"
+	"oleandercove.example/oleandercove/edge/measurer"
 	"oleandercove.example/wire/peer"
 )
 
@@ -90,7 +91,7 @@
 func (f *Follower) queryPeer(ctx context.Context, p Peer, cursor directory.Cursor) (directory.Cursor, error) {
 	sent := f.Timer.Now()
 	url := fmt.Sprintf("http://%s%s?incarnation=%d&position=%d&revision=%d", p.Address, Path, cursor.Incarnation, cursor.Position, f.Directory.Revision())
-	reply, err := f.fetchChanges(ctx, url)
+	reply, err := f.fetchChanges(ctx, p, url)
 	if err != nil {
 		return cursor, err
 	}
@@ -110,12 +111,15 @@
 	return u.Cursor, err
 }
 
-// fetchChanges requests the changes at a URL and decodes the answer.
-func (f *Follower) fetchChanges(ctx context.Context, url string) (*peer.ChangesReply, error) {
+// fetchChanges requests the changes at a URL of a peer and decodes the answer.
+func (f *Follower) fetchChanges(ctx context.Context, p Peer, url string) (*peer.ChangesReply, error) {
 	a, err := f.fetcher.Get(ctx, url)
 	if err != nil {
 		return nil, err
 	}
+	if p.DataCentre != f.DataCentre {
+		f.Crossings.Add(measurer.Views, len(a.Body))
+	}
 	var reply peer.ChangesReply
 	return &reply, proto.Unmarshal(a.Body, &reply)
 }
--- a/oleandercove/edge/gateway/attempt.go
+++ b/oleandercove/edge/gateway/attempt.go
@@ -17,8 +17,10 @@
 	// it is nil while no replacement is scheduled.
 	replaceTimer <-chan time.Time
 	ticket       *ledger.Ticket
-	cancel       context.CancelFunc
-	messages     <-chan message
+	// remote is set if the first engine is in another data centre than this daemon.
+	remote   bool
+	cancel   context.CancelFunc
+	messages <-chan message
 	// release is what Screener.Enter returned; it allows other copies of the request to
 	// run.
 	release func()
--- a/oleandercove/edge/gateway/call.go
+++ b/oleandercove/edge/gateway/call.go
@@ -16,6 +16,7 @@
 	"oleandercove.example/oleandercove/edge/exchanger"
 	"oleandercove.example/oleandercove/edge/judge"
 	"oleandercove.example/oleandercove/edge/ledger"
+	"oleandercove.example/oleandercove/edge/measurer"
 	"oleandercove.example/platform"
 )
 
@@ -203,7 +204,7 @@
 		return j.failedSend(s, err)
 	}
 	o := j.readResponse(e)
-	o.cancel = cancel
+	o.cancel, o.remote = cancel, s.DataCentre != j.DataCentre
 	j.checkResponse(actx, s, o)
 	j.recordOutcome(s, o, time.Since(began))
 	return o
@@ -244,7 +245,10 @@
 		j.w.Header().Set("Content-Length", strconv.Itoa(len(o.body)))
 	}
 	j.w.WriteHeader(resp.StatusCode)
-	_, err := io.Copy(j.w, io.MultiReader(bytes.NewReader(o.body), resp.Body))
+	n, err := io.Copy(j.w, io.MultiReader(bytes.NewReader(o.body), resp.Body))
+	if o.remote {
+		j.Crossings.Add(measurer.Responses, int(n))
+	}
 	if err != nil {
 		j.Log.Info("forwarding a response to the caller failed", "id", j.call.Request, "err", err)
 		panic(http.ErrAbortHandler)
--- a/oleandercove/edge/gateway/gateway.go
+++ b/oleandercove/edge/gateway/gateway.go
@@ -26,6 +26,7 @@
 	"oleandercove.example/oleandercove/edge/exchanger"
 	"oleandercove.example/oleandercove/edge/judge"
 	"oleandercove.example/oleandercove/edge/ledger"
+	"oleandercove.example/oleandercove/edge/measurer"
 	"oleandercove.example/oleandercove/edge/prober"
 	"oleandercove.example/oleandercove/edge/rationer"
 	"oleandercove.example/oleandercove/edge/reserver"
@@ -60,6 +61,9 @@
 	OnLeaving func()
 	// Bodies is the memory for the bodies of requests; nil means no bound.
 	Bodies *reserver.Reserver
+	// Crossings counts the bytes of requests and responses between data centres; nil counts
+	// none.
+	Crossings *measurer.Measurer
 	// DataCentre is where this daemon runs.
 	DataCentre unit.DataCentre
 	Bounds     ViewBounds
@@ -168,6 +172,9 @@
 // send sends the request to a backend server and handles the signals in its response.
 func (j *job) send(ctx context.Context, a backend.Address, m backend.RequestMetadata) (*exchanger.Exchange, error) {
 	m.Account, m.TimeLeft = j.account, j.timeLeft()
+	if j.isRemote(m.Server) {
+		j.Crossings.Add(measurer.Requests, headerSize(j.r)+len(j.body))
+	}
 	sentAt := j.Timer.Now()
 	e, err := j.Exchanger.Send(ctx, a, &exchanger.Request{
 		ID: j.call.Request, Method: j.r.Method, Target: j.r.RequestURI, Host: j.r.Host,
@@ -178,3 +185,9 @@
 	}
 	return e, err
 }
+
+// isRemote reports whether a backend server is in another data centre than this daemon.
+func (g *Gateway) isRemote(id unit.BackendID) bool {
+	x, ok := g.Directory.Servers().Get(id)
+	return ok && x.DataCentre != g.DataCentre
+}
--- a/oleandercove/edge/gateway/outcome.go
+++ b/oleandercove/edge/gateway/outcome.go
@@ -20,6 +20,8 @@
 	body     []byte
 	partial  bool
 	err      error
+	// remote is set if the server is in another data centre than this daemon.
+	remote bool
 	// cancel releases the time limit of the attempt; it is nil if there is none.
 	cancel context.CancelFunc
 }
--- a/oleandercove/edge/gateway/path.go
+++ b/oleandercove/edge/gateway/path.go
@@ -7,6 +7,7 @@
 	"oleandercove.example/core/unit"
 	"oleandercove.example/core/verdict"
 	"oleandercove.example/oleandercove/edge/judge"
+	"oleandercove.example/oleandercove/edge/measurer"
 	"oleandercove.example/oleandercove/edge/pathfinder"
 	"oleandercove.example/oleandercove/edge/rationer"
 )
@@ -40,6 +41,7 @@
 	return pathfinder.Request{
 		PromptTokens: s.call.PromptTokens,
 		OutputTokens: pathfinder.ExpectedOutput(s.service.Engine.TypicalRequest, s.call.MaxOutputTokens, s.call.OutputEstimate),
+		DataCentre:   s.DataCentre,
 		Random:       rand.Float64,
 	}
 }
@@ -73,7 +75,9 @@
 	s.ticket = s.Ledger.Begin(p.Items)
 	if p.Crossings > 0 {
 		tokens := float64(p.Crossings * (s.call.PromptTokens + s.call.MaxOutputTokens))
-		s.Rationer.Spend(rationer.Megabits(tokens * s.service.Engine.ActivationBytes * bitsPerByte / bitsPerMegabit))
+		size := tokens * s.service.Engine.ActivationBytes
+		s.Crossings.Add(measurer.Activations, int(size))
+		s.Rationer.Spend(rationer.Megabits(size * bitsPerByte / bitsPerMegabit))
 	}
 }
 
--- a/oleandercove/edge/gateway/relay.go
+++ b/oleandercove/edge/gateway/relay.go
@@ -10,6 +10,7 @@
 	"oleandercove.example/core/backend"
 	"oleandercove.example/core/unit"
 	"oleandercove.example/oleandercove/edge/exchanger"
+	"oleandercove.example/oleandercove/edge/measurer"
 	"oleandercove.example/oleandercove/edge/screener"
 	"oleandercove.example/platform"
 )
@@ -194,6 +195,9 @@
 	if err := rc.Flush(); err != nil {
 		return s.endUnwritten(err)
 	}
+	if s.remote {
+		s.Crossings.Add(measurer.Responses, len(ev.data))
+	}
 	s.recordGap(now, ev.first)
 	s.sequence = ev.sequence
 	if ev.last != "" {
--- a/oleandercove/edge/gateway/stream.go
+++ b/oleandercove/edge/gateway/stream.go
@@ -140,7 +140,7 @@
 	s.attempt = attempt{release: release, cancel: cancel}
 	s.usePath(p)
 	if x, ok := s.Directory.Servers().Get(p.Chain[0].ID); ok {
-		s.born = x.Born
+		s.born, s.remote = x.Born, x.DataCentre != s.DataCentre
 	}
 	s.sends++
 	s.runs++
--- a/oleandercove/edge/pathfinder/candidate.go
+++ b/oleandercove/edge/pathfinder/candidate.go
@@ -53,6 +53,9 @@
 	c.layerCapacity = int(free / max(1, r.tokens()))
 	utilisation := 1 - (free-float64(e.EstimatedLoad.Tokens))/float64(max(1, capacity))
 	c.cost = (c.prefill + passWeight*c.decode) * (1 + 4*math.Pow(max(0, utilisation), 4))
+	if r.DataCentre != "" && r.DataCentre != e.DataCentre {
+		c.cost *= remoteFactor
+	}
 	if r.Random != nil {
 		c.cost *= 1 + costNoise*r.Random()
 	}
--- a/oleandercove/edge/pathfinder/pathfinder.go
+++ b/oleandercove/edge/pathfinder/pathfinder.go
@@ -35,6 +35,10 @@
 	crossingWeight = 20
 	// slotShare is the share of an engine's slots that chains which begin there may use.
 	slotShare = 0.95
+	// remoteFactor multiplies the cost of engines in another data centre than the daemon, to
+	// which the request and the response cross. Bytes between data centres are paid, so a chain
+	// there must save more time than that.
+	remoteFactor = 1.1
 	// costNoise is the largest random share that is added to an engine's cost.
 	costNoise = 0.1
 	// hopCostMillis is the cost of one more engine in a chain, in milliseconds.
@@ -75,6 +79,9 @@
 	OutputTokens int
 	// FirstEngine is the engine with which the chain must begin, or empty.
 	FirstEngine unit.BackendID
+	// DataCentre is where the caller's daemon runs; engines elsewhere cost more. Empty means
+	// that all cost the same.
+	DataCentre unit.DataCentre
 	// SameDataCentre excludes chains that cross between data centres.
 	SameDataCentre bool
 	// CountQueues adds the time that engines need for queued prefills to the cost, for a
--- a/oleandercove/edge/runner/metrics.go
+++ b/oleandercove/edge/runner/metrics.go
@@ -15,6 +15,7 @@
 	"oleandercove.example/core/backend"
 	"oleandercove.example/core/routing"
 	"oleandercove.example/core/unit"
+	"oleandercove.example/oleandercove/edge/measurer"
 	"oleandercove.example/oleandercove/edge/screener"
 	"oleandercove.example/oleandercove/leaser"
 )
@@ -53,6 +54,8 @@
 	Peers     []unit.HostID
 	Leases    []leaser.State
 	Servers   []backend.Server
+	// Crossings are the bytes between this data centre and others, by purpose.
+	Crossings []measurer.Total
 	// Refused are the quarantined requests, which are not sent to backend servers.
 	Refused []screener.Case
 	// RefusedParts are the quarantined parts of prompts; requests with all parts of a case are
@@ -65,7 +68,7 @@
 	s := state{
 		Host: r.settings.Host, Active: r.gateway.Active(), Peers: r.announcer.LiveHosts(),
 		Leases: r.leaser.States(), Servers: r.directory.Servers().All(),
-		Refused: r.screener.Cases(), RefusedParts: r.screener.PartCases(),
+		Crossings: r.crossings.Totals(), Refused: r.screener.Cases(), RefusedParts: r.screener.PartCases(),
 	}
 	if conf := r.directory.Configuration(); conf != nil {
 		s.Version, s.Revision, s.Confirmed = conf.Table.Configuration.Version, conf.Revision, r.timer.Now().Sub(conf.ConfirmedAt)
--- a/oleandercove/edge/runner/runner.go
+++ b/oleandercove/edge/runner/runner.go
@@ -39,6 +39,7 @@
 	"oleandercove.example/oleandercove/edge/gateway"
 	"oleandercove.example/oleandercove/edge/judge"
 	"oleandercove.example/oleandercove/edge/ledger"
+	"oleandercove.example/oleandercove/edge/measurer"
 	"oleandercove.example/oleandercove/edge/observer"
 	"oleandercove.example/oleandercove/edge/prober"
 	"oleandercove.example/oleandercove/edge/rationer"
@@ -99,6 +100,7 @@
 	screener  *screener.Screener
 	judge     *judge.Judge
 	ledger    *ledger.Ledger
+	crossings *measurer.Measurer
 	metrics   *metrics
 	output    *logger.BoundedWriter
 
@@ -127,7 +129,7 @@
 func (r *Runner) assemble() error {
 	s, store, engines := r.settings, platform.NewStore(platform.StoreOptions{Address: r.settings.StoreAddress}), platform.NewEngines(r.recordEngineLeaving)
 	j, l := judge.New(), ledger.New()
-	r.judge, r.ledger = j, l
+	r.judge, r.ledger, r.crossings = j, l, measurer.New(r.metrics.scope)
 	r.directory = directory.New(r.log.WithPrefix("directory"))
 	r.directory.OnReadyAgain(func(x backend.Server) { r.recheckLeaving(engines, x) })
 	syncer := directory.NewSyncer(store, r.directory, r.timer, r.log.WithPrefix("directory"))
@@ -152,12 +154,12 @@
 		Log: r.log.WithPrefix("gateway"), Meter: gateway.NewMeter(r.metrics.scope),
 		Budgeter: b, Rationer: rationer.New(rationer.Options{Part: b.Part, Timer: r.timer}),
 		Bodies:   reserver.New(int64(s.Limits.MemoryMegabytes) << 20 * bodyMemoryPercent / 100),
-		Screener: r.screener, Deferrer: deferrer.New(), Throttler: th, OnLeaving: func() { a.FlushNow() }, DataCentre: s.DataCentre,
+		Screener: r.screener, Deferrer: deferrer.New(), Throttler: th, OnLeaving: func() { a.FlushNow() }, Crossings: r.crossings, DataCentre: s.DataCentre,
 		Bounds: gateway.ViewBounds{Keys: s.Bounds.KeyRevocation.Std(), Configuration: s.Bounds.ConfigurationApply.Std(), Servers: s.Bounds.ServerDrain.Std()},
 	})
 	a, err := announcer.New(announcer.Options{
 		Host: s.Host, DataCentre: s.DataCentre, Address: s.BeaconAddress(), PeerAddress: s.PeerAddress(), Capacity: r.capacity(), Seeds: r.seeds(), Registry: store,
-		Directory: r.directory, Judge: j, Ledger: l, Budgeter: b, Screener: r.screener, Throttler: th, Timer: r.timer, Log: r.log.WithPrefix("announcer"),
+		Directory: r.directory, Judge: j, Ledger: l, Budgeter: b, Screener: r.screener, Throttler: th, Crossings: r.crossings, Timer: r.timer, Log: r.log.WithPrefix("announcer"),
 		HasServedModel: r.gateway.HasServedModel, EngineStates: r.engineStates, ProbeSuspect: p.ProbeSuspect, FetchConfiguration: fetchConfiguration,
 	})
 	if err != nil {
@@ -165,7 +167,7 @@
 	}
 	r.announcer = a
 	r.follower = follower.New(follower.Options{
-		Host: s.Host, Capacity: r.capacity(), Seed: a.IsSeed(), Settled: a.Settled, Directory: r.directory, Syncer: syncer, Peers: a.LivePeers, Timer: r.timer, Log: r.log.WithPrefix("follower"),
+		Host: s.Host, DataCentre: s.DataCentre, Capacity: r.capacity(), Crossings: r.crossings, Seed: a.IsSeed(), Settled: a.Settled, Directory: r.directory, Syncer: syncer, Peers: a.LivePeers, Timer: r.timer, Log: r.log.WithPrefix("follower"),
 	})
 	r.leaser = r.newLeaser(store)
 	o := observer.New(observer.Options{
