partitioner: copies are made of engines of one speed, and of fewer engines

Cause: each chain had 13 to 18 engines of all speeds, so streams lasted long and were late when any of these was lost. Change: a data centre's engines are sorted by speed and cut into copies, one for six engines as long as each keeps memory for 96 requests.

--- a/oleandercove/edge/partitioner/layout.go
+++ b/oleandercove/edge/partitioner/layout.go
@@ -11,7 +11,8 @@
 )
 
 // layout assigns layers to all engines from scratch: about one copy for each
-// chainLength engines, as far as the memory goes, with about equal memory.
+// chainLength engines, as far as the memory goes, with about equal memory and engines of about
+// equal speed.
 func (g *group) layout() []Target {
 	var out []Target
 	for _, c := range splitIntoCopies(g.engines, g.copyCount()) {
@@ -21,25 +22,42 @@
 }
 
 // copyCount returns the number of copies that the group should hold.
+//
+// Load pattern: several times more requests arrive than usual while engines are lost. Copies with
+// memory for few requests refuse most of them, although they are fast.
 func (g *group) copyCount() int {
-	return max(1, min((len(g.engines)+g.chainLength/2)/g.chainLength, int(copyCapacity(g.model, g.engines)/copyMemoryFactor)))
+	most := min((len(g.engines)+g.chainLength/2)/g.chainLength, int(copyCapacity(g.model, g.engines)/copyMemoryFactor))
+	for most > 1 && freeRequests(g.model, g.engines, most) < copyRequests*float64(most) {
+		most--
+	}
+	return max(1, most)
 }
 
-// splitIntoCopies assigns engines to n copies of about equal memory.
+// splitIntoCopies assigns engines to n copies of about equal memory, so that engines of about
+// equal speed hold a copy together.
+//
+// Load pattern: engines are lost while streams run. A stream crosses all engines of its copy, each
+// token waits for all of them, and it is late if one of them is lost before its end. Copies of
+// fast engines have few engines and short streams; one slow engine among them would make all their
+// streams last longer.
 func splitIntoCopies(engines []Engine, n int) [][]Engine {
 	sorted := slices.Clone(engines)
-	slices.SortStableFunc(sorted, func(a, b Engine) int { return cmp.Compare(b.Card.Memory, a.Card.Memory) })
+	slices.SortStableFunc(sorted, func(a, b Engine) int {
+		return cmp.Or(cmp.Compare(a.Card.StepFactor, b.Card.StepFactor), cmp.Compare(b.Card.Memory, a.Card.Memory))
+	})
+	total := routing.Megabytes(0)
+	for _, e := range sorted {
+		total += e.Card.Memory
+	}
 	out := make([][]Engine, n)
-	sum := make([]routing.Megabytes, n)
+	sum, k := routing.Megabytes(0), 0
 	for _, e := range sorted {
-		k := 0
-		for i := range sum {
-			if sum[i] < sum[k] {
-				k = i
-			}
+		// An engine belongs to the copy in whose part of the memory its middle lies.
+		for k < n-1 && sum+e.Card.Memory/2 > total*routing.Megabytes(k+1)/routing.Megabytes(n) {
+			k++
 		}
 		out[k] = append(out[k], e)
-		sum[k] += e.Card.Memory
+		sum += e.Card.Memory
 	}
 	return out
 }
--- a/oleandercove/edge/partitioner/partitioner.go
+++ b/oleandercove/edge/partitioner/partitioner.go
@@ -17,9 +17,10 @@
 // number of all layers that are loaded. The neighbours in the copy therefore each take
 // over a part of the gap, and other layers migrate only where that is not enough.
 //
-// Fewer copies leave more memory for requests, and memory runs out before compute. A
-// group therefore holds about one copy for each ChainLength engines, even if more copies
-// would fit.
+// A stream is late if an engine of its copy is lost before its end, so copies have few engines
+// of about equal speed. But fewer copies leave more memory for requests, and memory runs out
+// before compute. A group therefore holds about one copy for each ChainLength engines, as long as
+// each copy keeps memory for copyRequests requests.
 //
 // Usage:
 //
@@ -39,10 +40,13 @@
 )
 
 const (
-	// ChainLength is the number of engines that hold a copy, where there are
-	// enough. It stays far below the maximum length of a chain, so that more
-	// engines can fill a gap.
-	ChainLength = 13
+	// ChainLength is the number of engines that hold a copy, where their memory is large
+	// enough. It stays far below the maximum length of a chain, so that more engines can fill
+	// a gap.
+	ChainLength = 6
+	// copyRequests is the number of requests of usual size for which each copy of a group with
+	// several must have memory: a burst of requests, and those of a copy that is lost.
+	copyRequests = 96
 	// copyMemoryFactor is the memory that a data centre needs to hold one copy with
 	// capacity for requests, in sizes of the model.
 	copyMemoryFactor = 1.15
--- a/oleandercove/edge/partitioner/partitioner_test.go
+++ b/oleandercove/edge/partitioner/partitioner_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -99,6 +100,88 @@
 	}
 }
 
+// copiesOf returns the cards of each copy in a layout whose ranges don't overlap, by the engine that
+// begins it.
+func copiesOf(t *testing.T, m *routing.Engine, list []Engine, n int) [][]Engine {
+	t.Helper()
+	g := &group{model: m, engines: list}
+	copies := splitIntoCopies(list, n)
+	for _, c := range copies {
+		if gaps := gapsIn(m, applyTargets(c, g.placeCopy(c))); len(gaps) > 0 {
+			t.Fatalf("a copy lacks the layers %v", gaps)
+		}
+	}
+	return copies
+}
+
+// Guards against fast engines that wait for slow ones in every chain, which happens when copies are
+// made of cards of all kinds: all streams last as long as on slow engines, cross more of them, and are
+// late when one is lost.
+func TestCopiesBySpeed(t *testing.T) {
+	cards := []routing.Card{quick, fast, fast}
+	for range 13 {
+		cards = append(cards, small)
+	}
+	for range 18 {
+		cards = append(cards, tiny)
+	}
+	m := model()
+	m.TokenBytes = 393000
+	for _, n := range []int{3, 4} {
+		t.Run(fmt.Sprintf("%d copies", n), func(t *testing.T) {
+			is := is.New(t)
+			copies := copiesOf(t, m, engines("a", cards...), n)
+			slowest := 0.0
+			for _, c := range copies {
+				first, last := c[0].Card.StepFactor, c[len(c)-1].Card.StepFactor
+				is.True(first >= slowest || first == tiny.StepFactor) // a faster card is in a later copy
+				slowest = max(slowest, last)
+			}
+			is.Equal(copies[0][0].Card.Name, quick.Name)
+			is.True(len(copies[0]) < len(copies[n-1])) // the fast copy has as many engines as a slow one
+		})
+	}
+}
+
+// Guards against copies with memory for few requests, which refuse most of a burst, and against long
+// chains where the memory allows several copies.
+func TestCopyCount(t *testing.T) {
+	repeat := func(n int, c routing.Card) []routing.Card { return slices.Repeat([]routing.Card{c}, n) }
+	tests := []struct {
+		name       string
+		tokenBytes float64
+		cards      []routing.Card
+		want       int
+	}{
+		{"a data centre with little memory holds two copies", 918000, slices.Concat(repeat(1, large), repeat(3, medium), repeat(8, small)), 1},
+		{"a data centre with much memory holds one copy for 13 engines", 590000, slices.Concat(repeat(2, large), repeat(15, medium), repeat(12, small)), 5},
+		{"requests with more memory don't need larger copies", 2000000, slices.Concat(repeat(2, large), repeat(15, medium), repeat(12, small)), 3},
+		{"one engine holds no copy", 590000, repeat(1, large), 1},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			m := model()
+			m.TokenBytes = tt.tokenBytes
+			g := &group{model: m, chainLength: ChainLength, engines: engines("a", tt.cards...)}
+			is.New(t).Equal(g.copyCount(), tt.want)
+		})
+	}
+}
+
+// Guards against a group of engines of one kind whose loss makes several copies unusable.
+func TestGroupLost(t *testing.T) {
+	is := is.New(t)
+	m := model()
+	list := engines("a", large, large, large, medium, medium, medium, medium, medium, medium, small, small, small, small, small, small, small, small, small, small, small, small)
+	incomplete := 0
+	for _, c := range copiesOf(t, m, list, 3) {
+		if c[0].Card.Name == large.Name {
+			incomplete++
+		}
+	}
+	is.Equal(incomplete, 1)
+}
+
 // Guards against a copy that one engine limits to a few requests, which happens when a
 // fast card with little memory is filled with layers.
 func TestMemoryForRequests(t *testing.T) {
