oleanderctl: check a configuration before it is sent

Cause: operators asked for errors, entries that never match, limits that contradict each other, and what differs from the version in force, before a configuration is sent. Change: the verb check; core/checker is a pure function of the configuration, and platform.InspectConfiguration parses with the daemon's decoder and finds lines and keys.

--- a/core/routing/rank.go
+++ b/core/routing/rank.go
@@ -86,3 +86,6 @@
 	n, _ := slices.BinarySearchFunc(list, u, Urgency.Compare)
 	return Rank{Urgency: u, Number: n, Distinct: len(list) > 1}
 }
+
+// Ranks returns the number of urgencies that requests for a service may have.
+func (t *Table) Ranks(s ServiceName) int { return len(t.ranks[s]) }
--- a/oleanderctl/command/command.go
+++ b/oleanderctl/command/command.go
@@ -41,8 +41,11 @@
 	ExitNotFound = 6
 	// ExitUnauthorized means that the bearer token is wrong.
 	ExitUnauthorized = 7
-	// ExitInvalid means that the entry or field was rejected as invalid or too large.
+	// ExitInvalid means that the entry or field was rejected as invalid or too large, or that a
+	// checked configuration has errors.
 	ExitInvalid = 8
+	// ExitWarnings means that a checked configuration has warnings only.
+	ExitWarnings = 9
 )
 
 const (
@@ -95,7 +98,7 @@
 		Use: "oleanderctl", Short: "Edit the catalogue and look into daemons",
 		SilenceUsage: true, SilenceErrors: true,
 		Long: "Exit codes: 0 done, 1 failure, 2 wrong command line, 3 not run (repeat later), 4 conflict,\n" +
-			"5 outcome unknown (look at the history first), 6 not found, 7 unauthorized, 8 faulty entry.",
+			"5 outcome unknown (look at the history first), 6 not found, 7 unauthorized, 8 faulty entry, 9 warnings only.",
 		PersistentPreRunE: func(c *cobra.Command, _ []string) error { return p.prepare(c, out) },
 	}
 	f := c.PersistentFlags()
@@ -106,7 +109,7 @@
 	_ = c.RegisterFlagCompletionFunc("output", cobra.FixedCompletions([]string{outputTable, outputJSON}, cobra.ShellCompDirectiveNoFileComp))
 	for _, sub := range []*cobra.Command{
 		p.listCommand(), p.showCommand(), p.createCommand(), p.editCommand(), p.delete(), p.historyCommand(),
-		p.hostsCommand(), p.backendsCommand(), p.dumpCommand(), p.explainCommand(), p.drainCommand(),
+		p.hostsCommand(), p.backendsCommand(), p.dumpCommand(), p.explainCommand(), p.drainCommand(), p.checkCommand(),
 	} {
 		run := sub.RunE
 		sub.RunE = func(c *cobra.Command, args []string) error {
@@ -135,6 +138,10 @@
 	if p.output != outputTable && p.output != outputJSON {
 		return fmt.Errorf("--output is %q, must be %s or %s", p.output, outputTable, outputJSON)
 	}
+	p.printer = printer.Printer{Out: out, JSON: p.output == outputJSON}
+	if c.Annotations[offline] != "" {
+		return nil
+	}
 	if len(p.addresses) == 0 {
 		return fmt.Errorf("no address: use --address or %s", envAddress)
 	}
@@ -145,7 +152,6 @@
 		p.operator = os.Getenv(envOperator)
 	}
 	p.client = client.New(client.Options{Addresses: p.addresses, Token: p.token, Operator: p.operator})
-	p.printer = printer.Printer{Out: out, JSON: p.output == outputJSON}
 	return nil
 }
 
@@ -161,6 +167,10 @@
 	var missing notFoundError
 	var e *client.Error
 	switch {
+	case errors.Is(err, errFaulty):
+		return ExitInvalid
+	case errors.Is(err, errDoubtful):
+		return ExitWarnings
 	case errors.As(err, &usage):
 		return ExitUsage
 	case errors.As(err, &missing):
