prioritizer: requests beyond their share find room at engines that are half empty

Cause: most of them were refused whatever room there was. With real processes, four requests that were refused before the layers were loaded made the service count as short, and others were refused seconds later at empty engines. Change: they leave half of an engine to others and not all of it. The dump also lists services whose requests came to other daemons only.

--- a/oleandercove/edge/prioritizer/accounts.go
+++ b/oleandercove/edge/prioritizer/accounts.go
@@ -63,7 +63,7 @@
 	Hash                     surveyor.AccountHash
 	Offered, Admitted, Share float64
 	// Excess is the part of the account's requests beyond its share, from 0 to 1, and Try the part of
-	// these that may look for room.
+	// these that leave only excessHeldBack.
 	Excess, Try float64
 }
 
@@ -129,14 +129,14 @@
 }
 
 // heldBack returns the share of an engine that a request of an account leaves to other accounts, for
-// a random number in [0, 1). A request that may not look for room leaves all of it.
+// a random number in [0, 1).
 func (p *accountPlan) heldBack(h surveyor.AccountHash, chance float64) float64 {
 	s := p.excess[h]
 	switch {
 	case chance >= s.Excess:
 		return 0
 	case chance < s.Excess*(1-s.Try):
-		return 1
+		return restHeldBack
 	default:
 		return excessHeldBack
 	}
--- a/oleandercove/edge/prioritizer/classes.go
+++ b/oleandercove/edge/prioritizer/classes.go
@@ -18,12 +18,15 @@
 	// leastShare is the part of a class in the room, relative to its part of the demand, that
 	// more urgent classes leave to it.
 	leastShare = 0.3
+	// restHeldBack is what most requests beyond their share leave: they find room only at engines
+	// that are half empty, which shows that nothing is short any more.
+	restHeldBack = 0.5
 	// excessTryShare is the rate of requests beyond their share, relative to all that are
-	// admitted, that may look for room. All daemons see the same free room, and would fill it
+	// admitted, that leave only excessHeldBack. All daemons see the same free room, and would fill it
 	// several times before they know of each other's requests.
 	excessTryShare = 0.1
-	// minTry is the least part of the requests beyond their share that may look for room, so that
-	// room that has become free is found.
+	// minTry is the least part of the requests beyond their share that do so, so that room that
+	// has become free is found.
 	minTry = 0.25
 	// shortageShare is the share of the demand that is refused for lack of room from which the
 	// room is divided.
@@ -46,7 +49,7 @@
 	// moreUrgent and part are the parts of the demand that are more urgent, and of the class.
 	moreUrgent, part float64
 	// excess is the part of the class's requests beyond its share, and try the part of these that
-	// may look for room.
+	// leave only excessHeldBack.
 	excess, try float64
 }
 
@@ -80,8 +83,8 @@
 	return out
 }
 
-// tryPart returns the part of the requests beyond a share that may look for room, given their rate
-// and that of all that are admitted.
+// tryPart returns the part of the requests beyond a share that leave only excessHeldBack, given
+// their rate and that of all that are admitted.
 func tryPart(excess, room float64) float64 {
 	return max(minTry, min(1, excessTryShare*room/max(1, excess)))
 }
@@ -105,15 +108,14 @@
 	return claims{within: within, beyond: beyond, share: c}
 }
 
-// pick returns the claim of a request, for a random number in [0, 1). A request that may not look
-// for room leaves all of it to others.
+// pick returns the claim of a request, for a random number in [0, 1).
 func (c claims) pick(random float64) Claim {
 	switch {
 	case random >= c.share.excess:
 		return c.within
 	case random < c.share.excess*(1-c.share.try):
 		out := c.beyond
-		out.HeldBack = 1
+		out.HeldBack = restHeldBack
 		return out
 	default:
 		return c.beyond
--- a/oleandercove/edge/prioritizer/prioritizer.go
+++ b/oleandercove/edge/prioritizer/prioritizer.go
@@ -12,7 +12,7 @@
 //     proportion to their part of the demand. Where they don't come, nothing is left to them.
 //   - While not all fit, what is admitted is divided among the classes, the most urgent first, with
 //     a least share for each. Requests beyond the share of their class take only room that is left
-//     over, and only some of them look for it.
+//     over, most of them only at engines that are half empty.
 //   - Streams of a lost engine resume in the order of their classes.
 //
 // By client account, while not all fit:
@@ -32,8 +32,6 @@
 package prioritizer
 
 import (
-	"maps"
-	"slices"
 	"sync"
 	"time"
 
@@ -167,11 +165,9 @@
 	Rule       Rule
 }
 
-// States returns the state of all services with requests.
+// States returns the state of all services with requests, here or at other daemons.
 func (p *Prioritizer) States(now time.Time) []State {
-	p.mu.Lock()
-	services := slices.Sorted(maps.Keys(p.plans))
-	p.mu.Unlock()
+	services := p.survey.Services()
 	out := make([]State, 0, len(services))
 	for _, s := range services {
 		x := p.current(s, now)
--- a/oleandercove/edge/surveyor/surveyor.go
+++ b/oleandercove/edge/surveyor/surveyor.go
@@ -18,6 +18,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"math"
 	"slices"
 	"sync"
@@ -239,6 +240,20 @@
 	}
 }
 
+// Services returns the services for which any daemon has reported demand, sorted.
+func (s *Surveyor) Services() []routing.ServiceName {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	known := map[routing.ServiceName]bool{}
+	for name := range s.own {
+		known[name] = true
+	}
+	for name := range s.others {
+		known[name] = true
+	}
+	return slices.Sorted(maps.Keys(known))
+}
+
 // Classes returns the demand of the fleet for a service by urgency, as far as this daemon knows.
 func (s *Surveyor) Classes(service routing.ServiceName, now time.Time) []Class {
 	s.mu.Lock()
--- a/oleanderfake/imitator/engine.go
+++ b/oleanderfake/imitator/engine.go
@@ -287,7 +287,7 @@
 func (e *Engine) runRequest(w http.ResponseWriter, r *http.Request) {
 	id := r.Header.Get(headerAttempt)
 	w.Header().Set(headerAttempt, id)
-	if e.recordArrival(e.site.Runs, e.ID, w, id) {
+	if e.recordArrival(e.site.Runs, e.ID, w, r) {
 		return
 	}
 	path := strings.Split(r.Header.Get(headerChain), ",")
--- a/oleanderfake/imitator/server.go
+++ b/oleanderfake/imitator/server.go
@@ -249,7 +249,7 @@
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
-	if p.recordArrival(p.site.Runs, p.ID, w, id) {
+	if p.recordArrival(p.site.Runs, p.ID, w, r) {
 		return
 	}
 	running := p.running.Add(1)
--- a/oleanderfake/imitator/signals.go
+++ b/oleanderfake/imitator/signals.go
@@ -11,6 +11,7 @@
 	headerRetryAfter = "Retry-After"
 	headerInstance   = "X-Oleandercove-Instance-Id"
 	headerLimit      = "Server-Limit"
+	headerRank       = "X-Oleandercove-Request-Priority"
 	healthPath       = "/healthz"
 )
 
@@ -36,6 +37,8 @@
 type Arrival struct {
 	Server, Attempt string
 	At              time.Time
+	// Rank is how urgent the router says that the request is; empty if it doesn't say.
+	Rank string
 	// Leaving and RetryAfter are the signals in the response.
 	Leaving    bool
 	RetryAfter string
@@ -51,8 +54,8 @@
 }
 
 // recordArrival records a request and rejects it if Rejection is set.
-func (s *Signals) recordArrival(runs *Runs, server string, w http.ResponseWriter, attempt string) (rejected bool) {
-	a := Arrival{Server: server, Attempt: attempt, At: time.Now(), Leaving: s.LeavingNotice.Load()}
+func (s *Signals) recordArrival(runs *Runs, server string, w http.ResponseWriter, r *http.Request) (rejected bool) {
+	a := Arrival{Server: server, Attempt: r.Header.Get(headerAttempt), At: time.Now(), Rank: r.Header.Get(headerRank), Leaving: s.LeavingNotice.Load()}
 	if limit := s.Limit.Load(); limit != nil {
 		a.Limit = *limit
 		w.Header().Set(headerLimit, *limit)
--- a/oleanderfake/imitator/site.go
+++ b/oleanderfake/imitator/site.go
@@ -30,6 +30,7 @@
 const (
 	Host       = "orders.example"
 	ModelPath  = "/reports/"
+	UrgentPath = "/urgent/"
 	BookPath   = "/bookings/"
 	StatusPath = "/status/"
 	Account    = "depot"
