announcer: demand without anything offered is left out; one bound on headers

Cause: read in the diff: an entry of a faulty peer that offers nothing made the parts of the demand NaN, and with them the costs of chains. The check of configurations had its own copy of the daemon's bound on headers. Change: such entries are skipped; core/routing has the bound.

--- a/core/checker/checker.go
+++ b/core/checker/checker.go
@@ -91,14 +91,11 @@
 	if l.HeaderTimeout > 0 && l.IdleTimeout > 0 && l.IdleTimeout < l.HeaderTimeout {
 		f.add(Warning, at, "IdleTimeout", "%s is below HeaderTimeout %s, so a connection is closed while a caller may still send its headers", l.IdleTimeout, l.HeaderTimeout)
 	}
-	if l.HeaderBytes > MaxHeaderBytes {
-		f.add(Warning, at, "HeaderBytes", "%d is above the %d bytes that a daemon reads at most", l.HeaderBytes, MaxHeaderBytes)
+	if l.HeaderBytes > routing.MaxHeaderBytes {
+		f.add(Warning, at, "HeaderBytes", "%d is above the %d bytes that a daemon reads at most", l.HeaderBytes, routing.MaxHeaderBytes)
 	}
 }
 
-// MaxHeaderBytes is the most that a daemon reads of the headers of a request.
-const MaxHeaderBytes = 256 << 10
-
 // index holds the first position of each name.
 type index map[string]int
 
--- a/core/routing/routing.go
+++ b/core/routing/routing.go
@@ -83,6 +83,9 @@
 	Priority *Priority
 }
 
+// MaxHeaderBytes is the most that a daemon reads of the headers of a request, whatever Limits allow.
+const MaxHeaderBytes = 256 << 10
+
 // Limits bounds the requests of callers; zero values mean no bound.
 type Limits struct {
 	HeaderBytes   int
--- a/oleandercove/edge/announcer/demands.go
+++ b/oleandercove/edge/announcer/demands.go
@@ -35,14 +35,22 @@
 	return uint32(max(0, min(math.Round(float64(r)), math.MaxUint32)))
 }
 
+// decodeDemands returns the demand in a message. Entries that offer nothing are left out: no part of
+// the demand can be computed from them.
 func decodeDemands(list []*peer.ServiceDemand) []surveyor.Demand {
 	out := make([]surveyor.Demand, 0, len(list))
 	for _, m := range list {
 		d := surveyor.Demand{Service: routing.ServiceName(m.Service)}
 		for _, c := range m.Classes[:min(len(m.Classes), maxClasses)] {
+			if c.Offered == 0 {
+				continue
+			}
 			d.Classes = append(d.Classes, surveyor.Class{Urgency: routing.Urgency{Priority: routing.Priority(c.Priority), Route: routing.Priority(c.RoutePriority)}, Rates: decodeRates(c.Offered, c.Admitted)})
 		}
 		for _, a := range m.Accounts[:min(len(m.Accounts), maxAccounts)] {
+			if a.Offered == 0 {
+				continue
+			}
 			d.Accounts = append(d.Accounts, surveyor.Account{Hash: surveyor.AccountHash(a.Account), Rates: decodeRates(a.Offered, a.Admitted)})
 		}
 		out = append(out, d)
--- a/oleandercove/edge/runner/listen.go
+++ b/oleandercove/edge/runner/listen.go
@@ -9,6 +9,7 @@
 
 	"github.com/julienschmidt/httprouter"
 
+	"oleandercove.example/core/routing"
 	"oleandercove.example/oleandercove/edge/follower"
 	"oleandercove.example/platform"
 )
@@ -31,7 +32,7 @@
 	// stops using a connection before it is closed.
 	idleMargin = 500 * time.Millisecond
 	// maxHeaderBytes bounds the headers of callers, whatever the configuration allows.
-	maxHeaderBytes = 256 << 10
+	maxHeaderBytes = routing.MaxHeaderBytes
 	// internalTimeout bounds the reading of requests from the platform and from peers.
 	internalTimeout = 5 * time.Second
 )
