--- a/oleandercove/edge/gateway/gateway.go
+++ b/oleandercove/edge/gateway/gateway.go
@@ -136,7 +136,7 @@
 	// rank is how urgent the request is among those of its service.
 	rank routing.Rank
 	// chance is a random number in [0, 1) that decides whether the request counts as beyond the
-	// share of its account.
+	// share of its class or account.
 	chance float64
 	// claim is how the request stood against others in its last choice of engines.
 	claim prioritizer.Claim
--- a/oleandercove/edge/prioritizer/prioritizer.go
+++ b/oleandercove/edge/prioritizer/prioritizer.go
@@ -23,7 +23,8 @@
 // Load patterns: a less urgent class sends several times as much as usual; an account sends six
 // times as much as usual; engines are lost under both.
 //
-// With requests of one class, and accounts within their shares, every request has the claim Full.
+// Where all requests have one urgency, and accounts are within their shares, every request has the
+// claim Full.
 //
 // Usage:
 //
