partitioner: a check of the copies has no exception

Cause: read in the diff: TestCopiesBySpeed allowed a copy that begins with one kind of card to be faster than the one before, which made the check pass for an unsorted layout. Change: the exception is gone; the engines are sorted, so nothing needs it. Result: the test passes, with the race detector. No code of the daemon changes.

--- a/oleandercove/edge/partitioner/partitioner_test.go
+++ b/oleandercove/edge/partitioner/partitioner_test.go
@@ -134,7 +134,7 @@
 			slowest := 0.0
 			for _, c := range copies {
 				first, last := c[0].Card.StepFactor, c[len(c)-1].Card.StepFactor
-				is.True(first >= slowest || first == tiny.StepFactor) // a faster card is in a later copy
+				is.True(first >= slowest) // a faster card is in a later copy
 				slowest = max(slowest, last)
 			}
 			is.Equal(copies[0][0].Card.Name, quick.Name)
