--- a/review/standin2/server.go
+++ b/review/standin2/server.go
@@ -57,7 +57,6 @@
 	listener net.Listener
 	open     map[net.Conn]bool
 	streams  map[string]*stream
-	beatAt   time.Time
 }
 
 type span struct {
