--- a/review/standin2/main.go
+++ b/review/standin2/main.go
@@ -26,6 +26,7 @@
 var cases = map[string]func(root, dir string, r *record, trouble bool) (broken bool, err error){
 	"poison-stream":     poisonStream,
 	"poison-after-kill": poisonAfterKill,
+	"long-answer":       longAnswer,
 }
 
 func main() { os.Exit(run()) }
--- a/review/standin2/server.go
+++ b/review/standin2/server.go
@@ -223,11 +223,29 @@
 	if s.site.onRun != nil && s.site.onRun(s, x) {
 		panic(http.ErrAbortHandler)
 	}
-	time.Sleep(workTime)
 	w.Header().Set(headerStamp, "stamp-"+id)
+	if strings.HasPrefix(r.URL.Path, longPath) {
+		s.sendLong(w, r, attempt)
+		return
+	}
+	time.Sleep(workTime)
 	_, _ = io.WriteString(w, "answer of "+id+" to "+attempt)
 }
 
+// sendLong sends an answer of longPieces pieces, one each longPause.
+func (s *server) sendLong(w http.ResponseWriter, r *http.Request, attempt string) {
+	w.Header().Set("Content-Length", strconv.Itoa(longPieces*len(longPiece)))
+	for n := range longPieces {
+		time.Sleep(longPause)
+		if _, err := io.WriteString(w, longPiece); err != nil || r.Context().Err() != nil {
+			s.site.record.printf("closed   %s by the daemon after %d of %d pieces", attempt, n, longPieces)
+			panic(http.ErrAbortHandler)
+		}
+		_ = http.NewResponseController(w).Flush()
+	}
+	s.site.record.printf("whole    %s sent by the worker", attempt)
+}
+
 func (s *server) report(w http.ResponseWriter) {
 	type stalledItem struct {
 		ID      string `json:"id"`
--- a/review/standin2/site.go
+++ b/review/standin2/site.go
@@ -105,7 +105,7 @@
 	if t.store, err = startStore(); err != nil {
 		return t, err
 	}
-	t.store.put("config", "main", configuration())
+	t.store.put("config", "main", configuration(7, plainTimeout))
 	for _, zone := range o.zones {
 		for i := range o.engines {
 			t.servers = append(t.servers, &server{site: t, name: fmt.Sprintf("i-%s%d", zone, i), service: modelService, zone: zone})
@@ -168,8 +168,12 @@
 	return nil
 }
 
-// configuration returns the configuration, shaped like that of the small site.
-func configuration() map[string]any {
+// plainTimeout is the time limit of the routes to the plain service, in milliseconds.
+const plainTimeout = 1500
+
+// configuration returns a version of the configuration, shaped like that of the small site, with the
+// time limit of the route for safe requests.
+func configuration(version, safeTimeout int) map[string]any {
 	route := func(name, prefix, kind, service string, attempts, timeout int) map[string]any {
 		return map[string]any{
 			"name": name, "hostname": hostName, "path_prefix": prefix, "route_type": kind, "service": service, "timeout_ms": timeout,
@@ -178,11 +182,11 @@
 		}
 	}
 	return map[string]any{
-		"version": 7,
+		"version": version,
 		"routes": []any{
 			route("r-stream", streamPath, "streaming", modelService, 2, 20000),
-			route("r-unsafe", unsafePath, "unsafe", plainService, 1, 600),
-			route("r-safe", safePath, "safe", plainService, 2, 600),
+			route("r-unsafe", unsafePath, "unsafe", plainService, 1, plainTimeout),
+			route("r-safe", safePath, "safe", plainService, 2, safeTimeout),
 		},
 		"services": []any{
 			map[string]any{
