--- a/review/standin2/daemon.go
+++ b/review/standin2/daemon.go
@@ -9,6 +9,7 @@
 	"path/filepath"
 	"regexp"
 	"strings"
+	"sync"
 	"syscall"
 	"time"
 )
@@ -150,6 +151,7 @@
 	if err := d.command.Start(); err != nil {
 		return err
 	}
+	started.add(d.command.Process)
 	exited := make(chan struct{})
 	d.exited = exited
 	command := d.command
@@ -160,6 +162,29 @@
 	return nil
 }
 
+// processes are those that this program has started.
+type processes struct {
+	mu  sync.Mutex
+	all []*os.Process
+}
+
+var started processes
+
+func (p *processes) add(x *os.Process) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.all = append(p.all, x)
+}
+
+// killAll ends all processes that have not ended yet.
+func (p *processes) killAll() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, x := range p.all {
+		_ = x.Kill()
+	}
+}
+
 // kill ends the process at once and waits for its end.
 func (d *daemon) kill() {
 	if d.command == nil {
--- a/review/standin2/main.go
+++ b/review/standin2/main.go
@@ -13,7 +13,9 @@
 import (
 	"fmt"
 	"os"
+	"os/signal"
 	"path/filepath"
+	"syscall"
 )
 
 const (
@@ -51,6 +53,13 @@
 		return exitNoRun
 	}
 	defer cleanUp()
+	interrupted := make(chan os.Signal, 1)
+	signal.Notify(interrupted, syscall.SIGTERM, os.Interrupt)
+	go func() {
+		<-interrupted
+		started.killAll()
+		os.Exit(exitNoRun)
+	}()
 	broken, err := cases[os.Args[1]](root, dir, r, os.Getenv("TROUBLE") != "0")
 	switch {
 	case err != nil || len(r.problems) > 0:
