receiver: a connection that was reset is not read as ended

Callers saw: a 200 with the first part of an answer as if it were the whole one, when a server answered a long upload at once without a length, sent a part and reset the connection while the upload was still being written.

Cause: the kernel reports a reset once only. The write of the upload took the report (ECONNRESET), and the next read of the answer returned the end of the connection, which ends an answer without a length. Ruled out: the relay to the caller, which breaks off an answer whose read fails.

Change: receiver.Conn ends a write under way when a read finds the end, and returns the error that the write took in place of it. The kernel reports a reset that follows an end in order as EPIPE, so answers that end in order stay whole, also if the server then resets the upload. The exchanger of `route` and, through receiver.NewTransport, each HTTP client of both daemons use it.

--- a/core/platform/client.go
+++ b/core/platform/client.go
@@ -87,7 +87,7 @@
 	h := o.HTTP
 	if h == nil {
 		d := net.Dialer{Timeout: attemptTimeout}
-		h = &http.Client{Transport: &http.Transport{DialContext: d.DialContext, MaxIdleConnsPerHost: 8, MaxResponseHeaderBytes: receiver.MaxHeadBytes}}
+		h = &http.Client{Transport: receiver.NewTransport(&http.Transport{DialContext: d.DialContext, MaxIdleConnsPerHost: 8})}
 	}
 	return &client{base: "http://" + o.Address, http: h, budget: newBudget(o), breaker: newBreaker(), oddHosts: oddHosts{log: o.Log}}
 }
--- a/core/receiver/receiver.go
+++ b/core/receiver/receiver.go
@@ -16,6 +16,9 @@
 // The standard library bounds chunk sizes, chunk extensions and trailers. The caller
 // bounds a body that it passes on as it arrives.
 //
+// A response without a length ends with its connection, which a reset must not feign: see
+// Conn. Clients of the standard library get the same bounds and checks by NewTransport.
+//
 // Usage:
 //
 //	r := receiver.New(conn, 4<<10)
@@ -36,7 +39,7 @@
 
 // MaxHeadBytes bounds the head of one response, in bytes. Web servers accept 8 to 64 KiB
 // of request headers, and responses have less. HTTP clients of the standard library use
-// it as MaxResponseHeaderBytes; their default is ten megabytes.
+// it too, see NewTransport; their default is ten megabytes.
 const MaxHeadBytes = 32 << 10
 
 const (
--- a/oleandercove/caller/caller.go
+++ b/oleandercove/caller/caller.go
@@ -77,8 +77,8 @@
 	return &Caller{
 		options:       o,
 		budget:        retrier.NewBudget(o.Retry),
-		reusingClient: &http.Client{Transport: &http.Transport{DialContext: d, MaxIdleConnsPerHost: 64, MaxResponseHeaderBytes: receiver.MaxHeadBytes}, CheckRedirect: noRedirect},
-		freshClient:   &http.Client{Transport: &http.Transport{DialContext: d, DisableKeepAlives: true, MaxResponseHeaderBytes: receiver.MaxHeadBytes}, CheckRedirect: noRedirect},
+		reusingClient: &http.Client{Transport: receiver.NewTransport(&http.Transport{DialContext: d, MaxIdleConnsPerHost: 64}), CheckRedirect: noRedirect},
+		freshClient:   &http.Client{Transport: receiver.NewTransport(&http.Transport{DialContext: d, DisableKeepAlives: true}), CheckRedirect: noRedirect},
 	}
 }
 
--- a/oleandercove/commander/reader.go
+++ b/oleandercove/commander/reader.go
@@ -37,7 +37,7 @@
 // NewReader returns a Reader over HTTP.
 func NewReader(t timer.Service) Reader {
 	return &httpReader{timer: t, http: &http.Client{
-		Timeout: readTimeout, Transport: &http.Transport{IdleConnTimeout: time.Minute, MaxResponseHeaderBytes: receiver.MaxHeadBytes},
+		Timeout: readTimeout, Transport: receiver.NewTransport(&http.Transport{IdleConnTimeout: time.Minute}),
 	}}
 }
 
--- a/oleandercove/dispatcher/dispatcher.go
+++ b/oleandercove/dispatcher/dispatcher.go
@@ -111,9 +111,9 @@
 		o.SilenceLimit = DefaultSilenceLimit
 	}
 	d := tracer.Dial(&net.Dialer{Timeout: dialTimeout})
-	return &httpDispatcher{options: o, http: &http.Client{CheckRedirect: noRedirect, Transport: &http.Transport{
-		DialContext: d, MaxIdleConnsPerHost: 512, IdleConnTimeout: 30 * time.Second, MaxResponseHeaderBytes: receiver.MaxHeadBytes,
-	}}}
+	return &httpDispatcher{options: o, http: &http.Client{CheckRedirect: noRedirect, Transport: receiver.NewTransport(&http.Transport{
+		DialContext: d, MaxIdleConnsPerHost: 512, IdleConnTimeout: 30 * time.Second,
+	})}}
 }
 
 func noRedirect(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }
--- a/oleandercove/edge/exchanger/exchanger.go
+++ b/oleandercove/edge/exchanger/exchanger.go
@@ -178,7 +178,8 @@
 		return nil, err
 	}
 	setUnackedTimeout(nc, unackedTimeout)
-	return &conn{Conn: nc, receiver: receiver.New(nc, readBufferSize)}, nil
+	rc := receiver.NewConn(nc)
+	return &conn{Conn: rc, receiver: receiver.New(rc, readBufferSize)}, nil
 }
 
 // RefusesConnections reports whether a server refuses connections, which means that the
--- a/oleandercove/edge/exchanger/pool.go
+++ b/oleandercove/edge/exchanger/pool.go
@@ -37,7 +37,7 @@
 
 // conn is a connection to a backend server.
 type conn struct {
-	net.Conn
+	*receiver.Conn
 	receiver *receiver.Receiver
 	// idleDeadline is when the idle connection is no longer used, before the server
 	// closes it.
@@ -89,7 +89,7 @@
 // isClean reports whether the server has neither closed the connection nor sent
 // unrequested bytes.
 func (c *conn) isClean() bool {
-	sc, ok := c.Conn.(syscall.Conn)
+	sc, ok := c.NetConn().(syscall.Conn)
 	if !ok {
 		return false
 	}
--- a/oleandercove/edge/fetcher/fetcher.go
+++ b/oleandercove/edge/fetcher/fetcher.go
@@ -57,9 +57,9 @@
 // New returns a Fetcher that keeps one idle connection to each daemon.
 func New(o Options) *Fetcher {
 	d := &net.Dialer{Timeout: o.Dial}
-	return &Fetcher{Options: o, client: &http.Client{Transport: &http.Transport{
-		DialContext: d.DialContext, MaxIdleConnsPerHost: 1, MaxResponseHeaderBytes: receiver.MaxHeadBytes,
-	}}}
+	return &Fetcher{Options: o, client: &http.Client{Transport: receiver.NewTransport(&http.Transport{
+		DialContext: d.DialContext, MaxIdleConnsPerHost: 1,
+	})}}
 }
 
 // Answer is the answer of a daemon.
--- a/oleandercove/quarantiner/prober.go
+++ b/oleandercove/quarantiner/prober.go
@@ -20,7 +20,7 @@
 // NewProber returns a Prober over HTTP.
 func NewProber() Prober {
 	return &httpProber{http: &http.Client{
-		Timeout: probeTimeout, Transport: &http.Transport{DisableKeepAlives: true, MaxResponseHeaderBytes: receiver.MaxHeadBytes},
+		Timeout: probeTimeout, Transport: receiver.NewTransport(&http.Transport{DisableKeepAlives: true}),
 	}}
 }
 
--- a/oleandercove/tracer/tracer.go
+++ b/oleandercove/tracer/tracer.go
@@ -3,7 +3,7 @@
 //
 // Usage:
 //
-//	transport := &http.Transport{DialContext: tracer.Dial(dialer)}
+//	transport := receiver.NewTransport(&http.Transport{DialContext: tracer.Dial(dialer)})
 //	ctx, t := tracer.Start(ctx, len(body), nil)
 //	res, err := client.Do(req.WithContext(ctx))
 //	o := t.Outcome(res, complete, failure)
@@ -20,6 +20,7 @@
 	"syscall"
 
 	"oleandercove.example/core/api"
+	"oleandercove.example/core/receiver"
 	"oleandercove.example/core/verdict"
 	"oleandercove.example/oleandercove/classifier"
 )
@@ -110,8 +111,10 @@
 	t.mu.Lock()
 	t.connected, t.reused = true, i.Reused
 	t.mu.Unlock()
-	if c, ok := i.Conn.(*conn); ok {
-		c.attach(t)
+	if r, ok := i.Conn.(*receiver.Conn); ok {
+		if c, ok := r.NetConn().(*conn); ok {
+			c.attach(t)
+		}
 	}
 }
 
--- a/oleandercove/watcher/watcher.go
+++ b/oleandercove/watcher/watcher.go
@@ -157,9 +157,9 @@
 // The default transport keeps two for each address, so that most calls to backend
 // servers behind one address would open a new connection.
 func newHTTP() *http.Client {
-	return &http.Client{Timeout: statusTimeout, Transport: &http.Transport{
-		MaxIdleConnsPerHost: maxParallelCalls, IdleConnTimeout: idleLimit, DisableCompression: true, MaxResponseHeaderBytes: receiver.MaxHeadBytes,
-	}}
+	return &http.Client{Timeout: statusTimeout, Transport: receiver.NewTransport(&http.Transport{
+		MaxIdleConnsPerHost: maxParallelCalls, IdleConnTimeout: idleLimit, DisableCompression: true,
+	})}
 }
 
 // Backends returns a snapshot, ordered by id.
--- a/oleanderfake/imitator/server.go
+++ b/oleanderfake/imitator/server.go
@@ -113,6 +113,8 @@
 	Failing, Full atomic.Bool
 	// Endless replaces the response to each request that runs, if it is set.
 	Endless atomic.Pointer[Endless]
+	// Raw replaces the response to each request, if it is set.
+	Raw atomic.Pointer[Raw]
 	// Stale is written before the response to a request that runs on a connection on which
 	// an earlier one was rejected, if it is set. The connection is closed then.
 	Stale    atomic.Pointer[string]
@@ -232,8 +234,16 @@
 	})
 }
 
+// recordRun records that the server runs a request.
+func (p *Server) recordRun(r *http.Request, body string) {
+	p.site.Runs.add(r.Header.Get(headerAttempt), Run{Server: p.ID, Method: r.Method, Target: r.RequestURI, Body: body, Header: r.Header.Clone(), At: time.Now()})
+}
+
 // ServeHTTP answers health checks and runs the requests that are meant for this server.
 func (p *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if p.sendRaw(w, r) {
+		return
+	}
 	id := r.Header.Get(headerAttempt)
 	body, err := io.ReadAll(r.Body)
 	if err != nil {
@@ -260,7 +270,7 @@
 		p.rejected.Store(r.RemoteAddr, true)
 		return
 	}
-	p.site.Runs.add(id, Run{Server: p.ID, Method: r.Method, Target: r.RequestURI, Body: string(body), Header: r.Header.Clone(), At: time.Now()})
+	p.recordRun(r, string(body))
 	if p.Failing.Load() {
 		panic(http.ErrAbortHandler)
 	}
--- /dev/null
+++ b/prover/edge/broken_test.go
@@ -0,0 +1,54 @@
+package edge
+
+import (
+	"fmt"
+	"net/http"
+	"strings"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"oleandercove.example/oleanderfake/imitator"
+)
+
+const (
+	// uploadBytes is more than the buffers of a connection hold.
+	uploadBytes = 4 << 20
+	// rawUploads is the number of uploads for each raw response.
+	rawUploads = 10
+	// rawHead begins a raw response; its headers follow.
+	rawHead = "HTTP/1.1 200 OK\r\nX-Oleandercove-Attempt-Id: " + imitator.IDMark + "\r\nX-Oleandercove-Response-Stamp: s\r\n"
+)
+
+// Guards against an answer that is no proper one and reaches the caller as a success or with a
+// status of its own, and against a proper answer that doesn't: early, interim or without a length.
+func TestRawAnswers(t *testing.T) {
+	tests := []struct {
+		name, text string
+		reset      bool
+		status     int
+	}{
+		{"a part before a reset counts as the answer", rawHead + "\r\nanswer", true, http.StatusBadGateway},
+		{"a long part before a reset counts as the answer", rawHead + "\r\n" + strings.Repeat("answer", 20<<10), true, http.StatusBadGateway},
+		{"an answer without a length that ends in order is lost", rawHead + "\r\nanswer", false, http.StatusOK},
+		{"an answer with a length is lost", rawHead + "Content-Length: 6\r\n\r\nanswer", false, http.StatusOK},
+		{"an answer in chunks is lost", rawHead + "Transfer-Encoding: chunked\r\n\r\n6\r\nanswer\r\n0\r\n\r\n", false, http.StatusOK},
+		{"an answer after an interim one is lost", "HTTP/1.1 103 Early Hints\r\n\r\n" + rawHead + "\r\nanswer", false, http.StatusOK},
+	}
+	s := newSiteWith(t, 1, imitator.Options{DataCentres: []string{"x", "y"}, Engines: 4, Servers: 1, BodyBytes: uploadBytes})
+	upload := strings.Repeat("u", uploadBytes)
+	for n, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			s.Servers()[0].Raw.Store(&imitator.Raw{Text: tt.text, Reset: tt.reset})
+			defer s.Servers()[0].Raw.Store(nil)
+			for i := range rawUploads {
+				id := fmt.Sprintf("u%d-%d", n, i)
+				got := request{router: s.routers[0], id: id, method: "POST", path: imitator.BookPath, key: imitator.Key, body: upload}.do()
+				is.Equal(len(s.Runs.ByAttempt(id)), 1)
+				is.True(got.status == tt.status || (tt.status != http.StatusOK && got.err != nil)) // a broken answer is replaced or breaks off
+				is.True(tt.status != http.StatusOK || (got.err == nil && got.body == "answer"))
+			}
+		})
+	}
+}
