receiver: a status that RFC 9112 doesn't allow is no response

Callers saw: through `run` an answer of a server with status 000 counted as its answer, and writing it ends the handler with a panic of net/http. Through `route` such an answer counted as an interim one: alone it ended as 502, but what came after it was passed on. A store that answered a write with 000 was believed, an engine's 000 was the rejection of an order, and a stream or the crash check of `run` read on.

Cause: the decoder of the standard library takes any three bytes that strconv.Atoi reads as a status (000, 099, 999, +20, -00), each version with two digits, and control bytes in a reason. Nothing of the project looked.

Change: receiver checks the bytes of each head as they arrive, whichever reader decodes them: the Receiver itself, and a transport for the clients of the standard library, which also refuses a response that came before its request and a head that two responses share. A status line has version 1.x, a status of 100 to 599 and no control bytes; 101 is refused, as no request asks for another protocol.

--- a/core/receiver/conn.go
+++ b/core/receiver/conn.go
@@ -1,11 +1,9 @@
 package receiver
 
 import (
-	"context"
 	"errors"
 	"io"
 	"net"
-	"net/http"
 	"os"
 	"sync"
 	"syscall"
@@ -72,21 +70,3 @@
 	}
 	return writeErr
 }
-
-// NewTransport returns t with the bounds and checks of this package: MaxHeadBytes, and a Conn
-// for each connection. It changes t.
-func NewTransport(t *http.Transport) http.RoundTripper {
-	dial := t.DialContext
-	if dial == nil {
-		dial = (&net.Dialer{}).DialContext
-	}
-	t.MaxResponseHeaderBytes = MaxHeadBytes
-	t.DialContext = func(ctx context.Context, network, address string) (net.Conn, error) {
-		c, err := dial(ctx, network, address)
-		if err != nil {
-			return nil, err
-		}
-		return NewConn(c), nil
-	}
-	return t
-}
--- a/core/receiver/receiver.go
+++ b/core/receiver/receiver.go
@@ -11,7 +11,8 @@
 //
 // A faulty server may also break off in the head of one response and continue with another
 // one. The joined head decodes without an error, with the status of the first response and
-// headers of both, and is rejected.
+// headers of both, and is rejected. So is a head that RFC 9112 doesn't allow, as the decoder
+// accepts some of them: a status of 000 would be an answer of the server.
 //
 // The standard library bounds chunk sizes, chunk extensions and trailers. The caller
 // bounds a body that it passes on as it arrives.
@@ -31,6 +32,7 @@
 import (
 	"bufio"
 	"errors"
+	"fmt"
 	"io"
 	"net/http"
 	"regexp"
@@ -86,39 +88,53 @@
 
 // Next blocks until the head of the next response that is not an interim one has
 // arrived, and returns that response. It returns ErrHeadTooLarge, ErrTooManyInterim,
-// ErrJoinedHead or the error of a failed read or of a malformed head; the connection is
-// unusable then.
+// ErrJoinedHead, ErrMalformed or the error of a failed read or of the decoder; the connection
+// is unusable then.
 func (r *Receiver) Next(method string) (*http.Response, error) {
 	for range maxInterimResponses {
-		r.src.setLimit(MaxHeadBytes)
-		resp, err := http.ReadResponse(r.br, &http.Request{Method: method})
-		if r.src.exceeded {
-			return nil, ErrHeadTooLarge
-		}
-		r.src.clearLimit()
-		if err != nil {
-			return nil, err
-		}
-		if isJoined(resp) {
-			return nil, ErrJoinedHead
-		}
-		if resp.StatusCode >= http.StatusOK {
-			return resp, nil
+		resp, err := r.nextHead(method)
+		if err != nil || resp.StatusCode >= http.StatusOK {
+			return resp, err
 		}
 	}
 	return nil, ErrTooManyInterim
 }
 
-// statusLine matches the beginning of a status line.
-var statusLine = regexp.MustCompile(`HTTP/1\.[01] \d{3}`)
+// nextHead returns the next response, which may be an interim one.
+func (r *Receiver) nextHead(method string) (*http.Response, error) {
+	buffered, err := r.br.Peek(r.br.Buffered())
+	if err != nil {
+		return nil, err
+	}
+	r.src.beginHead(buffered)
+	resp, err := http.ReadResponse(r.br, &http.Request{Method: method})
+	if r.src.exceeded {
+		return nil, ErrHeadTooLarge
+	}
+	head := r.src.endHead()
+	switch {
+	case err != nil:
+		return nil, err
+	case head.err != nil:
+		return nil, head.err
+	case !head.complete:
+		return nil, fmt.Errorf("%w: head without an end", ErrMalformed)
+	case isJoined(resp):
+		return nil, ErrJoinedHead
+	}
+	return resp, nil
+}
+
+// statusPrefix matches the beginning of a status line.
+var statusPrefix = regexp.MustCompile(`HTTP/1\.[01] \d{3}`)
 
 // isJoined reports whether the head of a response continues with another status line.
 func isJoined(resp *http.Response) bool {
-	if statusLine.MatchString(resp.Status) {
+	if statusPrefix.MatchString(resp.Status) {
 		return true
 	}
 	for _, values := range resp.Header {
-		if slices.ContainsFunc(values, statusLine.MatchString) {
+		if slices.ContainsFunc(values, statusPrefix.MatchString) {
 			return true
 		}
 	}
@@ -146,21 +162,32 @@
 	return data, err
 }
 
-// limitedReader is a reader with a limit that can be set and cleared.
+// limitedReader is a reader that bounds and checks heads.
 type limitedReader struct {
 	io.Reader
-	limited, exceeded bool
-	remaining         int
+	// inHead is set while a head is read, with its remaining bytes.
+	inHead, exceeded bool
+	remaining        int
+	head             headChecker
 }
 
-func (s *limitedReader) setLimit(n int) { s.limited, s.remaining = true, n }
+// beginHead bounds and checks the bytes that follow. The buffered ones come before them.
+func (s *limitedReader) beginHead(buffered []byte) {
+	s.inHead, s.remaining = true, MaxHeadBytes
+	s.head = headChecker{line: s.head.line[:0]}
+	s.head.read(buffered)
+}
 
-func (s *limitedReader) clearLimit() { s.limited = false }
+// endHead ends the bound, and returns the head with what was found.
+func (s *limitedReader) endHead() *headChecker {
+	s.inHead = false
+	return &s.head
+}
 
-// Read reads as much as the limit allows. It returns ErrHeadTooLarge once the limit is
+// Read reads as much of a head as the bound allows. It returns ErrHeadTooLarge once the bound is
 // used up.
 func (s *limitedReader) Read(p []byte) (int, error) {
-	if !s.limited {
+	if !s.inHead {
 		return s.Reader.Read(p)
 	}
 	if s.remaining <= 0 {
@@ -169,5 +196,6 @@
 	}
 	n, err := s.Reader.Read(p[:min(len(p), s.remaining)])
 	s.remaining -= n
+	s.head.read(p[:n])
 	return n, err
 }
--- a/oleandercove/caller/broken_test.go
+++ b/oleandercove/caller/broken_test.go
@@ -1,10 +1,10 @@
 package caller
 
 import (
-	"bufio"
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"strings"
 	"testing"
 	"time"
@@ -14,42 +14,48 @@
 	"oleandercove.example/core/verdict"
 )
 
-// newRawServer starts a backend server that reads the head of each request, writes text and lets
-// end finish the connection. It returns the address.
-func newRawServer(t *testing.T, text string, end func(*net.TCPConn)) string {
+// newRawServer starts a backend server that answers each call with text before it reads the
+// body, and closes the connection or resets it. It returns the address.
+func newRawServer(t *testing.T, text string, reset bool) string {
 	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	is.New(t).NoErr(err)
-	t.Cleanup(func() { _ = l.Close() })
-	go func() {
-		for {
-			c, err := l.Accept()
-			if err != nil {
-				return
-			}
-			go func() {
-				defer c.Close()
-				if _, err := http.ReadRequest(bufio.NewReader(c)); err == nil {
-					_, _ = io.WriteString(c, text)
-					end(c.(*net.TCPConn))
-				}
-			}()
+	s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		c, _, err := http.NewResponseController(w).Hijack()
+		if err != nil {
+			panic(http.ErrAbortHandler)
+		}
+		defer c.Close()
+		_, _ = io.WriteString(c, text)
+		if reset {
+			_ = c.(*net.TCPConn).SetLinger(0)
 		}
-	}()
-	return l.Addr().String()
+	}))
+	t.Cleanup(s.Close)
+	return s.Listener.Addr().String()
 }
 
-// Guards against a part of an answer that counts as the whole one, which happens when a server
-// resets the connection during a long upload.
-func TestResetDuringUpload(t *testing.T) {
-	const calls, size = 100, 4 << 20
-	is := is.New(t)
-	c := newCaller(newRawServer(t, "HTTP/1.1 200 OK\r\n\r\npart", func(c *net.TCPConn) { _ = c.SetLinger(0) }))
-	for range calls {
-		r := newCall(http.MethodPost, 30*time.Second)
-		r.Call.Body = []byte(strings.Repeat("u", size))
-		v, failed := verdict.FromError(c.Serve(t.Context(), r))
-		is.True(failed) // a part is no answer
-		is.True(v.Verdict != verdict.NotRun)
+// Guards against an answer that is no proper one and reaches the caller, which happens when a
+// server in trouble sends it or resets the connection during a long upload.
+func TestBrokenAnswers(t *testing.T) {
+	const calls, uploadBytes = 300, 4 << 20
+	tests := []struct {
+		name, text string
+		body       string
+		reset      bool
+	}{
+		{"a part before a reset", "HTTP/1.1 200 OK\r\n\r\npart", strings.Repeat("u", uploadBytes), true},
+		{"status 000", "HTTP/1.1 000 None\r\nContent-Length: 4\r\n\r\nbody", "", false},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			c := newCaller(newRawServer(t, tt.text, tt.reset))
+			for range calls {
+				r := newCall(http.MethodPost, 30*time.Second)
+				r.Call.Body = []byte(tt.body)
+				v, failed := verdict.FromError(c.Serve(t.Context(), r))
+				is.True(failed)
+				is.True(v.Verdict != verdict.NotRun)
+			}
+		})
 	}
 }
--- a/oleandercove/edge/exchanger/reset_test.go
+++ b/oleandercove/edge/exchanger/reset_test.go
@@ -1,11 +1,11 @@
 package exchanger
 
 import (
-	"bufio"
 	"errors"
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"strings"
 	"syscall"
 	"testing"
@@ -22,28 +22,17 @@
 // lets end finish the connection.
 func earlyServer(t *testing.T, end func(*net.TCPConn)) backend.Address {
 	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { _ = l.Close() })
-	go func() {
-		for {
-			c, err := l.Accept()
-			if err != nil {
-				return
-			}
-			go func() {
-				defer c.Close()
-				if _, err := http.ReadRequest(bufio.NewReader(c)); err != nil {
-					return
-				}
-				_, _ = io.WriteString(c, earlyAnswer)
-				end(c.(*net.TCPConn))
-			}()
+	s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		c, _, err := http.NewResponseController(w).Hijack()
+		if err != nil {
+			panic(http.ErrAbortHandler)
 		}
-	}()
-	return backend.Address(l.Addr().String())
+		defer c.Close()
+		_, _ = io.WriteString(c, earlyAnswer)
+		end(c.(*net.TCPConn))
+	}))
+	t.Cleanup(s.Close)
+	return backend.Address(s.Listener.Addr().String())
 }
 
 // reset makes the kernel reset the connection when it is closed.
--- a/oleandercove/tracer/tracer.go
+++ b/oleandercove/tracer/tracer.go
@@ -20,7 +20,6 @@
 	"syscall"
 
 	"oleandercove.example/core/api"
-	"oleandercove.example/core/receiver"
 	"oleandercove.example/core/verdict"
 	"oleandercove.example/oleandercove/classifier"
 )
@@ -111,7 +110,7 @@
 	t.mu.Lock()
 	t.connected, t.reused = true, i.Reused
 	t.mu.Unlock()
-	if r, ok := i.Conn.(*receiver.Conn); ok {
+	if r, ok := i.Conn.(interface{ NetConn() net.Conn }); ok {
 		if c, ok := r.NetConn().(*conn); ok {
 			c.attach(t)
 		}
--- a/prover/edge/broken_test.go
+++ b/prover/edge/broken_test.go
@@ -30,6 +30,8 @@
 	}{
 		{"a part before a reset counts as the answer", rawHead + "\r\nanswer", true, http.StatusBadGateway},
 		{"a long part before a reset counts as the answer", rawHead + "\r\n" + strings.Repeat("answer", 20<<10), true, http.StatusBadGateway},
+		{"an answer with status 000 is passed on", strings.Replace(rawHead, "200 OK", "000 None", 1) + "\r\nanswer", false, http.StatusBadGateway},
+		{"a status 000 counts as an interim answer", "HTTP/1.1 000 None\r\n\r\n" + rawHead + "\r\nanswer", false, http.StatusBadGateway},
 		{"an answer without a length that ends in order is lost", rawHead + "\r\nanswer", false, http.StatusOK},
 		{"an answer with a length is lost", rawHead + "Content-Length: 6\r\n\r\nanswer", false, http.StatusOK},
 		{"an answer in chunks is lost", rawHead + "Transfer-Encoding: chunked\r\n\r\n6\r\nanswer\r\n0\r\n\r\n", false, http.StatusOK},
