receiver: a field name with a blank makes a response malformed

Callers saw: an answer in whose head the name of a field held a blank as a success. With a blank before the colon of Content-Length or Transfer-Encoding the body was not the server's: the bytes of the chunks themselves, or all that came until the connection ended.

Cause: the decoder of the standard library accepts names with blanks, so that mail can be read, and leaves them as other names than the known ones. Control bytes, other delimiters and empty names it rejects: these rows passed before, and nothing was changed for them.

Change: the check of heads requires that each line of a field begins with a name of RFC 9112 and a colon, except for the continuation of a line. A body in chunks ends with an error if a name of its trailer is malformed.

Evidence, on the code before: TestProperResponses, five rows with blanks accepted by both readers; TestReadersOfAnswers, all eleven readers; in TestBrokenAnswers of the caller and TestRawAnswers (separate processes) the rows with blanks. After: all pass with the race detector.

--- a/core/receiver/head.go
+++ b/core/receiver/head.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"regexp"
 	"strconv"
+	"strings"
 )
 
 // ErrMalformed is returned for a response that RFC 9112 doesn't allow. The server is in
@@ -50,12 +51,38 @@
 		h.status, h.err = parseStatusLine(line)
 	case len(line) == 0:
 		h.complete = true
+	case line[0] != ' ' && line[0] != '\t': // not the continuation of a line
+		h.err = checkField(line)
 	}
 }
 
 // interim reports whether the head is that of an interim response, which another one follows.
 func (h *headChecker) interim() bool { return h.complete && h.status < http.StatusOK }
 
+// checkField returns ErrMalformed unless the line of a field begins with a proper name and a
+// colon.
+func checkField(line []byte) error {
+	name, _, ok := bytes.Cut(line, []byte{':'})
+	if !ok || !isName(string(name)) {
+		return fmt.Errorf("%w: field name %q", ErrMalformed, name)
+	}
+	return nil
+}
+
+// isName reports whether a text is a field name, without blanks and control bytes.
+func isName(text string) bool {
+	for _, c := range []byte(text) {
+		if !isLetterOrDigit(c) && strings.IndexByte("!#$%&'*+-.^_`|~", c) < 0 {
+			return false
+		}
+	}
+	return text != ""
+}
+
+func isLetterOrDigit(c byte) bool {
+	return 'a' <= c && c <= 'z' || 'A' <= c && c <= 'Z' || '0' <= c && c <= '9'
+}
+
 // statusLine matches a proper status line with a status that has a meaning.
 var statusLine = regexp.MustCompile(`^HTTP/1\.\d ([1-5]\d\d)( [^\x00-\x08\x0a-\x1f\x7f]*)?$`)
 
--- a/core/receiver/head_test.go
+++ b/core/receiver/head_test.go
@@ -93,6 +93,10 @@
 		{"version with two digits", "HTTP/1.10 200 OK\r\n\r\nbody", false},
 		{"bytes before the status line", "\r\nHTTP/1.1 200 OK\r\n\r\nbody", false},
 
+		{"blank in a name", ok + "Some Name: 1\r\n\r\nbody", false},
+		{"blank after a name", ok + "Content-Length : 2\r\n\r\nbody", false},
+		{"blank after the name of chunks", ok + "Transfer-Encoding : chunked\r\n\r\n4\r\nbody\r\n0\r\n\r\n", false},
+		{"blank in a name of an interim response", "HTTP/1.1 103 Early Hints\r\nLi nk: a\r\n\r\n" + ok + "\r\nbody", false},
 		{"tab after a name", ok + "Content-Length\t: 2\r\n\r\nbody", false},
 		{"control byte in a name", ok + "Na\x01me: 1\r\n\r\nbody", false},
 		{"zero byte in a name", ok + "Name\x00: 1\r\n\r\nbody", false},
@@ -105,6 +109,7 @@
 		{"control byte in a value", ok + "X: a\x01b\r\n\r\nbody", false},
 		{"carriage return in a value", ok + "X: a\rb\r\n\r\nbody", false},
 		{"head of another response", ok + "X: 1" + ok + "\r\nbody", false},
+		{"blank in a name of a trailer", ok + "Transfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\nSome Name: 1\r\n\r\n", false},
 
 		{"different lengths", ok + "Content-Length: 4\r\nContent-Length: 2\r\n\r\nbody", false},
 		{"list of different lengths", ok + "Content-Length: 4, 2\r\n\r\nbody", false},
--- a/core/receiver/receiver.go
+++ b/core/receiver/receiver.go
@@ -122,6 +122,7 @@
 	case isJoined(resp):
 		return nil, ErrJoinedHead
 	}
+	checkTrailer(resp)
 	return resp, nil
 }
 
--- a/core/receiver/transport.go
+++ b/core/receiver/transport.go
@@ -48,6 +48,7 @@
 		_ = resp.Body.Close()
 		return nil, err
 	}
+	checkTrailer(resp)
 	return resp, nil
 }
 
--- a/oleandercove/daemon/answers_test.go
+++ b/oleandercove/daemon/answers_test.go
@@ -106,6 +106,8 @@
 	}{
 		{"proper", "HTTP/1.1 200 OK\r\n" + end, true},
 		{"status 000", "HTTP/1.1 000 None\r\n" + end, false},
+		{"blank in a name", "HTTP/1.1 200 OK\r\nSome Name: 1\r\n" + end, false},
+		{"control byte in a name", "HTTP/1.1 200 OK\r\nSome\x01Name: 1\r\n" + end, false},
 	}
 	for _, reader := range readers {
 		for _, answer := range answers {
