receiver: a request is not sent again after a malformed response

Cause: the read of a malformed head failed without a byte, which net/http takes for a kept connection that the server closed before the request.

Change: the connection passes all bytes on and keeps what it found, and the transport rejects the response afterwards. It closes the connection then, which net/http may hold as an idle one already.

--- a/core/receiver/transport.go
+++ b/core/receiver/transport.go
@@ -9,8 +9,9 @@
 	"sync"
 )
 
-// NewTransport returns t with the bounds and checks of this package. It changes t. The
-// connections that a trace sees have the method NetConn, which returns the dialled one.
+// NewTransport returns t with the bounds and checks of this package, for URLs without TLS. It
+// changes t. The connections that a trace sees have the method NetConn, which returns the dialled
+// one.
 func NewTransport(t *http.Transport) http.RoundTripper {
 	dial := t.DialContext
 	if dial == nil {
@@ -36,35 +37,24 @@
 func (t *transport) RoundTrip(r *http.Request) (*http.Response, error) {
 	var c *checkedConn
 	ctx := httptrace.WithClientTrace(r.Context(), &httptrace.ClientTrace{GotConn: func(i httptrace.GotConnInfo) {
-		if c, _ = i.Conn.(*checkedConn); c != nil {
-			c.expectHead()
-		}
+		c = i.Conn.(*checkedConn)
+		c.expectHead()
 	}})
 	resp, err := t.Transport.RoundTrip(r.WithContext(ctx))
 	if err != nil {
 		return nil, err
 	}
-	if err := checkResponse(resp, c); err != nil {
+	if err := c.checkResponse(resp); err != nil {
 		_ = resp.Body.Close()
+		// The connection may be idle already, and must not be used again.
+		_ = c.Close()
 		return nil, err
 	}
 	checkTrailer(resp)
 	return resp, nil
 }
 
-// checkResponse checks the response that was read from c.
-func checkResponse(resp *http.Response, c *checkedConn) error {
-	switch {
-	case c != nil && !c.hasHead():
-		return fmt.Errorf("%w: it came before its request", ErrMalformed)
-	case isJoined(resp):
-		return ErrJoinedHead
-	}
-	return nil
-}
-
-// checkedConn is a connection that checks the head of each response. A read fails at the end of
-// a malformed head, so that nobody gets the whole of it.
+// checkedConn is a connection that checks the heads of responses as they are read.
 type checkedConn struct {
 	*Conn
 	mu sync.Mutex
@@ -79,24 +69,15 @@
 	c.head = headChecker{}
 }
 
-// hasHead reports whether the head of the response has arrived.
-func (c *checkedConn) hasHead() bool {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	return c.head.complete
-}
-
-// Read reads into p. It returns ErrMalformed in place of the bytes that show it.
+// Read reads into p.
 func (c *checkedConn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
-	if headErr := c.check(p[:n]); headErr != nil {
-		return 0, headErr
-	}
+	c.readHeads(p[:n])
 	return n, err
 }
 
-// check checks the part of p that belongs to heads.
-func (c *checkedConn) check(p []byte) error {
+// readHeads reads the part of p that belongs to heads.
+func (c *checkedConn) readHeads(p []byte) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	for len(p) > 0 && !c.head.complete && c.head.err == nil {
@@ -105,5 +86,19 @@
 			c.head = headChecker{}
 		}
 	}
-	return c.head.err
+}
+
+// checkResponse checks a response that was read from the connection.
+func (c *checkedConn) checkResponse(resp *http.Response) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	switch {
+	case c.head.err != nil:
+		return c.head.err
+	case !c.head.complete:
+		return fmt.Errorf("%w: it came before its request", ErrMalformed)
+	case isJoined(resp):
+		return ErrJoinedHead
+	}
+	return nil
 }
