receiver: a head that leaves the end of its body open is malformed

Callers saw: the bytes of chunks as the body of an answer of version 1.0, which knows none; and successes whose head contradicts itself: a length beside chunks, or a 204 or an interim answer with a length or chunks, whose body was then left out or read as the next answer.

Cause: the decoder of the standard library drops Transfer-Encoding in version 1.0, drops a length beside chunks, and reads no body after such a status. RFC 9112, 6.1 and 6.3, calls the first faulty framing and the second a thing to be handled as an error; 6.1 and RFC 9110, 8.6, forbid the others.

Change: the check of heads keeps the length and whether there is an encoding, and rejects these heads. A 204 with a length of 0 stays allowed.

--- a/core/receiver/head.go
+++ b/core/receiver/head.go
@@ -16,16 +16,21 @@
 
 // maxLineStart bounds the start of a line of a head that is checked, in bytes. A field name is
 // shorter.
-const maxLineStart = 256
+const maxLineStart = 1 << 10
 
 // headChecker checks the head of one response as its bytes arrive. The decoder of the standard
 // library is more lenient than RFC 9112, and keeps nothing by which that could be seen afterwards.
 type headChecker struct {
 	// line is the start of the line that is being read.
 	line []byte
-	// status is 0 until the status line is read.
+	// status is 0 until the status line is read, with the minor digit of the version.
 	status int
-	// complete is set at the end of the head.
+	minor  byte
+	// length is the value of a Content-Length, if hasLength is set. encoded is set by a
+	// Transfer-Encoding.
+	length             string
+	hasLength, encoded bool
+	// complete is set at the end of a proper head.
 	complete bool
 	// err is set once the head is malformed.
 	err error
@@ -48,27 +53,48 @@
 func (h *headChecker) endLine(line []byte) {
 	switch {
 	case h.status == 0:
-		h.status, h.err = parseStatusLine(line)
+		h.minor, h.status, h.err = parseStatusLine(line)
 	case len(line) == 0:
-		h.complete = true
+		h.err = h.checkFraming()
+		h.complete = h.err == nil
 	case line[0] != ' ' && line[0] != '\t': // not the continuation of a line
-		h.err = checkField(line)
+		h.readField(line)
 	}
 }
 
 // interim reports whether the head is that of an interim response, which another one follows.
 func (h *headChecker) interim() bool { return h.complete && h.status < http.StatusOK }
 
-// checkField returns ErrMalformed unless the line of a field begins with a proper name and a
-// colon.
-func checkField(line []byte) error {
-	name, _, ok := bytes.Cut(line, []byte{':'})
-	if !ok || !isName(string(name)) {
-		return fmt.Errorf("%w: field name %q", ErrMalformed, name)
+// readField reads the line of a field, which must begin with a proper name and a colon.
+func (h *headChecker) readField(line []byte) {
+	name, value, ok := strings.Cut(string(line), ":")
+	switch {
+	case !ok || !isName(name):
+		h.err = fmt.Errorf("%w: field name %q", ErrMalformed, name)
+	case strings.EqualFold(name, "Content-Length"):
+		h.length, h.hasLength = strings.TrimSpace(value), true
+	case strings.EqualFold(name, "Transfer-Encoding"):
+		h.encoded = true
+	}
+}
+
+// checkFraming returns ErrMalformed if the head is not clear about where its body ends. The
+// decoder rejects other lengths and encodings that are not proper.
+func (h *headChecker) checkFraming() error {
+	switch {
+	case h.encoded && h.minor == '0':
+		return fmt.Errorf("%w: transfer encoding in version 1.0", ErrMalformed)
+	case h.encoded && h.hasLength:
+		return fmt.Errorf("%w: transfer encoding and length %q", ErrMalformed, h.length)
+	case (h.encoded || (h.hasLength && h.length != "0")) && hasNoBody(h.status):
+		return fmt.Errorf("%w: status %d with a body", ErrMalformed, h.status)
 	}
 	return nil
 }
 
+// hasNoBody reports whether a response with a status ends with its head and may state no length.
+func hasNoBody(status int) bool { return status < http.StatusOK || status == http.StatusNoContent }
+
 // isName reports whether a text is a field name, without blanks and control bytes.
 func isName(text string) bool {
 	for _, c := range []byte(text) {
@@ -84,18 +110,19 @@
 }
 
 // statusLine matches a proper status line with a status that has a meaning.
-var statusLine = regexp.MustCompile(`^HTTP/1\.\d ([1-5]\d\d)( [^\x00-\x08\x0a-\x1f\x7f]*)?$`)
+var statusLine = regexp.MustCompile(`^HTTP/1\.(\d) ([1-5]\d\d)( [^\x00-\x08\x0a-\x1f\x7f]*)?$`)
 
-// parseStatusLine returns the status of a status line. It returns ErrMalformed if that is not
-// proper, or if the server switches to another protocol, which no request asks for.
-func parseStatusLine(line []byte) (int, error) {
+// parseStatusLine returns the minor digit of the version and the status. It returns ErrMalformed
+// if the line is not proper, or if the server switches to another protocol, which no request
+// asks for.
+func parseStatusLine(line []byte) (minor byte, status int, err error) {
 	m := statusLine.FindSubmatch(line)
 	if m == nil {
-		return 0, fmt.Errorf("%w: status line %q", ErrMalformed, line)
+		return 0, 0, fmt.Errorf("%w: status line %q", ErrMalformed, line)
 	}
-	status, err := strconv.Atoi(string(m[1]))
+	status, err = strconv.Atoi(string(m[2]))
 	if err != nil || status == http.StatusSwitchingProtocols {
-		return 0, fmt.Errorf("%w: status %q", ErrMalformed, m[1])
+		return 0, 0, fmt.Errorf("%w: status %q", ErrMalformed, m[2])
 	}
-	return status, nil
+	return m[1][0], status, nil
 }
--- a/oleandercove/caller/broken_test.go
+++ b/oleandercove/caller/broken_test.go
@@ -45,6 +45,7 @@
 		{"a part before a reset", "HTTP/1.1 200 OK\r\n\r\npart", strings.Repeat("u", uploadBytes), true},
 		{"status 000", "HTTP/1.1 000 None\r\nContent-Length: 4\r\n\r\nbody", "", false},
 		{"blank after a name", "HTTP/1.1 200 OK\r\nContent-Length : 2\r\n\r\nbody", "", false},
+		{"chunks in version 1.0", "HTTP/1.0 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\n\r\n", "", false},
 		{"control byte in a name", "HTTP/1.1 200 OK\r\nSome\x01Name: 1\r\nContent-Length: 4\r\n\r\nbody", "", false},
 	}
 	for _, tt := range tests {
--- a/oleandercove/daemon/answers_test.go
+++ b/oleandercove/daemon/answers_test.go
@@ -107,6 +107,7 @@
 		{"proper", "HTTP/1.1 200 OK\r\n" + end, true},
 		{"status 000", "HTTP/1.1 000 None\r\n" + end, false},
 		{"blank in a name", "HTTP/1.1 200 OK\r\nSome Name: 1\r\n" + end, false},
+		{"length and chunks", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\nContent-Length: 12\r\n\r\n2\r\n{}\r\n0\r\n\r\n", false},
 		{"control byte in a name", "HTTP/1.1 200 OK\r\nSome\x01Name: 1\r\n" + end, false},
 	}
 	for _, reader := range readers {
