--- a/core/receiver/head.go
+++ b/core/receiver/head.go
@@ -18,6 +18,12 @@
 // shorter.
 const maxLineStart = 1 << 10
 
+// The parts of a head that a headChecker compares.
+var (
+	lineFeed, carriageReturn, colon = []byte("\n"), []byte("\r"), []byte(":")
+	lengthField, encodingField      = []byte("Content-Length"), []byte("Transfer-Encoding")
+)
+
 // headChecker checks the head of one response as its bytes arrive. The decoder of the standard
 // library is more lenient than RFC 9112, and keeps nothing by which that could be seen afterwards.
 type headChecker struct {
@@ -39,12 +45,12 @@
 // read reads the part of p that belongs to the head, and returns the rest.
 func (h *headChecker) read(p []byte) []byte {
 	for !h.complete && h.err == nil {
-		part, rest, ended := bytes.Cut(p, []byte{'\n'})
+		part, rest, ended := bytes.Cut(p, lineFeed)
 		h.line = append(h.line, part[:min(len(part), maxLineStart-len(h.line))]...)
 		if p = rest; !ended {
 			break
 		}
-		h.endLine(bytes.TrimSuffix(h.line, []byte{'\r'}))
+		h.endLine(bytes.TrimSuffix(h.line, carriageReturn))
 		h.line = h.line[:0]
 	}
 	return p
@@ -67,13 +73,13 @@
 
 // readField reads the line of a field, which must begin with a proper name and a colon.
 func (h *headChecker) readField(line []byte) {
-	name, value, ok := strings.Cut(string(line), ":")
+	name, value, ok := bytes.Cut(line, colon)
 	switch {
 	case !ok || !isName(name):
 		h.err = fmt.Errorf("%w: field name %q", ErrMalformed, name)
-	case strings.EqualFold(name, "Content-Length"):
-		h.length, h.hasLength = strings.TrimSpace(value), true
-	case strings.EqualFold(name, "Transfer-Encoding"):
+	case bytes.EqualFold(name, lengthField):
+		h.length, h.hasLength = string(bytes.TrimSpace(value)), true
+	case bytes.EqualFold(name, encodingField):
 		h.encoded = true
 	}
 }
@@ -96,13 +102,13 @@
 func hasNoBody(status int) bool { return status < http.StatusOK || status == http.StatusNoContent }
 
 // isName reports whether a text is a field name, without blanks and control bytes.
-func isName(text string) bool {
-	for _, c := range []byte(text) {
+func isName(text []byte) bool {
+	for _, c := range text {
 		if !isLetterOrDigit(c) && strings.IndexByte("!#$%&'*+-.^_`|~", c) < 0 {
 			return false
 		}
 	}
-	return text != ""
+	return len(text) > 0
 }
 
 func isLetterOrDigit(c byte) bool {
--- a/core/receiver/head_test.go
+++ b/core/receiver/head_test.go
@@ -48,6 +48,24 @@
 	return string(body), err
 }
 
+// Guards against responses without a body that are rejected for what their heads may hold.
+func TestResponsesWithoutBody(t *testing.T) {
+	for _, text := range []string{
+		"HTTP/1.1 204 No Content\r\nContent-Length: 0\r\n\r\n",
+		"HTTP/1.1 304 Not Modified\r\nContent-Length: 4\r\n\r\n",
+		"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n",
+		"HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n",
+	} {
+		is := is.New(t)
+		body, err := readRaw(text)
+		is.NoErr(err)
+		is.Equal(body, "")
+		body, err = fetchRaw(t, text)
+		is.NoErr(err)
+		is.Equal(body, "")
+	}
+}
+
 // Guards against responses that reach a caller although they are not proper ones, and against
 // proper ones that don't. RFC 9112 says what a proper response is.
 func TestProperResponses(t *testing.T) {
--- a/core/receiver/trailer.go
+++ b/core/receiver/trailer.go
@@ -26,7 +26,7 @@
 		return n, err
 	}
 	for name := range b.resp.Trailer {
-		if !isName(name) {
+		if !isName([]byte(name)) {
 			return n, fmt.Errorf("%w: name %q in the trailer", ErrMalformed, name)
 		}
 	}
