receiver: a connection keeps the error of its first failed write

Cause: a write after the one that took the report of a reset gets EPIPE, which stands for an end in order. No client of ours writes again after a failed write, so this was found by reading, not at a caller. Change: the first error stays.

--- a/core/receiver/conn.go
+++ b/core/receiver/conn.go
@@ -18,7 +18,8 @@
 // server had closed the connection in order. A response without a length would seem complete.
 type Conn struct {
 	net.Conn
-	// writing is held during a write. writeErr is the error of the last one that failed.
+	// writing is held during a write. writeErr is the error of the first one that failed; the
+	// kernel gives EPIPE to later ones.
 	writing  sync.Mutex
 	writeErr error
 }
@@ -34,7 +35,7 @@
 	c.writing.Lock()
 	defer c.writing.Unlock()
 	n, err := c.Conn.Write(p)
-	if err != nil {
+	if c.writeErr == nil {
 		c.writeErr = err
 	}
 	return n, err
@@ -50,7 +51,7 @@
 }
 
 // endWrite ends a write under way, which nobody waits for after the end of the response, and
-// returns the error of the last write that failed.
+// returns the error of the first write that failed.
 func (c *Conn) endWrite() error {
 	// The call fails only on a closed connection, on which a write ends anyway.
 	_ = c.SetWriteDeadline(time.Unix(1, 0))
