receiver: a response is checked by its own head, not by the next one's

Cause: net/http passes a connection on before the client has a response that has no body. The next request set the connection's head back, and the check of the first response then found none.

Change: each request has a head of its own, which the connection fills.

--- a/core/receiver/transport.go
+++ b/core/receiver/transport.go
@@ -23,7 +23,7 @@
 		if err != nil {
 			return nil, err
 		}
-		return &checkedConn{Conn: NewConn(c)}, nil
+		return &checkedConn{Conn: NewConn(c), head: &headChecker{}}, nil
 	}
 	return &transport{Transport: t}
 }
@@ -36,15 +36,16 @@
 // so is one that arrived before its request.
 func (t *transport) RoundTrip(r *http.Request) (*http.Response, error) {
 	var c *checkedConn
+	var head *headChecker
 	ctx := httptrace.WithClientTrace(r.Context(), &httptrace.ClientTrace{GotConn: func(i httptrace.GotConnInfo) {
 		c = i.Conn.(*checkedConn)
-		c.expectHead()
+		head = c.expectHead()
 	}})
 	resp, err := t.Transport.RoundTrip(r.WithContext(ctx))
 	if err != nil {
 		return nil, err
 	}
-	if err := c.checkResponse(resp); err != nil {
+	if err := c.checkResponse(resp, head); err != nil {
 		_ = resp.Body.Close()
 		// The connection may be idle already, and must not be used again.
 		_ = c.Close()
@@ -58,15 +59,17 @@
 type checkedConn struct {
 	*Conn
 	mu sync.Mutex
-	// head is that of the response to the last request.
-	head headChecker
+	// head is that of the response to the last request. The client may still have to look at
+	// the one before, because net/http passes the connection on before such a response.
+	head *headChecker
 }
 
-// expectHead makes the next bytes those of a head.
-func (c *checkedConn) expectHead() {
+// expectHead makes the next bytes those of a head, and returns it.
+func (c *checkedConn) expectHead() *headChecker {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.head = headChecker{}
+	c.head = &headChecker{}
+	return c.head
 }
 
 // Read reads into p.
@@ -83,19 +86,19 @@
 	for len(p) > 0 && !c.head.complete && c.head.err == nil {
 		p = c.head.read(p)
 		if c.head.interim() {
-			c.head = headChecker{}
+			*c.head = headChecker{}
 		}
 	}
 }
 
-// checkResponse checks a response that was read from the connection.
-func (c *checkedConn) checkResponse(resp *http.Response) error {
+// checkResponse checks a response with a head that was read from the connection.
+func (c *checkedConn) checkResponse(resp *http.Response, head *headChecker) error {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	switch {
-	case c.head.err != nil:
-		return c.head.err
-	case !c.head.complete:
+	case head.err != nil:
+		return head.err
+	case !head.complete:
 		return fmt.Errorf("%w: it came before its request", ErrMalformed)
 	case isJoined(resp):
 		return ErrJoinedHead
--- a/core/receiver/transport_test.go
+++ b/core/receiver/transport_test.go
@@ -5,6 +5,7 @@
 	"io"
 	"net/http"
 	"net/http/httptest"
+	"sync"
 	"sync/atomic"
 	"testing"
 
@@ -48,10 +49,36 @@
 	is := is.New(t)
 	const whole = "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"
 	c := &checkedConn{}
+	first := c.expectHead()
 	c.readHeads([]byte(whole + whole))
-	is.NoErr(c.checkResponse(&http.Response{}))
-	c.expectHead()
-	is.True(errors.Is(c.checkResponse(&http.Response{}), ErrMalformed))
+	second := c.expectHead()
+	is.NoErr(c.checkResponse(&http.Response{}, first))
+	is.True(errors.Is(c.checkResponse(&http.Response{}, second), ErrMalformed))
 	c.readHeads([]byte(whole))
-	is.NoErr(c.checkResponse(&http.Response{}))
+	is.NoErr(c.checkResponse(&http.Response{}, second))
+}
+
+// Guards against a response that counts as one of another request. A connection may carry the
+// next request before the client has the response to the last one, if that has no body.
+func TestConnectionsInTurn(t *testing.T) {
+	const clients, requests = 8, 500
+	s := httptest.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) {}))
+	defer s.Close()
+	c := http.Client{Transport: NewTransport(&http.Transport{MaxIdleConnsPerHost: 2})}
+	var wg sync.WaitGroup
+	var failed atomic.Int64
+	for range clients {
+		wg.Go(func() {
+			for range requests {
+				resp, err := c.Get(s.URL)
+				if err != nil {
+					failed.Add(1)
+					continue
+				}
+				_ = resp.Body.Close()
+			}
+		})
+	}
+	wg.Wait()
+	is.New(t).Equal(failed.Load(), int64(0))
 }
