--- a/review/standin3/cases.go
+++ b/review/standin3/cases.go
@@ -303,50 +303,51 @@
 }
 
 const (
-	// usualClients and burstClients are the clients of each daemon, and those that come in addition
-	// in a burst of 1.67 times the traffic.
-	usualClients = 3
-	burstClients = 2
-	burstTime    = 3 * time.Second
-	// callPause is the pause of a client between two requests.
-	callPause = 30 * time.Millisecond
+	// usualClients are the clients of each daemon, and callPause is their pause between requests.
+	usualClients = 8
+	callPause    = 10 * time.Millisecond
+	// slowWorkers of five workers take slowFactor times as long, for slowTime.
+	slowWorkers = 2
+	slowFactor  = 5
+	slowTime    = 8 * time.Second
 )
 
-// largeAnswers: answers of 120 KB come in pieces, which takes less than a third of the deadline.
-// Workers slow down when they are nearly full, and then take about half of it.
+// largeAnswers: answers of 120 KB come in pieces, which takes a tenth of the deadline. Some workers
+// turn slow, and then take half of it.
 func largeAnswers(e *env) (bool, error) {
-	_, workers, err := startSite(e, 450*time.Millisecond, service)
+	_, workers, err := startSite(e, 150*time.Millisecond, service)
 	if err != nil {
 		return false, err
 	}
+	for n := len(workers); n < 5; n++ {
+		w, err := startWorker(e, fmt.Sprintf("i-%s-%d", service, n+1), service, "zone-a", 150*time.Millisecond)
+		if err != nil {
+			return false, err
+		}
+		workers = append(workers, w)
+	}
 	for _, w := range workers {
 		w.size, w.pieces = 120<<10, 12
-		w.fullWork = 750 * time.Millisecond
 	}
 	stop := make(chan struct{})
-	usual := load(e, usualClients, callPause, plainCalls[:1], stop)
-	time.Sleep(4 * time.Second)
-	if e.trouble {
-		e.rec.log("many users come at once")
-		burst := load(e, burstClients, callPause, plainCalls[:1], after(burstTime))
-		burst.Wait()
-		e.rec.log("they have left")
-	} else {
-		time.Sleep(burstTime)
+	wg := load(e, usualClients, callPause, plainCalls[:1], stop)
+	time.Sleep(3 * time.Second)
+	for _, w := range workers[:slowWorkers] {
+		if e.trouble {
+			w.slow.Store(slowFactor)
+			e.rec.log("worker %s turns slow", w.id)
+		}
 	}
-	time.Sleep(2 * time.Second)
+	time.Sleep(slowTime)
+	for _, w := range workers {
+		w.slow.Store(1)
+	}
+	time.Sleep(time.Second)
 	close(stop)
-	usual.Wait()
+	wg.Wait()
 	return e.checkCut(), nil
 }
 
-// after returns a channel that is closed after a time.
-func after(d time.Duration) <-chan struct{} {
-	done := make(chan struct{})
-	time.AfterFunc(d, func() { close(done) })
-	return done
-}
-
 // maxCut is how many requests of kept connections a daemon may leave without an answer.
 const maxCut = 3
 
--- a/review/standin3/worker.go
+++ b/review/standin3/worker.go
@@ -21,8 +21,6 @@
 	healthPath     = "/healthz"
 	workerSlots    = 6
 	workerQueue    = 24
-	// nearlyFull is the number of running requests above which a worker may be slower.
-	nearlyFull = 4
 )
 
 // workerSpec is the registry entry of a worker.
@@ -78,12 +76,12 @@
 	work   time.Duration
 	size   int
 	pieces int
-	// fullWork is how long a request takes while the worker is nearly full; 0 means work.
-	fullWork time.Duration
-	waiting  atomic.Int64
-	slots    chan struct{}
-	state    atomic.Pointer[string]
-	server   atomic.Pointer[http.Server]
+	// slow is how many times longer than usual the work takes; 0 means 1.
+	slow    atomic.Int64
+	waiting atomic.Int64
+	slots   chan struct{}
+	state   atomic.Pointer[string]
+	server  atomic.Pointer[http.Server]
 	// retryAfter is what the worker names, in seconds, while it turns all requests away; 0 while it
 	// takes them.
 	retryAfter atomic.Int64
@@ -205,10 +203,7 @@
 
 // answer sends the answer in equal pieces over the time that the work takes.
 func (w *worker) answer(rw http.ResponseWriter, r *http.Request, id string) {
-	total := w.work
-	if w.fullWork > 0 && len(w.slots) > nearlyFull {
-		total = w.fullWork
-	}
+	total := w.work * time.Duration(max(1, w.slow.Load()))
 	rw.Header().Set(headerStamp, stamp(w.id, id))
 	rw.Header().Set("Content-Length", fmt.Sprint(w.size))
 	body := answerBody(w.id, id, w.size)
